Build: Add the skeleton, transport and platform clients

Cause: the project starts from nothing; every slice needs the clock, result codes, HTTP, links between processes and the platform's interfaces.

--- /dev/null
+++ b/Source/Core/Clock.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+
+namespace Damaskgrade {
+
+using Duration = std::chrono::steady_clock::duration;
+using TimePoint = std::chrono::steady_clock::time_point;
+using WallTime = std::chrono::system_clock::time_point;
+
+// Gives the current time. Passed in wherever time matters, so that tests control it.
+class Clock {
+public:
+    virtual ~Clock() = default;
+
+    // Returns monotonic time, for intervals, leases and deadlines.
+    virtual TimePoint now() const = 0;
+
+    // Returns wall-clock time, for logs and the time line only.
+    virtual WallTime wallNow() const = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Core/ManualClock.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "Core/Clock.h"
+
+namespace Damaskgrade {
+
+// A clock that moves only when told to. Starts at one hour, so that tests can subtract from it.
+class ManualClock : public Clock {
+public:
+    TimePoint now() const override;
+    WallTime wallNow() const override;
+    void advance(Duration step);
+
+private:
+    Duration elapsed_ { std::chrono::hours(1) };
+};
+
+}
--- /dev/null
+++ b/Source/Main.cpp
@@ -0,0 +1,6 @@
+#include "CommandLine/Program.h"
+
+int main(int argumentCount, char** arguments)
+{
+    return Damaskgrade::runProgram(argumentCount, arguments);
+}
--- /dev/null
+++ b/Source/Transport/EventLoop.cpp
@@ -0,0 +1,127 @@
+#include "Transport/EventLoop.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+// Shared with the pending handler, which must not use a destroyed timer.
+struct TimerState {
+    TimerState(boost::asio::io_context& context, std::chrono::milliseconds delay, bool repeat, std::function<void()> task)
+        : timer(context)
+        , delay(delay)
+        , repeat(repeat)
+        , task(std::move(task))
+    {
+    }
+
+    boost::asio::steady_timer timer;
+    std::chrono::milliseconds delay;
+    bool repeat;
+    bool cancelled { false };
+    std::function<void()> task;
+};
+
+void startTimer(const std::shared_ptr<TimerState>& state)
+{
+    state->timer.expires_after(state->delay);
+    state->timer.async_wait([state](boost::system::error_code failure) {
+        if (failure || state->cancelled)
+            return;
+        state->task();
+        if (state->repeat && !state->cancelled)
+            startTimer(state);
+    });
+}
+
+class AsioTimer : public Timer {
+public:
+    explicit AsioTimer(std::shared_ptr<TimerState> state)
+        : state_(std::move(state))
+    {
+        startTimer(state_);
+    }
+
+    ~AsioTimer() override
+    {
+        state_->cancelled = true;
+        state_->timer.cancel();
+    }
+
+private:
+    std::shared_ptr<TimerState> state_;
+};
+
+}
+
+struct EventLoop::State {
+    boost::asio::io_context context { 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { context.get_executor() };
+    boost::asio::signal_set signals { context };
+    std::function<void()> terminationTask;
+
+    void waitForSignal()
+    {
+        signals.async_wait([this](boost::system::error_code failure, int) {
+            if (failure)
+                return;
+            terminationTask();
+            waitForSignal();
+        });
+    }
+};
+
+EventLoop::EventLoop()
+    : state_(std::make_unique<State>())
+{
+}
+
+EventLoop::~EventLoop() = default;
+
+void EventLoop::run()
+{
+    state_->context.run();
+}
+
+void EventLoop::stop()
+{
+    state_->context.stop();
+}
+
+void EventLoop::post(std::function<void()> task)
+{
+    boost::asio::post(state_->context, std::move(task));
+}
+
+std::unique_ptr<Timer> EventLoop::after(std::chrono::milliseconds delay, std::function<void()> task)
+{
+    return std::make_unique<AsioTimer>(std::make_shared<TimerState>(state_->context, delay, false, std::move(task)));
+}
+
+std::unique_ptr<Timer> EventLoop::every(std::chrono::milliseconds period, std::function<void()> task)
+{
+    return std::make_unique<AsioTimer>(std::make_shared<TimerState>(state_->context, period, true, std::move(task)));
+}
+
+void EventLoop::onTermination(std::function<void()> task)
+{
+    state_->terminationTask = std::move(task);
+    state_->signals.add(SIGTERM);
+    state_->signals.add(SIGINT);
+    state_->waitForSignal();
+}
+
+boost::asio::io_context& EventLoop::context()
+{
+    return state_->context;
+}
+
+}
--- /dev/null
+++ b/Source/Transport/HttpMessage.cpp
@@ -0,0 +1,97 @@
+#include "Transport/HttpMessage.h"
+
+#include <cctype>
+#include <cstdlib>
+
+namespace Damaskgrade {
+
+namespace {
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    if (left.size() != right.size())
+        return false;
+    for (std::size_t i = 0; i < left.size(); ++i) {
+        if (std::tolower(static_cast<unsigned char>(left[i])) != std::tolower(static_cast<unsigned char>(right[i])))
+            return false;
+    }
+    return true;
+}
+
+bool isUnreserved(char character)
+{
+    return std::isalnum(static_cast<unsigned char>(character)) || std::string_view("-._~").find(character) != std::string_view::npos;
+}
+
+bool isHexDigit(char character)
+{
+    return std::isxdigit(static_cast<unsigned char>(character)) != 0;
+}
+
+}
+
+std::optional<std::string> findHeader(const std::vector<HttpHeader>& headers, std::string_view name)
+{
+    for (const HttpHeader& header : headers) {
+        if (equalsIgnoringCase(header.name, name))
+            return header.value;
+    }
+    return std::nullopt;
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::optional<std::string> queryParameter(std::string_view target, std::string_view name)
+{
+    std::size_t question = target.find('?');
+    if (question == std::string_view::npos)
+        return std::nullopt;
+    std::string_view rest = target.substr(question + 1);
+    while (!rest.empty()) {
+        std::string_view pair = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        std::size_t equals = pair.find('=');
+        if (pair.substr(0, equals) != name)
+            continue;
+        return equals == std::string_view::npos ? std::string() : percentDecode(pair.substr(equals + 1));
+    }
+    return std::nullopt;
+}
+
+std::string percentDecode(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        bool isEncoded = text[i] == '%' && i + 2 < text.size() && isHexDigit(text[i + 1]) && isHexDigit(text[i + 2]);
+        if (!isEncoded) {
+            decoded += text[i];
+            continue;
+        }
+        std::string digits(text.substr(i + 1, 2));
+        decoded += static_cast<char>(std::strtol(digits.c_str(), nullptr, 16));
+        i += 2;
+    }
+    return decoded;
+}
+
+std::string percentEncode(std::string_view text)
+{
+    static constexpr char digits[] = "0123456789ABCDEF";
+    std::string encoded;
+    for (char character : text) {
+        if (isUnreserved(character)) {
+            encoded += character;
+            continue;
+        }
+        unsigned char byte = static_cast<unsigned char>(character);
+        encoded += '%';
+        encoded += digits[byte >> 4];
+        encoded += digits[byte & 15];
+    }
+    return encoded;
+}
+
+}
--- /dev/null
+++ b/Source/Transport/LinkClient.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Core/Random.h"
+#include "Transport/EventLoop.h"
+#include "Transport/Link.h"
+
+#include <memory>
+
+namespace Damaskgrade {
+
+// Keeps a link to another process open; reconnects after random delays that double up to two seconds.
+class LinkClient {
+public:
+    LinkClient(EventLoop& loop, Random& random, const Endpoint& server, LinkHandlers handlers);
+    ~LinkClient();
+    LinkClient(const LinkClient&) = delete;
+    LinkClient& operator=(const LinkClient&) = delete;
+
+    // Returns the open session, or null.
+    std::shared_ptr<LinkSession> session() const;
+
+    const LinkCounters& counters() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> state_;
+};
+
+}
--- /dev/null
+++ b/Source/Transport/WebsocketSession.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "Core/Error.h"
+#include "Transport/Link.h"
+
+#include <websocketpp/connection.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace Damaskgrade {
+
+// A link over a websocketpp connection, for LinkServer.cpp and LinkClient.cpp only.
+template <typename WebsocketEndpoint>
+class WebsocketSession : public LinkSession, public std::enable_shared_from_this<WebsocketSession<WebsocketEndpoint>> {
+public:
+    using ConnectionPointer = typename WebsocketEndpoint::connection_ptr;
+    using MessagePointer = typename WebsocketEndpoint::message_ptr;
+
+    WebsocketSession(ConnectionPointer connection, std::shared_ptr<LinkCounters> counters)
+        : connection_(std::move(connection))
+        , counters_(std::move(counters))
+    {
+    }
+
+    void send(const Frame& frame) override
+    {
+        if (!isOpen_)
+            return;
+        Bytes bytes = encodeFrame(frame);
+        ++counters_->framesSent;
+        counters_->bytesSent += bytes.size();
+        connection_->send(bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+    }
+
+    void close() override
+    {
+        websocketpp::lib::error_code ignored;
+        connection_->close(websocketpp::close::status::normal, "", ignored);
+    }
+
+    std::size_t pendingBytes() const override { return connection_->get_buffered_amount(); }
+
+    // Registers the handlers at the connection, which keeps the session alive until it closes.
+    void attach(const LinkHandlers& handlers)
+    {
+        auto self = this->shared_from_this();
+        connection_->set_max_message_size(maxFrameBytes);
+        connection_->set_open_handler([self, handlers](websocketpp::connection_hdl) {
+            self->isOpen_ = true;
+            ++self->counters_->opened;
+            handlers.onOpen(self);
+        });
+        connection_->set_message_handler([self, handlers](websocketpp::connection_hdl, MessagePointer message) {
+            self->receive(handlers, message->get_payload());
+        });
+        connection_->set_close_handler([self, handlers](websocketpp::connection_hdl) {
+            self->isOpen_ = false;
+            ++self->counters_->closed;
+            handlers.onClose(self);
+            self->releaseHandlers();
+        });
+    }
+
+    void releaseHandlers()
+    {
+        connection_->set_open_handler(nullptr);
+        connection_->set_message_handler(nullptr);
+    }
+
+private:
+    void receive(const LinkHandlers& handlers, const std::string& payload)
+    {
+        ++counters_->framesReceived;
+        counters_->bytesReceived += payload.size();
+        try {
+            const std::uint8_t* data = reinterpret_cast<const std::uint8_t*>(payload.data());
+            handlers.onFrame(this->shared_from_this(), decodeFrame(ByteView(data, payload.size())));
+        } catch (const Error& error) {
+            if (error.code() != ResultCode::BadFrame)
+                throw;
+            ++counters_->badFrames;
+        }
+    }
+
+    ConnectionPointer connection_;
+    std::shared_ptr<LinkCounters> counters_;
+    bool isOpen_ { false };
+};
+
+}
--- /dev/null
+++ b/StandIns/Main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/Utilities/format.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Formats all C++ files, or checks them with --check.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+mode=(-i)
+if [ "${1:-}" = "--check" ]; then
+  mode=(--dry-run -Werror)
+fi
+find Source StandIns Tests Benchmarks \( -name '*.h' -o -name '*.cpp' \) -print0 | xargs -0 -r clang-format "${mode[@]}"
--- /dev/null
+++ b/Utilities/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs missing packages, builds, and runs all tests.
+# Usage: test.sh [ctest options]   (for example: test.sh -R Configuration)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+./Utilities/build.sh
+ctest --preset default -j "${JOBS:-4}" "$@"
