Calls: Add the messages between entries and agents

Cause: the entry, the agent and the call decisions are written side by side and need one definition of tickets and messages.

Change: typed messages with CBOR bodies.

--- /dev/null
+++ b/Source/Transport/CborBody.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Core/Error.h"
+#include "Transport/Frame.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace Damaskgrade {
+
+// Encodes a message body as CBOR. For message source files only: the header is heavy.
+inline Frame makeFrame(const char* type, HybridTime time, const nlohmann::json& body)
+{
+    return { type, time, nlohmann::json::to_cbor(body) };
+}
+
+// Decodes a message body and passes it to the step that reads its fields.
+// Throws Error(BadFrame) if the body is no CBOR map or lacks a field.
+template <typename Step>
+auto decodeBody(const char* type, ByteView body, const Step& step)
+{
+    try {
+        return step(nlohmann::json::from_cbor(body.begin(), body.end()));
+    } catch (const nlohmann::json::exception& failure) {
+        throw Error(ResultCode::BadFrame, std::string(type) + " message can't be decoded: " + failure.what());
+    }
+}
+
+}
