--- a/Source/Calls/CallMessages.cpp
+++ b/Source/Calls/CallMessages.cpp
@@ -140,7 +140,7 @@
     return makeFrame(CallMessage::type, time,
         { { "callId", message.callId }, { "attempt", message.attempt }, { "ticket", ticketToJson(message.ticket) },
             { "configuration", message.configurationVersion }, { "timeLeft", message.timeLeft.count() },
-            { "kind", static_cast<int>(message.kind) }, { "operation", message.operation }, { "customer", message.customer },
+            { "kind", static_cast<int>(message.kind) }, { "operation", message.operation }, { "customer", message.customer }, { "key", message.idempotencyKey },
             { "priority", message.priority }, { "payload", message.payload }, { "resumeText", message.resumeText } });
 }
 
@@ -156,6 +156,7 @@
         message.kind = enumerationFromJson(json.at("kind"), CallKind::Service);
         message.operation = json.at("operation").get<std::string>();
         message.customer = json.at("customer").get<std::string>();
+        message.idempotencyKey = json.at("key").get<std::string>();
         message.priority = json.at("priority").get<std::int32_t>();
         message.payload = json.at("payload").get<std::string>();
         message.resumeText = json.at("resumeText").get<std::string>();
--- a/Source/Calls/CallMessages.h
+++ b/Source/Calls/CallMessages.h
@@ -87,6 +87,8 @@
     // The operation of a service; empty for a completion.
     std::string operation;
     std::string customer;
+    // Passed on to the engine; empty for idempotent calls.
+    std::string idempotencyKey;
     std::int32_t priority { 0 };
     // The body of the caller's request.
     std::string payload;
--- /dev/null
+++ b/Tests/Entry/CallerRequestTest.cpp
@@ -0,0 +1,74 @@
+#include "Entry/CallerRequest.h"
+#include "Core/Error.h"
+
+#include <doctest/doctest.h>
+
+namespace Damaskgrade {
+
+namespace {
+
+HttpRequest makePost(const std::string& target, const std::string& body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = target;
+    request.body = body;
+    return request;
+}
+
+ResultCode codeOf(const HttpRequest& request)
+{
+    try {
+        parseCallerRequest(request);
+    } catch (const Error& error) {
+        return error.code();
+    }
+    return ResultCode::Ok;
+}
+
+}
+
+TEST_CASE("a completion request is read")
+{
+    CallerRequest request = parseCallerRequest(makePost("/v1/completions", R"({"model":"m","prompt":"p","max_tokens":3,"stream":true})"));
+    CHECK(request.kind == CallKind::Completion);
+    CHECK(request.target == "m");
+    CHECK(request.maxTokens == 3);
+    CHECK(request.isStreamed);
+}
+
+TEST_CASE("a service request is read")
+{
+    CallerRequest request = parseCallerRequest(makePost("/v1/services/bookings/reserve%20now", "{}"));
+    CHECK(request.kind == CallKind::Service);
+    CHECK(request.target == "bookings");
+    CHECK(request.operation == "reserve now");
+}
+
+// Guards against a malformed request that is answered without its number or ends the process.
+TEST_CASE("malformed requests have their numbers")
+{
+    CHECK(codeOf(makePost("/v1/completions", "{")) == ResultCode::MalformedRequest);
+    CHECK(codeOf(makePost("/v1/completions", R"({"model":1,"prompt":"p"})")) == ResultCode::MalformedRequest);
+    CHECK(codeOf(makePost("/v1/completions", R"({"model":"m","prompt":"p","max_tokens":0})")) == ResultCode::MalformedRequest);
+    CHECK(codeOf(makePost("/v1/services/bookings", "{}")) == ResultCode::UnknownRoute);
+    CHECK(codeOf(makePost("/v1/services/a/b/c", "{}")) == ResultCode::UnknownRoute);
+    CHECK(codeOf(makePost("/other", "{}")) == ResultCode::UnknownRoute);
+    HttpRequest badDeadline = makePost("/v1/services/a/b", "{}");
+    badDeadline.headers.push_back({ "Request-Deadline-Ms", "-5" });
+    CHECK(codeOf(badDeadline) == ResultCode::InvalidDeadline);
+    HttpRequest badPosition = makePost("/v1/services/a/b", "{}");
+    badPosition.headers.push_back({ "Last-Event-ID", "a/b" });
+    CHECK(codeOf(badPosition) == ResultCode::MalformedRequest);
+}
+
+// Guards against a stream that a caller resumes at the wrong place.
+TEST_CASE("a stream position keeps its form")
+{
+    StreamPosition position = parseStreamPosition(formatStreamPosition({ "call", "agent-1", 42 }));
+    CHECK(position.callId == "call");
+    CHECK(position.agent == "agent-1");
+    CHECK(position.offset == 42);
+}
+
+}
