Entry, Agent: Join the decisions to callers, links and the platform (partial)

Cause: the slices need one process each that feeds them.

Change: the entry and agent processes, the caller and administration interfaces, metrics and the operator commands.

--- /dev/null
+++ b/Source/Agent/AgentProcess.cpp
@@ -0,0 +1,250 @@
+#include "Agent/AgentProcess.h"
+
+#include "Core/Error.h"
+#include "Metrics/LinkMetrics.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickPeriod { 50 };
+constexpr std::chrono::milliseconds engineReportPeriod { 200 };
+// The engine counts as lost after this many reports in a row without an answer.
+constexpr std::uint32_t maxEngineMisses = 3;
+// Calls that may queue at the engine beyond those it runs, as a share of its capacity.
+constexpr double queueShare = 0.25;
+
+std::string engineKey(RunId run)
+{
+    return "run-" + std::to_string(run);
+}
+
+}
+
+AgentProcess::AgentProcess(EventLoop& loop, const Clock& clock, Random& random, AgentSettings settings)
+    : loop_(loop)
+    , clock_(clock)
+    , settings_(std::move(settings))
+    , incarnation_(random.identifier())
+    , hybridClock_(clock)
+    , engine_(loop, settings_)
+    , calls_(makeCalls())
+{
+    calls_.engineFailed("the engine has not answered yet");
+    http_ = std::make_unique<HttpServer>(loop_, settings_.http, HttpServerLimits(),
+        [this](const std::shared_ptr<HttpExchange>& exchange) { serveHttp(exchange); });
+    links_ = std::make_unique<LinkServer>(loop_, settings_.link, makeLinkHandlers());
+    tickTimer_ = loop_.every(tickPeriod, [this] { tick(); });
+    engineTimer_ = loop_.every(engineReportPeriod, [this] { pollEngine(); });
+    loop_.onTermination([this] { beginDrain(); });
+    pollEngine();
+}
+
+AgentProcess::~AgentProcess() = default;
+
+AgentCalls AgentProcess::makeCalls()
+{
+    AgentCallsSettings callSettings;
+    callSettings.drainBound = settings_.drainLimit;
+    AgentCallsHooks hooks;
+    hooks.startCall = [this](RunId run, const CallMessage& call) { startCall(run, call); };
+    hooks.cancelCall = [this](RunId run) { engine_.cancel(engineKey(run)); };
+    hooks.send = [this](std::uint64_t session, const AgentMessage& message) { send(session, message); };
+    hooks.addLoadReport = [this](TicketsMessage& message) {
+        message.load = load_;
+        message.load.age += std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - loadReceivedAt_);
+        message.cacheEvents = cacheEvents_;
+    };
+    return { settings_.name, incarnation_, clock_, callSettings, std::move(hooks) };
+}
+
+LinkHandlers AgentProcess::makeLinkHandlers()
+{
+    LinkHandlers handlers;
+    handlers.onOpen = [](const SessionPointer&) {};
+    handlers.onFrame = [this](const SessionPointer& link, const Frame& frame) { receiveFrame(link, frame); };
+    handlers.onClose = [this](const SessionPointer& link) { closePeer(link); };
+    return handlers;
+}
+
+void AgentProcess::receiveFrame(const SessionPointer& link, const Frame& frame)
+{
+    hybridClock_.observe(frame.time);
+    if (frame.type == HelloMessage::type) {
+        greet(link, decodeHello(frame.body));
+        return;
+    }
+    auto peer = peers_.find(link);
+    if (peer == peers_.end())
+        return;
+    std::uint64_t session = peer->second.session;
+    if (frame.type == CallMessage::type)
+        calls_.receiveCall(session, decodeCall(frame.body), clock_.now());
+    else if (frame.type == CancelMessage::type)
+        calls_.receiveCancel(session, decodeCancel(frame.body));
+    else if (frame.type == ResolveMessage::type)
+        calls_.receiveResolve(session, decodeResolve(frame.body));
+    else if (frame.type == FetchMessage::type)
+        calls_.receiveFetch(session, decodeFetch(frame.body));
+}
+
+void AgentProcess::greet(const SessionPointer& link, const HelloMessage& hello)
+{
+    if (peers_.count(link) != 0)
+        return;
+    HelloMessage answer;
+    answer.name = settings_.name;
+    answer.incarnation = incarnation_;
+    answer.availabilityZone = settings_.availabilityZone;
+    answer.role = "agent";
+    answer.engineKind = settings_.engineKind == EngineKind::Model ? "model" : "application";
+    answer.serves = settings_.serves;
+    answer.group = settings_.group;
+    link->send(encodeMessage(answer, hybridClock_.tick()));
+    Peer peer;
+    peer.link = link;
+    peer.name = hello.name;
+    // The first tickets are sent while the session opens, so the link must be known by then.
+    pendingLink_ = link;
+    peer.session = calls_.openSession();
+    pendingLink_ = nullptr;
+    linkBySession_[peer.session] = link;
+    peers_[link] = peer;
+    LOG(INFO) << "entry " << hello.name << " linked";
+}
+
+void AgentProcess::closePeer(const SessionPointer& link)
+{
+    auto peer = peers_.find(link);
+    if (peer == peers_.end())
+        return;
+    calls_.closeSession(peer->second.session);
+    linkBySession_.erase(peer->second.session);
+    LOG(INFO) << "entry " << peer->second.name << " unlinked";
+    peers_.erase(peer);
+}
+
+void AgentProcess::send(std::uint64_t session, const AgentMessage& message)
+{
+    auto found = linkBySession_.find(session);
+    const SessionPointer& link = found == linkBySession_.end() ? pendingLink_ : found->second;
+    if (!link)
+        return;
+    std::visit([this, &link](const auto& typed) { link->send(encodeMessage(typed, hybridClock_.tick())); }, message);
+}
+
+void AgentProcess::startCall(RunId run, const CallMessage& call)
+{
+    EngineCallHandlers handlers;
+    std::uint64_t expected = call.resumeText.size();
+    auto nextOffset = std::make_shared<std::uint64_t>(expected);
+    handlers.onText = [this, run, nextOffset](std::uint64_t offset, std::string_view text) {
+        if (offset != *nextOffset) {
+            engine_.cancel(engineKey(run));
+            calls_.engineEnd(run, ResultCode::BackendServerFailed, "engine skipped a part of its answer");
+            return;
+        }
+        *nextOffset += text.size();
+        calls_.engineText(run, std::string(text));
+    };
+    handlers.onEnd = [this, run](std::uint64_t) { calls_.engineEnd(run, ResultCode::Ok, ""); };
+    handlers.onFailure = [this, run](const EngineFailure& failure) {
+        calls_.engineEnd(run, ResultCode::BackendServerFailed, failure.detail);
+    };
+    engine_.start(engineKey(run), call, std::move(handlers));
+}
+
+void AgentProcess::pollEngine()
+{
+    engine_.fetchLoad([this](const std::optional<LoadReport>& load) { takeLoad(load); });
+    if (settings_.engineKind == EngineKind::Model)
+        engine_.fetchCacheEvents(lastCacheEvent_, [this](const std::vector<CacheEvent>& events) {
+            cacheEvents_ = events;
+            if (!events.empty())
+                lastCacheEvent_ = events.back().sequence;
+        });
+}
+
+void AgentProcess::takeLoad(const std::optional<LoadReport>& load)
+{
+    if (!load) {
+        ++engineMisses_;
+        if (isEngineAvailable_ && engineMisses_ >= maxEngineMisses) {
+            isEngineAvailable_ = false;
+            LOG(WARNING) << "engine at " << formatEndpoint(settings_.engine) << " does not answer";
+            calls_.engineFailed("the engine does not answer");
+        }
+        return;
+    }
+    engineMisses_ = 0;
+    load_ = *load;
+    loadReceivedAt_ = clock_.now();
+    std::uint64_t queueSlots = static_cast<std::uint64_t>(static_cast<double>(load->capacity) * queueShare);
+    calls_.setSlots(load->capacity + queueSlots);
+    if (isEngineAvailable_)
+        return;
+    isEngineAvailable_ = true;
+    LOG(INFO) << "engine at " << formatEndpoint(settings_.engine) << " answers";
+    calls_.engineAvailable();
+}
+
+void AgentProcess::tick()
+{
+    calls_.tick();
+    if (!isDraining_)
+        return;
+    DrainState state = calls_.drainState();
+    if (state == DrainState::OverTime && !isOverTimeReported_) {
+        isOverTimeReported_ = true;
+        LOG(WARNING) << "drain limit passed with " << calls_.runningCalls() << " calls running; waiting for them";
+    }
+    if (state == DrainState::Drained) {
+        LOG(INFO) << "drained";
+        loop_.stop();
+    }
+}
+
+// A second signal changes nothing: calls in flight are finished in any case.
+void AgentProcess::beginDrain()
+{
+    if (isDraining_)
+        return;
+    isDraining_ = true;
+    LOG(INFO) << "draining with " << calls_.runningCalls() << " calls running";
+    calls_.beginDrain();
+}
+
+void AgentProcess::serveHttp(const std::shared_ptr<HttpExchange>& exchange)
+{
+    std::string_view path = pathOf(exchange->request().target);
+    if (path == "/metrics")
+        exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText() });
+    else if (path == "/healthz")
+        exchange->respond({ 200, {}, "ok\n" });
+    else if (path == "/readyz")
+        exchange->respond({ isEngineAvailable_ && !isDraining_ ? 200 : 503, {}, isDraining_ ? "draining\n" : "" });
+    else
+        exchange->respond({ 404, {}, "" });
+}
+
+std::string AgentProcess::metricsText() const
+{
+    MetricsPage page;
+    const AgentCallsCounters& counters = calls_.counters();
+    page.addCounter("damaskgrade_agent_calls_started_total", "Calls started at the engine", static_cast<double>(counters.started));
+    page.addCounter("damaskgrade_agent_calls_refused_total", "Calls refused", static_cast<double>(counters.refused));
+    page.addCounter("damaskgrade_agent_tickets_revoked_total", "Tickets revoked by a resolve", static_cast<double>(counters.revokedByResolve));
+    page.addGauge("damaskgrade_agent_calls_running", "Calls running at the engine", static_cast<double>(calls_.runningCalls()));
+    page.addGauge("damaskgrade_agent_answer_bytes", "Bytes of answers kept", static_cast<double>(calls_.answerBytes()));
+    page.addGauge("damaskgrade_agent_engine_available", "Whether the engine answers", isEngineAvailable_ ? 1 : 0);
+    addLinkMetrics(page, links_->counters(), "server");
+    addHttpMetrics(page, http_->counters());
+    addProcessMetrics(page);
+    return page.text();
+}
+
+}
--- /dev/null
+++ b/Source/Agent/AgentProcess.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Agent/AgentSettings.h"
+#include "Agent/EngineClient.h"
+#include "Calls/AgentCalls.h"
+#include "Core/HybridClock.h"
+#include "Core/Random.h"
+#include "Transport/HttpServer.h"
+#include "Transport/LinkServer.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Damaskgrade {
+
+// The agent process: joins the links of the entries and the engine beside it to the call decisions.
+class AgentProcess {
+public:
+    AgentProcess(EventLoop& loop, const Clock& clock, Random& random, AgentSettings settings);
+    ~AgentProcess();
+
+private:
+    using SessionPointer = std::shared_ptr<LinkSession>;
+
+    // A linked entry, from its hello on.
+    struct Peer {
+        SessionPointer link;
+        std::uint64_t session { 0 };
+        std::string name;
+    };
+
+    AgentCalls makeCalls();
+    LinkHandlers makeLinkHandlers();
+    void receiveFrame(const SessionPointer& link, const Frame& frame);
+    void greet(const SessionPointer& link, const HelloMessage& hello);
+    void closePeer(const SessionPointer& link);
+    void send(std::uint64_t session, const AgentMessage& message);
+    void startCall(RunId run, const CallMessage& call);
+    void pollEngine();
+    void takeLoad(const std::optional<LoadReport>& load);
+    void tick();
+    void beginDrain();
+    void serveHttp(const std::shared_ptr<HttpExchange>& exchange);
+    std::string metricsText() const;
+
+    EventLoop& loop_;
+    const Clock& clock_;
+    AgentSettings settings_;
+    std::string incarnation_;
+    HybridClock hybridClock_;
+    EngineClient engine_;
+    AgentCalls calls_;
+    std::map<SessionPointer, Peer> peers_;
+    std::map<std::uint64_t, SessionPointer> linkBySession_;
+    // The link whose session is being opened.
+    SessionPointer pendingLink_;
+    LoadReport load_;
+    TimePoint loadReceivedAt_;
+    std::vector<CacheEvent> cacheEvents_;
+    std::uint64_t lastCacheEvent_ { 0 };
+    std::uint32_t engineMisses_ { 0 };
+    bool isEngineAvailable_ { false };
+    bool isDraining_ { false };
+    bool isOverTimeReported_ { false };
+    std::unique_ptr<HttpServer> http_;
+    std::unique_ptr<LinkServer> links_;
+    std::unique_ptr<Timer> tickTimer_;
+    std::unique_ptr<Timer> engineTimer_;
+};
+
+}
--- /dev/null
+++ b/Source/CommandLine/OperatorCommands.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Transport/HttpMessage.h"
+
+#include <CLI/CLI.hpp>
+
+#include <string>
+#include <vector>
+
+namespace Damaskgrade {
+
+// The commands that an operator types: config, status and timeline.
+// Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 not decided yet.
+class OperatorCommands {
+public:
+    // Adds the commands. The exit code is set when a command has run.
+    OperatorCommands(CLI::App& app, int& exitCode);
+
+private:
+    void addConfigCommands(CLI::App& app);
+    void addConnection(CLI::App& command);
+    void getConfiguration();
+    void checkConfiguration();
+    void setSection();
+    void showHistory();
+    void watchConfiguration();
+    void showStatus();
+    HttpResponse request(const std::string& method, const std::string& target, const std::string& body = "", std::vector<HttpHeader> headers = {});
+    bool report(const HttpResponse& response);
+
+    int& exitCode_;
+    Endpoint entry_;
+    std::vector<Endpoint> entries_;
+    bool asJson_ { false };
+    std::string section_;
+    std::string file_;
+    std::string token_;
+    std::uint64_t ifMatch_ { 0 };
+    int watchSeconds_ { 60 };
+};
+
+}
--- /dev/null
+++ b/Source/Entry/AdministrationApi.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Configuration/ChangeProtocol.h"
+#include "Core/Random.h"
+#include "Transport/EventLoop.h"
+#include "Transport/HttpServer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Damaskgrade {
+
+struct AdministrationHooks {
+    // Throws Error(DocumentInvalid).
+    std::function<void(const ConfigurationText&)> validate;
+    // Returns the status of this entry as JSON.
+    std::function<std::string()> status;
+    // Returns the recent events of this entry as JSON.
+    std::function<std::string()> timeline;
+};
+
+// The administration API of an entry: the sections of the configuration, changes and status.
+class AdministrationApi {
+public:
+    AdministrationApi(EventLoop& loop, const Clock& clock, Random& random, ChangeProtocol& protocol, AdministrationHooks hooks);
+
+    // Answers the request if its path belongs to this interface. Returns whether it does.
+    bool handle(const std::shared_ptr<HttpExchange>& exchange);
+
+private:
+    using Exchange = std::shared_ptr<HttpExchange>;
+
+    void route(const Exchange& exchange, std::string_view path);
+    const CommittedDocument& documentInForce() const;
+    void getDocument(const Exchange& exchange) const;
+    void getSection(const Exchange& exchange, const std::string& section) const;
+    void putSection(const Exchange& exchange, const std::string& section);
+    void checkDocument(const Exchange& exchange) const;
+    void getChange(const Exchange& exchange, const std::string& id) const;
+    void getHistory(const Exchange& exchange) const;
+    void answerWhenDecided(const Exchange& exchange, const std::string& id);
+    void answerDecided();
+
+    struct WaitingChange {
+        Exchange exchange;
+        TimePoint since;
+    };
+
+    const Clock& clock_;
+    Random& random_;
+    ChangeProtocol& protocol_;
+    AdministrationHooks hooks_;
+    std::multimap<std::string, WaitingChange> waiting_;
+    std::unique_ptr<Timer> timer_;
+};
+
+}
--- /dev/null
+++ b/Source/Entry/AnswerWriter.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Calls/CallDriver.h"
+#include "Entry/CallerRequest.h"
+#include "Transport/HttpServer.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Damaskgrade {
+
+// Writes the answer of one call to its caller in the shape that the caller asked for.
+class AnswerWriter {
+public:
+    AnswerWriter(std::shared_ptr<HttpExchange> exchange, const CallerRequest& request, std::string callId);
+
+    // Takes text in order. The offset is that after the text.
+    // Returns false if the caller reads too slowly, so that the call should be cancelled.
+    bool writeText(std::string_view text, const std::string& agent, std::uint64_t offset);
+
+    void writeOutcome(const CallOutcome& outcome);
+
+private:
+    std::string completionJson(std::string_view text, const char* finishReason) const;
+    void beginStream();
+    void writeStreamEnd(const CallOutcome& outcome);
+    void writeWhole(const CallOutcome& outcome);
+    std::vector<HttpHeader> headers(const std::string& contentType) const;
+
+    std::shared_ptr<HttpExchange> exchange_;
+    CallKind kind_;
+    CompletionShape shape_;
+    bool isStreamed_;
+    std::string model_;
+    std::string callId_;
+    bool hasBegun_ { false };
+    std::string text_;
+};
+
+}
--- /dev/null
+++ b/Source/Entry/CallService.cpp
@@ -0,0 +1,324 @@
+#include "Entry/CallService.h"
+
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::size_t maxCacheBlocksPerServer = 20000;
+constexpr std::chrono::microseconds assumedZoneLatency { 500 };
+constexpr double defaultCustomerWeight = 1;
+// Separates the call id from the number of a question in a query id.
+constexpr char querySeparator = '/';
+
+double neutralSkew(std::string_view)
+{
+    return 1;
+}
+
+}
+
+CallService::CallService(const Clock& clock, Random& random, HybridClock& hybridClock, Table& table, std::string availabilityZone, CallServiceHooks hooks)
+    : clock_(clock)
+    , hybridClock_(hybridClock)
+    , hooks_(std::move(hooks))
+    , claims_(table)
+    , budget_(clock)
+    , servers_(clock)
+    , cache_(maxCacheBlocksPerServer)
+    , outliers_(clock, OutlierSettings())
+    , latencies_(assumedZoneLatency)
+    , selector_(servers_, cache_, outliers_, latencies_, random, SelectorSettings { std::move(availabilityZone) }, neutralSkew)
+{
+}
+
+void CallService::agentConnected(const HelloMessage& hello)
+{
+    servers_.connected(hello);
+    outliers_.add(hello.name, hello.serves);
+    cache_.forget(hello.name);
+}
+
+void CallService::agentDisconnected(const std::string& agent)
+{
+    tickets_.clear(agent);
+    servers_.disconnected(agent);
+    cache_.forget(agent);
+    for (auto& [callId, call] : calls_) {
+        if (call.driver)
+            call.driver->linkClosed(agent);
+    }
+}
+
+void CallService::receive(const std::string& agent, const Frame& frame)
+{
+    if (frame.type == TicketsMessage::type)
+        receiveTickets(agent, decodeTickets(frame.body));
+    else if (frame.type == PartMessage::type)
+        receivePart(agent, decodePart(frame.body));
+    else if (frame.type == EndMessage::type)
+        receiveEnd(agent, decodeEnd(frame.body));
+    else if (frame.type == RefusedMessage::type)
+        receiveRefused(agent, decodeRefused(frame.body));
+    else if (frame.type == ResolutionMessage::type) {
+        ResolutionMessage message = decodeResolution(frame.body);
+        ActiveCall* call = find(message.queryId.substr(0, message.queryId.find(querySeparator)));
+        if (call != nullptr && call->driver)
+            call->driver->receiveResolution(message);
+    }
+}
+
+void CallService::receiveTickets(const std::string& agent, const TicketsMessage& message)
+{
+    const BackendServer* server = servers_.find(agent);
+    if (server == nullptr)
+        return;
+    std::string serves = server->serves;
+    tickets_.add(agent, server->incarnation, message);
+    servers_.ticketsReceived(agent, message);
+    cache_.apply(agent, message.cacheEvents);
+    updateTicketCount(agent);
+    for (auto& [callId, call] : calls_) {
+        if (call.driver && call.needs.serves == serves)
+            call.driver->ticketsAvailable();
+    }
+    advance(serves);
+}
+
+void CallService::receivePart(const std::string& agent, const PartMessage& message)
+{
+    servers_.callProgressed(agent);
+    ActiveCall* call = find(message.callId);
+    if (call == nullptr || !call->driver)
+        return;
+    auto waiting = call->waitingForFirstPart.find(agent);
+    if (waiting != call->waitingForFirstPart.end()) {
+        outliers_.callSucceeded(agent, clock_.now() - waiting->second);
+        call->waitingForFirstPart.erase(waiting);
+    }
+    call->driver->receivePart(message);
+}
+
+void CallService::receiveEnd(const std::string& agent, const EndMessage& message)
+{
+    servers_.callEnded(agent, message.callId);
+    if (message.code == ResultCode::BackendServerFailed)
+        outliers_.callFailed(agent);
+    ActiveCall* call = find(message.callId);
+    if (call != nullptr && call->driver)
+        call->driver->receiveEnd(message);
+}
+
+void CallService::receiveRefused(const std::string& agent, const RefusedMessage& message)
+{
+    servers_.callEnded(agent, message.callId);
+    ActiveCall* call = find(message.callId);
+    if (call != nullptr && call->driver)
+        call->driver->receiveRefused(message);
+}
+
+void CallService::setCustomerWeights(const std::map<std::string, double>& weights)
+{
+    weights_ = weights;
+    for (auto& [serves, controller] : admissions_)
+        controller.setWeights(weights_);
+}
+
+void CallService::setAgentDraining(const std::string& agent, bool isDraining)
+{
+    servers_.setDraining(agent, isDraining);
+}
+
+void CallService::submit(CallRequest request, CallNeeds needs, CallHandlers handlers)
+{
+    ++counters_.received;
+    budget_.addCall();
+    std::string callId = request.callId;
+    std::string serves = needs.serves;
+    AdmissionRequest asked;
+    asked.callId = callId;
+    asked.customer = request.customer;
+    asked.priority = request.priority;
+    asked.deadline = request.deadline;
+    bool needsTicket = !request.position;
+    ActiveCall call;
+    call.needs = std::move(needs);
+    call.handlers = std::move(handlers);
+    call.request = std::move(request);
+    call.submittedAt = clock_.now();
+    calls_.emplace(callId, std::move(call));
+    if (!needsTicket) {
+        startDriver(callId);
+        return;
+    }
+    AdmissionController& controller = admission(serves);
+    controller.setFreeTickets(servers_.ticketsHeld(serves));
+    apply(serves, controller.submit(asked));
+}
+
+void CallService::cancel(const std::string& callId)
+{
+    ActiveCall* call = find(callId);
+    if (call == nullptr)
+        return;
+    if (call->driver) {
+        call->driver->cancel();
+        return;
+    }
+    admission(call->needs.serves).abandoned(callId);
+    finish(callId, { ResultCode::Cancelled, Executed::No, "" });
+}
+
+void CallService::tick()
+{
+    std::vector<std::string> callIds;
+    for (auto& [callId, call] : calls_) {
+        if (call.driver && !call.isFinished)
+            callIds.push_back(callId);
+    }
+    for (const std::string& callId : callIds)
+        calls_.at(callId).driver->tick();
+    std::vector<std::string> targets;
+    for (auto& [serves, controller] : admissions_)
+        targets.push_back(serves);
+    for (const std::string& serves : targets)
+        advance(serves);
+    outliers_.evaluate();
+    eraseFinished();
+}
+
+AdmissionController& CallService::admission(const std::string& serves)
+{
+    auto found = admissions_.find(serves);
+    if (found != admissions_.end())
+        return found->second;
+    auto added = admissions_.emplace(serves, AdmissionController(clock_, AdmissionSettings(), CustomerShares(defaultCustomerWeight)));
+    added.first->second.setWeights(weights_);
+    return added.first->second;
+}
+
+void CallService::advance(const std::string& serves)
+{
+    AdmissionController& controller = admission(serves);
+    controller.setFreeTickets(servers_.ticketsHeld(serves));
+    for (const AdmissionDecision& decision : controller.advance())
+        apply(serves, decision);
+}
+
+void CallService::apply(const std::string& serves, const AdmissionDecision& decision)
+{
+    ActiveCall* call = find(decision.callId);
+    if (call == nullptr) {
+        if (decision.action == AdmissionAction::Start)
+            admission(serves).abandoned(decision.callId);
+        return;
+    }
+    if (decision.action == AdmissionAction::Refuse)
+        finish(decision.callId, { decision.code, Executed::No, "" });
+    else if (decision.action == AdmissionAction::Start) {
+        call->isCounted = true;
+        startDriver(decision.callId);
+    }
+}
+
+void CallService::startDriver(const std::string& callId)
+{
+    ActiveCall& call = calls_.at(callId);
+    call.driver = std::make_unique<CallDriver>(call.request, clock_, claims_, budget_, hedges_, CallDriverSettings(), makeDriverHooks(callId));
+    call.driver->start();
+}
+
+CallDriverHooks CallService::makeDriverHooks(const std::string& callId)
+{
+    CallDriverHooks hooks;
+    hooks.takeTicket = [this, callId](const CallRequest&, const std::set<std::string>& tried) { return takeTicket(callId, tried); };
+    hooks.returnTicket = [this, callId](const Ticket& ticket) {
+        tickets_.giveBack(ticket);
+        servers_.callEnded(ticket.agent, callId);
+        updateTicketCount(ticket.agent);
+    };
+    hooks.send = [this](const std::string& agent, const EntryMessage& message) {
+        counters_.sent += std::holds_alternative<CallMessage>(message) ? 1 : 0;
+        return std::visit([this, &agent](const auto& typed) { return hooks_.send(agent, encodeMessage(typed, hybridClock_.tick())); }, message);
+    };
+    hooks.configurationVersion = hooks_.configurationVersion;
+    hooks.onText = [this, callId](std::string_view text, const std::string& agent, std::uint64_t offset) {
+        ActiveCall* call = find(callId);
+        if (call != nullptr)
+            call->handlers.onText(text, agent, offset);
+    };
+    hooks.onOutcome = [this, callId](const CallOutcome& outcome) { finish(callId, outcome); };
+    return hooks;
+}
+
+std::optional<Ticket> CallService::takeTicket(const std::string& callId, const std::set<std::string>& tried)
+{
+    ActiveCall* call = find(callId);
+    if (call == nullptr)
+        return std::nullopt;
+    std::vector<std::string> triedNames(tried.begin(), tried.end());
+    SelectionRequest wanted;
+    wanted.kind = call->needs.kind;
+    wanted.serves = call->needs.serves;
+    wanted.priority = call->request.priority;
+    wanted.prefix = call->needs.prefix;
+    wanted.expectedTokens = call->needs.expectedTokens;
+    wanted.tried = triedNames;
+    Selection selection = selector_.select(wanted);
+    if (selection.code == ResultCode::NoBackendServer && !tried.empty()) {
+        wanted.tried = {};
+        selection = selector_.select(wanted);
+    }
+    if (selection.code != ResultCode::Ok)
+        return std::nullopt;
+    std::optional<Ticket> ticket = tickets_.take(selection.server);
+    if (ticket) {
+        servers_.callStarted(selection.server, callId);
+        call->waitingForFirstPart[selection.server] = clock_.now();
+    }
+    updateTicketCount(selection.server);
+    return ticket;
+}
+
+void CallService::finish(const std::string& callId, const CallOutcome& outcome)
+{
+    ActiveCall* call = find(callId);
+    if (call == nullptr)
+        return;
+    call->isFinished = true;
+    ++counters_.outcomes[outcome.code];
+    ++counters_.executed[outcome.executed];
+    for (const auto& [agent, since] : call->waitingForFirstPart)
+        servers_.callEnded(agent, callId);
+    if (call->isCounted) {
+        AdmissionController& controller = admission(call->needs.serves);
+        if (outcome.code == ResultCode::Ok)
+            controller.finished(callId);
+        else
+            controller.abandoned(callId);
+    }
+    // The call is erased later: its driver may be the caller of this function.
+    finished_.push_back(callId);
+    call->handlers.onOutcome(outcome);
+}
+
+CallService::ActiveCall* CallService::find(const std::string& callId)
+{
+    auto found = calls_.find(callId);
+    return found == calls_.end() || found->second.isFinished ? nullptr : &found->second;
+}
+
+void CallService::updateTicketCount(const std::string& agent)
+{
+    servers_.setTicketsHeld(agent, tickets_.count(agent));
+}
+
+void CallService::eraseFinished()
+{
+    for (const std::string& callId : finished_)
+        calls_.erase(callId);
+    finished_.clear();
+}
+
+}
--- /dev/null
+++ b/Source/Entry/CallService.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "Calls/CallDriver.h"
+#include "Core/HybridClock.h"
+#include "Core/Random.h"
+#include "Entry/TicketPool.h"
+#include "Limits/AdmissionController.h"
+#include "Platform/Table.h"
+#include "Routing/BackendServerSelector.h"
+#include "Routing/OutlierDetector.h"
+#include "Routing/PrefixCacheIndex.h"
+#include "Routing/ZoneLatencies.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Damaskgrade {
+
+struct CallServiceHooks {
+    // Sends a frame to an agent. Returns false if there is no link to it.
+    std::function<bool(const std::string& agent, const Frame& frame)> send;
+    // Returns the configuration version in force.
+    std::function<std::uint64_t()> configurationVersion;
+};
+
+// What a call needs beyond its request.
+struct CallNeeds {
+    BackendServerKind kind { BackendServerKind::Model };
+    // The model or the service.
+    std::string serves;
+    std::vector<std::uint64_t> prefix;
+    std::uint32_t expectedTokens { 128 };
+};
+
+struct CallHandlers {
+    std::function<void(std::string_view text, const std::string& agent, std::uint64_t offset)> onText;
+    // Called exactly once.
+    std::function<void(const CallOutcome&)> onOutcome;
+};
+
+struct CallServiceCounters {
+    std::uint64_t received { 0 };
+    std::uint64_t sent { 0 };
+    std::map<ResultCode, std::uint64_t> outcomes;
+    std::map<Executed, std::uint64_t> executed;
+};
+
+// Runs the calls of one entry: admits them, chooses backend servers, and passes messages
+// between the agents and the drivers of the calls.
+class CallService {
+public:
+    CallService(const Clock& clock, Random& random, HybridClock& hybridClock, Table& table, std::string availabilityZone, CallServiceHooks hooks);
+
+    // Events of the links to agents.
+    void agentConnected(const HelloMessage& hello);
+    void agentDisconnected(const std::string& agent);
+    void receive(const std::string& agent, const Frame& frame);
+
+    // Sets the weights of the customers in force.
+    void setCustomerWeights(const std::map<std::string, double>& weights);
+    void setAgentDraining(const std::string& agent, bool isDraining);
+
+    // Takes a call. The outcome may be reported at once.
+    void submit(CallRequest request, CallNeeds needs, CallHandlers handlers);
+
+    // The caller has gone away.
+    void cancel(const std::string& callId);
+
+    // To be called about every 10 ms.
+    void tick();
+
+    std::size_t activeCalls() const { return calls_.size(); }
+    const CallServiceCounters& counters() const { return counters_; }
+    const ClaimStoreCounters& claimCounters() const { return claims_.counters(); }
+    const BackendServerTable& servers() const { return servers_; }
+    const OutlierDetector& outliers() const { return outliers_; }
+
+private:
+    struct ActiveCall {
+        CallNeeds needs;
+        CallHandlers handlers;
+        CallRequest request;
+        std::unique_ptr<CallDriver> driver;
+        // Whether the admission counts this call as started.
+        bool isCounted { false };
+        bool isFinished { false };
+        TimePoint submittedAt;
+        std::map<std::string, TimePoint> waitingForFirstPart;
+    };
+
+    AdmissionController& admission(const std::string& serves);
+    void apply(const std::string& serves, const AdmissionDecision& decision);
+    void advance(const std::string& serves);
+    void startDriver(const std::string& callId);
+    CallDriverHooks makeDriverHooks(const std::string& callId);
+    std::optional<Ticket> takeTicket(const std::string& callId, const std::set<std::string>& tried);
+    void finish(const std::string& callId, const CallOutcome& outcome);
+    ActiveCall* find(const std::string& callId);
+    void receiveTickets(const std::string& agent, const TicketsMessage& message);
+    void receivePart(const std::string& agent, const PartMessage& message);
+    void receiveEnd(const std::string& agent, const EndMessage& message);
+    void receiveRefused(const std::string& agent, const RefusedMessage& message);
+    void updateTicketCount(const std::string& agent);
+    void eraseFinished();
+
+    const Clock& clock_;
+    HybridClock& hybridClock_;
+    CallServiceHooks hooks_;
+    ClaimStore claims_;
+    RetryBudget budget_;
+    HedgePolicy hedges_;
+    BackendServerTable servers_;
+    PrefixCacheIndex cache_;
+    OutlierDetector outliers_;
+    ZoneLatencies latencies_;
+    BackendServerSelector selector_;
+    TicketPool tickets_;
+    std::map<std::string, double> weights_;
+    std::map<std::string, AdmissionController> admissions_;
+    std::map<std::string, ActiveCall> calls_;
+    CallServiceCounters counters_;
+    std::vector<std::string> finished_;
+};
+
+}
--- a/Source/Entry/CallerRequest.cpp
+++ b/Source/Entry/CallerRequest.cpp
@@ -82,7 +82,7 @@
 
 std::string formatStreamPosition(const StreamPosition& position)
 {
-    return position.callId + "/" + position.agent + "/" + std::to_string(position.offset);
+    return position.originalCallId + "/" + position.agent + "/" + std::to_string(position.offset);
 }
 
 StreamPosition parseStreamPosition(std::string_view text)
@@ -92,7 +92,7 @@
     if (first == std::string_view::npos || first == last)
         throw Error(ResultCode::MalformedRequest, "Last-Event-ID is no event id of this system");
     StreamPosition position;
-    position.callId = std::string(text.substr(0, first));
+    position.originalCallId = std::string(text.substr(0, first));
     position.agent = std::string(text.substr(first + 1, last - first - 1));
     std::string_view digits = text.substr(last + 1);
     auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), position.offset);
@@ -106,9 +106,9 @@
     CallerRequest result;
     result.customer = headerOr(request, "X-Customer", "");
     result.idempotencyKey = headerOr(request, "Idempotency-Key", "");
-    result.callId = headerOr(request, "X-Request-Id", "");
-    if (result.callId.find('/') != std::string::npos)
-        throw Error(ResultCode::MalformedRequest, "X-Request-Id contains \"/\"");
+    std::string attempt = headerOr(request, "Retry-Attempt", "0");
+    result.mayBeRepeat = attempt != "0";
+    result.requestId = headerOr(request, "X-Request-Id", "");
     result.timeLeft = readDeadline(request);
     std::string lastEvent = headerOr(request, "Last-Event-ID", "");
     if (!lastEvent.empty())
--- a/Source/Entry/CallerRequest.h
+++ b/Source/Entry/CallerRequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Calls/CallMessages.h"
+#include "Calls/CallDriver.h"
 #include "Transport/HttpMessage.h"
 
 #include <chrono>
@@ -10,13 +10,6 @@
 
 namespace Damaskgrade {
 
-// Where a caller's earlier stream stopped, from its Last-Event-ID header.
-struct StreamPosition {
-    std::string callId;
-    std::string agent;
-    std::uint64_t offset { 0 };
-};
-
 // Returns the event id "<call id>/<agent>/<offset>".
 std::string formatStreamPosition(const StreamPosition& position);
 
@@ -37,7 +30,10 @@
     std::string operation;
     std::string customer;
     std::string idempotencyKey;
-    std::string callId;
+    // The caller has sent this key before (Retry-Attempt above zero) and does not know the outcome.
+    bool mayBeRepeat { false };
+    // The caller's own id of the request, for logs. It may be empty or sent twice.
+    std::string requestId;
     std::optional<std::chrono::milliseconds> timeLeft;
     bool isStreamed { false };
     std::string prompt;
--- /dev/null
+++ b/Source/Entry/EntryProcess.cpp
@@ -0,0 +1,272 @@
+#include "Entry/EntryProcess.h"
+
+#include "Configuration/Document.h"
+#include "Core/Error.h"
+#include "Entry/EntryReports.h"
+#include "Entry/ProblemDetails.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickPeriod { 10 };
+constexpr std::chrono::milliseconds instancePollPeriod { 500 };
+// Callers may keep an address this long (R21); a draining entry answers them at least as long.
+constexpr std::chrono::seconds addressLifetime { 5 };
+constexpr std::chrono::microseconds assumedZoneLatency { 500 };
+// Agents that an entry links to, and the least for each model or service (see docs/CAPACITY.md).
+constexpr std::size_t agentSubsetSize = 24;
+constexpr std::size_t minAgentsPerService = 4;
+
+}
+
+EntryProcess::EntryProcess(EventLoop& loop, const Clock& clock, Random& random, EntrySettings settings)
+    : loop_(loop)
+    , clock_(clock)
+    , random_(random)
+    , settings_(std::move(settings))
+    , incarnation_(random.identifier())
+    , hybridClock_(clock)
+    , table_(loop, settings_.platform, settings_.platformTimeout)
+    , instanceList_(loop, settings_.platform, settings_.platformTimeout)
+    , calls_(clock, random, hybridClock_, table_, settings_.availabilityZone, callHooks())
+    , callerApi_(clock, random, calls_, callerHooks())
+    , agents_(loop, random, agentHooks())
+    , latencies_(assumedZoneLatency)
+    , addresses_(latencies_, random, AddressSettings())
+    , subset_(agentSubsetSize, minAgentsPerService)
+{
+    peers_ = std::make_unique<PeerLinks>(loop_, random_, hybridClock_, hello(), settings_.link,
+        [this](const std::string& peer, const Frame& frame) { configuration_->receive(peer, frame); });
+    configuration_ = std::make_unique<ConfigurationNode>(loop_, clock_, random_, hybridClock_, table_, settings_, configurationHooks());
+    administration_ = std::make_unique<AdministrationApi>(loop_, clock_, random_, configuration_->protocol(), administrationHooks());
+    http_ = std::make_unique<HttpServer>(loop_, settings_.callers, HttpServerLimits(),
+        [this](const std::shared_ptr<HttpExchange>& exchange) { serve(exchange); });
+    tickTimer_ = loop_.every(tickPeriod, [this] { tick(); });
+    instanceTimer_ = loop_.every(instancePollPeriod, [this] { pollInstances(); });
+    loop_.onTermination([this] { beginDrain(); });
+    pollInstances();
+}
+
+EntryProcess::~EntryProcess() = default;
+
+HelloMessage EntryProcess::hello() const
+{
+    HelloMessage message;
+    message.name = settings_.name;
+    message.incarnation = incarnation_;
+    message.availabilityZone = settings_.availabilityZone;
+    message.role = "entry";
+    return message;
+}
+
+CallServiceHooks EntryProcess::callHooks()
+{
+    CallServiceHooks hooks;
+    hooks.send = [this](const std::string& agent, const Frame& frame) { return agents_.send(agent, frame); };
+    hooks.configurationVersion = [this] { return configuration_->protocol().admission().version; };
+    return hooks;
+}
+
+CallerApiHooks EntryProcess::callerHooks()
+{
+    CallerApiHooks hooks;
+    hooks.admission = [this] { return admission(); };
+    hooks.configuration = [this]() -> const Document& { return document_; };
+    return hooks;
+}
+
+ConfigurationNodeHooks EntryProcess::configurationHooks()
+{
+    ConfigurationNodeHooks hooks;
+    hooks.send = [this](const std::string& peer, const Frame& frame) { peers_->send(peer, frame); };
+    hooks.onInForce = [this](const DocumentPointer& document) { applyDocument(document); };
+    return hooks;
+}
+
+LinkDirectoryHooks EntryProcess::agentHooks()
+{
+    LinkDirectoryHooks hooks;
+    hooks.onOpen = [this](const std::string& agent) { agents_.send(agent, encodeMessage(hello(), hybridClock_.tick())); };
+    hooks.onFrame = [this](const std::string& agent, const Frame& frame) { receiveFromAgent(agent, frame); };
+    hooks.onClose = [this](const std::string& agent) { calls_.agentDisconnected(agent); };
+    return hooks;
+}
+
+AdministrationHooks EntryProcess::administrationHooks()
+{
+    AdministrationHooks hooks;
+    hooks.validate = [](const ConfigurationText& text) { parseDocument(text); };
+    hooks.status = [this] { return statusJson(); };
+    hooks.timeline = [] { return std::string(R"({"events":[]})"); };
+    return hooks;
+}
+
+void EntryProcess::receiveFromAgent(const std::string& agent, const Frame& frame)
+{
+    hybridClock_.observe(frame.time);
+    if (frame.type == HelloMessage::type)
+        calls_.agentConnected(decodeHello(frame.body));
+    else
+        calls_.receive(agent, frame);
+}
+
+void EntryProcess::applyDocument(const DocumentPointer& document)
+{
+    document_ = parseDocument(document->text);
+    std::map<std::string, double> weights;
+    for (const auto& [name, customer] : document_.customers)
+        weights[name] = customer.weight;
+    calls_.setCustomerWeights(weights);
+    LOG(INFO) << "configuration version " << document->version << " is in force";
+}
+
+// Keeps the last list while the platform is unavailable.
+void EntryProcess::pollInstances()
+{
+    instanceList_.fetch([this](ResultCode code, const std::vector<InstanceRecord>& instances) {
+        if (code == ResultCode::Ok)
+            takeInstances(instances);
+    });
+}
+
+void EntryProcess::takeInstances(const std::vector<InstanceRecord>& instances)
+{
+    instances_ = instances;
+    configuration_->membership().observeInstanceList(instances);
+    peers_->update(instances);
+    std::vector<SubsetAgent> candidates;
+    std::map<std::string, Endpoint> endpoints;
+    for (const InstanceRecord& record : instances) {
+        if (record.role != InstanceRole::BackendServer)
+            continue;
+        candidates.push_back({ record.name, record.availabilityZone, record.serves });
+        endpoints[record.name] = record.link;
+        calls_.setAgentDraining(record.name, record.state == InstanceState::Draining);
+    }
+    std::map<std::string, Endpoint> targets;
+    for (const std::string& name : subset_.choose(settings_.name, candidates))
+        targets[name] = endpoints[name];
+    agents_.setTargets(targets);
+}
+
+ResultCode EntryProcess::admission() const
+{
+    if (isDraining_)
+        return ResultCode::InstanceDraining;
+    return configuration_->protocol().admission().isAllowed ? ResultCode::Ok : ResultCode::NotReady;
+}
+
+void EntryProcess::serve(const std::shared_ptr<HttpExchange>& exchange)
+{
+    std::string_view path = pathOf(exchange->request().target);
+    if (path == "/v1/addresses")
+        serveAddresses(*exchange);
+    else if (path == "/metrics")
+        exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText() });
+    else if (path == "/healthz" || path == "/readyz")
+        serveHealth(*exchange, path);
+    else if (administration_->handle(exchange))
+        return;
+    else if (exchange->request().method == "POST")
+        callerApi_.handle(exchange);
+    else
+        exchange->respond(problemResponse(ResultCode::UnknownRoute, Executed::No, "no such path"));
+}
+
+void EntryProcess::serveAddresses(HttpExchange& exchange)
+{
+    std::vector<EntryAddress> entries;
+    for (const InstanceRecord& record : instances_) {
+        if (record.role != InstanceRole::Entry)
+            continue;
+        EntryAddress entry;
+        entry.name = record.name;
+        entry.availabilityZone = record.availabilityZone;
+        entry.callers = record.callers;
+        PeerStatus peer = configuration_->membership().status(record.name);
+        bool isSelf = record.name == settings_.name;
+        entry.isDraining = record.state == InstanceState::Draining || (isSelf ? isDraining_ : peer.isDraining);
+        entry.isSuspected = !isSelf && peer.state != PeerState::Alive;
+        entries.push_back(entry);
+    }
+    std::string zone = queryParameter(exchange.request().target, "zone").value_or("");
+    HttpResponse response;
+    response.headers.push_back({ "Content-Type", "application/json" });
+    response.headers.push_back({ "Cache-Control", "max-age=" + std::to_string(addressLifetime.count()) });
+    response.body = addressesJson(addresses_.select(zone, entries));
+    exchange.respond(std::move(response));
+}
+
+void EntryProcess::serveHealth(HttpExchange& exchange, std::string_view path)
+{
+    ResultCode code = path == "/healthz" ? ResultCode::Ok : admission();
+    std::string reason = code == ResultCode::Ok ? "ok" : std::string(resultName(code));
+    if (code == ResultCode::NotReady)
+        reason += ": " + configuration_->protocol().admission().reason;
+    exchange.respond({ httpStatus(code), {}, reason + "\n" });
+}
+
+void EntryProcess::tick()
+{
+    calls_.tick();
+    if (!isDraining_)
+        return;
+    Duration elapsed = clock_.now() - drainStartedAt_;
+    if (elapsed > settings_.drainLimit && !isOverTimeReported_) {
+        isOverTimeReported_ = true;
+        LOG(WARNING) << "drain limit passed with " << calls_.activeCalls() << " calls running; waiting for them";
+    }
+    bool isWorking = calls_.activeCalls() > 0 || http_->counters().activeResponses > 0;
+    if (elapsed < addressLifetime || isWorking)
+        return;
+    LOG(INFO) << "drained";
+    loop_.stop();
+}
+
+// A second signal changes nothing: calls in flight are finished in any case.
+void EntryProcess::beginDrain()
+{
+    if (isDraining_)
+        return;
+    isDraining_ = true;
+    drainStartedAt_ = clock_.now();
+    configuration_->membership().startDraining();
+    http_->closeAfterResponses();
+    LOG(INFO) << "draining with " << calls_.activeCalls() << " calls running";
+}
+
+std::string EntryProcess::metricsText() const
+{
+    EntryCounters counters;
+    counters.calls = &calls_;
+    counters.http = &http_->counters();
+    counters.peerClients = peers_->clientCounters();
+    counters.peerServer = peers_->serverCounters();
+    counters.agents = agents_.counters();
+    counters.configurationVersion = configuration_->protocol().admission().version;
+    counters.isAdmitting = admission() == ResultCode::Ok;
+    return entryMetrics(counters);
+}
+
+std::string EntryProcess::statusJson() const
+{
+    EntryStatus status;
+    status.name = settings_.name;
+    status.incarnation = incarnation_;
+    status.availabilityZone = settings_.availabilityZone;
+    status.isDraining = isDraining_;
+    status.admission = configuration_->protocol().admission();
+    status.activeCalls = calls_.activeCalls();
+    for (const std::string& slot : configuration_->membership().slots())
+        status.peers.push_back(configuration_->membership().status(slot));
+    status.servers = &calls_.servers();
+    status.outliers = &calls_.outliers();
+    return entryStatusJson(status);
+}
+
+}
--- /dev/null
+++ b/Source/Entry/EntryProcess.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Core/HybridClock.h"
+#include "Core/Random.h"
+#include "Entry/AdministrationApi.h"
+#include "Entry/CallService.h"
+#include "Entry/CallerApi.h"
+#include "Entry/ConfigurationNode.h"
+#include "Entry/EntrySettings.h"
+#include "Entry/PeerLinks.h"
+#include "Platform/HttpInstanceList.h"
+#include "Platform/HttpTable.h"
+#include "Routing/AddressSelector.h"
+#include "Routing/AgentSubset.h"
+#include "Transport/HttpServer.h"
+#include "Transport/LinkDirectory.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Damaskgrade {
+
+// The entry process: joins callers, operators, peers, agents and the platform to the decisions.
+class EntryProcess {
+public:
+    EntryProcess(EventLoop& loop, const Clock& clock, Random& random, EntrySettings settings);
+    ~EntryProcess();
+
+private:
+    HelloMessage hello() const;
+    CallServiceHooks callHooks();
+    CallerApiHooks callerHooks();
+    ConfigurationNodeHooks configurationHooks();
+    LinkDirectoryHooks agentHooks();
+    AdministrationHooks administrationHooks();
+
+    void receiveFromAgent(const std::string& agent, const Frame& frame);
+    void applyDocument(const DocumentPointer& document);
+    void pollInstances();
+    void takeInstances(const std::vector<InstanceRecord>& instances);
+    void serve(const std::shared_ptr<HttpExchange>& exchange);
+    void serveAddresses(HttpExchange& exchange);
+    void serveHealth(HttpExchange& exchange, std::string_view path);
+    ResultCode admission() const;
+    void tick();
+    void beginDrain();
+    std::string metricsText() const;
+    std::string statusJson() const;
+
+    EventLoop& loop_;
+    const Clock& clock_;
+    Random& random_;
+    EntrySettings settings_;
+    std::string incarnation_;
+    HybridClock hybridClock_;
+    HttpTable table_;
+    HttpInstanceList instanceList_;
+    std::vector<InstanceRecord> instances_;
+    Document document_;
+    CallService calls_;
+    CallerApi callerApi_;
+    LinkDirectory agents_;
+    std::unique_ptr<PeerLinks> peers_;
+    std::unique_ptr<ConfigurationNode> configuration_;
+    std::unique_ptr<AdministrationApi> administration_;
+    ZoneLatencies latencies_;
+    AddressSelector addresses_;
+    AgentSubset subset_;
+    std::unique_ptr<HttpServer> http_;
+    bool isDraining_ { false };
+    bool isOverTimeReported_ { false };
+    TimePoint drainStartedAt_;
+    std::unique_ptr<Timer> tickTimer_;
+    std::unique_ptr<Timer> instanceTimer_;
+};
+
+}
--- a/Source/Platform/InstanceList.cpp
+++ b/Source/Platform/InstanceList.cpp
@@ -17,6 +17,7 @@
     record.role = json.at("role") == "entry" ? InstanceRole::Entry : InstanceRole::BackendServer;
     record.state = json.at("state") == "live" ? InstanceState::Live : InstanceState::Draining;
     record.availabilityZone = json.at("availabilityZone").get<std::string>();
+    record.serves = json.value("serves", "");
     record.link = parseEndpoint(json.at("link").get<std::string>());
     if (json.contains("callers"))
         record.callers = parseEndpoint(json.at("callers").get<std::string>());
@@ -34,6 +35,7 @@
         json["role"] = record.role == InstanceRole::Entry ? "entry" : "backendServer";
         json["state"] = record.state == InstanceState::Live ? "live" : "draining";
         json["availabilityZone"] = record.availabilityZone;
+        json["serves"] = record.serves;
         json["link"] = formatEndpoint(record.link);
         if (record.callers.port != 0)
             json["callers"] = formatEndpoint(record.callers);
--- a/Source/Platform/InstanceList.h
+++ b/Source/Platform/InstanceList.h
@@ -24,6 +24,8 @@
     InstanceRole role { InstanceRole::Entry };
     InstanceState state { InstanceState::Live };
     std::string availabilityZone;
+    // The model or service of a backend server; may be empty.
+    std::string serves;
     // Where the project's process on this instance accepts links.
     Endpoint link;
     // Where an entry instance accepts callers; port 0 for others.
--- a/Source/Transport/HttpServer.cpp
+++ b/Source/Transport/HttpServer.cpp
@@ -84,7 +84,11 @@
         ++counters_.openConnections;
     }
 
-    ~HttpConnection() { --counters_.openConnections; }
+    ~HttpConnection()
+    {
+        setResponding(false);
+        --counters_.openConnections;
+    }
 
     void readRequest();
     void send(std::string bytes, bool isLast);
@@ -100,6 +104,7 @@
     void writeNext();
     void finishResponse();
     void notifyClosed();
+    void setResponding(bool isResponding);
 
     beast::tcp_stream stream_;
     HttpServerLimits limits_;
@@ -227,7 +232,7 @@
     response.body = "{\"type\":\"about:blank\",\"title\":\"" + std::string(resultName(code)) + "\",\"status\":" + std::to_string(response.status)
         + ",\"code\":" + std::to_string(resultNumber(code)) + ",\"executed\":\"no\",\"detail\":\"" + failure.message() + "\"}";
     keepAlive_ = false;
-    responding_ = true;
+    setResponding(true);
     send(serializeHead(response, response.body.size(), false) + response.body, true);
 }
 
@@ -237,7 +242,7 @@
     stream_.expires_never();
     http::request<http::string_body> message = parser_->release();
     keepAlive_ = message.keep_alive();
-    responding_ = true;
+    setResponding(true);
     lastQueued_ = false;
     closeHandler_ = nullptr;
     HttpRequest request;
@@ -308,7 +313,7 @@
 
 void HttpConnection::finishResponse()
 {
-    responding_ = false;
+    setResponding(false);
     lastQueued_ = false;
     closeHandler_ = nullptr;
     if (keepAlive())
@@ -332,10 +337,20 @@
 {
     std::function<void()> handler = std::move(closeHandler_);
     closeHandler_ = nullptr;
-    if (responding_ && handler)
+    bool wasResponding = responding_;
+    setResponding(false);
+    if (wasResponding && handler)
         handler();
 }
 
+void HttpConnection::setResponding(bool isResponding)
+{
+    if (isResponding == responding_)
+        return;
+    responding_ = isResponding;
+    counters_.activeResponses += isResponding ? 1 : -1;
+}
+
 HttpServer::Listener::Listener(EventLoop& loop, const Endpoint& listen, const HttpServerLimits& limits, Handler handler)
     : acceptor_(loop.context())
     , limits_(limits)
--- a/Source/Transport/HttpServer.h
+++ b/Source/Transport/HttpServer.h
@@ -48,6 +48,8 @@
     std::uint64_t acceptedConnections { 0 };
     std::uint64_t openConnections { 0 };
     std::uint64_t requests { 0 };
+    // Requests whose response has not been sent whole.
+    std::uint64_t activeResponses { 0 };
     std::uint64_t malformedRequests { 0 };
     std::uint64_t oversizedRequests { 0 };
 };
--- a/Tests/Entry/CallerRequestTest.cpp
+++ b/Tests/Entry/CallerRequestTest.cpp
@@ -65,8 +65,8 @@
 // Guards against a stream that a caller resumes at the wrong place.
 TEST_CASE("a stream position keeps its form")
 {
-    StreamPosition position = parseStreamPosition(formatStreamPosition({ "call", "agent-1", 42 }));
-    CHECK(position.callId == "call");
+    StreamPosition position = parseStreamPosition(formatStreamPosition({ "agent-1", "call", 42 }));
+    CHECK(position.originalCallId == "call");
     CHECK(position.agent == "agent-1");
     CHECK(position.offset == 42);
 }
