--- /dev/null
+++ b/Source/Calls/AnswerAssembler.cpp
@@ -0,0 +1,91 @@
+#include "Calls/AnswerAssembler.h"
+
+#include <utility>
+
+namespace Damaskgrade {
+
+AnswerAssembler::AnswerAssembler(std::string callId, std::size_t maxEarlyBytes, std::uint64_t startOffset)
+    : callId_(std::move(callId))
+    , maxEarlyBytes_(maxEarlyBytes)
+    , offset_(startOffset)
+{
+}
+
+void AnswerAssembler::beginAttempt(std::uint32_t attempt)
+{
+    attempt_ = attempt;
+    early_.clear();
+    earlyBytes_ = 0;
+    end_.reset();
+    isBroken_ = false;
+}
+
+std::string AnswerAssembler::accept(const PartMessage& part)
+{
+    if (!isCurrent(part.callId, part.attempt))
+        return {};
+    if (part.offset > offset_) {
+        keepEarly(part);
+        return {};
+    }
+    std::string ready;
+    std::uint64_t known = offset_ - part.offset;
+    if (known < part.text.size())
+        ready = part.text.substr(known);
+    std::uint64_t reached = offset_ + ready.size();
+    while (!early_.empty() && early_.begin()->first <= reached) {
+        auto first = early_.begin();
+        std::uint64_t overlap = reached - first->first;
+        if (overlap < first->second.size())
+            ready += first->second.substr(overlap);
+        earlyBytes_ -= first->second.size();
+        early_.erase(first);
+        reached = offset_ + ready.size();
+    }
+    offset_ = reached;
+    if (end_ && end_->code == ResultCode::Ok && end_->total < offset_)
+        isBroken_ = true;
+    return ready;
+}
+
+bool AnswerAssembler::acceptEnd(const EndMessage& end)
+{
+    if (!isCurrent(end.callId, end.attempt))
+        return false;
+    if (end_)
+        return true;
+    end_ = end;
+    if (end.code == ResultCode::Ok && end.total < offset_)
+        isBroken_ = true;
+    return true;
+}
+
+bool AnswerAssembler::isComplete() const
+{
+    return end_ && end_->code == ResultCode::Ok && end_->total == offset_;
+}
+
+bool AnswerAssembler::isCurrent(const std::string& callId, std::uint32_t attempt)
+{
+    if (callId == callId_ && attempt == attempt_)
+        return true;
+    ++foreignParts_;
+    return false;
+}
+
+void AnswerAssembler::keepEarly(const PartMessage& part)
+{
+    std::string& kept = early_[part.offset];
+    if (part.text.size() <= kept.size())
+        return;
+    if (earlyBytes_ + part.text.size() - kept.size() > maxEarlyBytes_) {
+        if (kept.empty())
+            early_.erase(part.offset);
+        isBroken_ = true;
+        return;
+    }
+    earlyBytes_ += part.text.size() - kept.size();
+    kept = part.text;
+}
+
+}
--- /dev/null
+++ b/Source/Calls/CallDriver.cpp
@@ -0,0 +1,574 @@
+#include "Calls/CallDriver.h"
+
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+// Attempt number of fetched parts. Sent calls count from 1.
+constexpr std::uint32_t fetchAttempt = 0;
+
+}
+
+CallDriver::CallDriver(CallRequest request, const Clock& clock, ClaimStore& claims, RetryBudget& budget, HedgePolicy& hedges, CallDriverSettings settings, CallDriverHooks hooks)
+    : request_(std::move(request))
+    , clock_(clock)
+    , claims_(claims)
+    , budget_(budget)
+    , hedges_(hedges)
+    , settings_(settings)
+    , hooks_(std::move(hooks))
+    , rowKey_(claimRowKey(request_.customer, request_.service, request_.operation, request_.idempotencyKey))
+    , stream_(std::make_shared<AnswerAssembler>(request_.callId, settings_.maxEarlyBytes, request_.position ? request_.position->offset : 0))
+{
+}
+
+void CallDriver::start()
+{
+    budget_.addCall();
+    if (!request_.isIdempotent && request_.idempotencyKey.empty()) {
+        finish(ResultCode::MissingIdempotencyKey, Executed::No, {});
+        return;
+    }
+    if (request_.position) {
+        phase_ = Phase::Fetching;
+        lastFetchProgress_ = clock_.now();
+        stream_->beginAttempt(fetchAttempt);
+        fetch();
+        return;
+    }
+    // The stored answer of an earlier send is returned even if no ticket is free.
+    if (!request_.isIdempotent && request_.mayBeRepeat) {
+        readClaim();
+        return;
+    }
+    phase_ = Phase::Waiting;
+    takeTicket();
+}
+
+void CallDriver::receiveRefused(const RefusedMessage& message)
+{
+    auto attempt = attempts_.find(message.attempt);
+    if (message.callId != request_.callId || attempt == attempts_.end())
+        return;
+    attemptNotStarted(attempt, message.code);
+}
+
+void CallDriver::receivePart(const PartMessage& message)
+{
+    if (phase_ == Phase::Fetching) {
+        std::string text = stream_->accept(message);
+        passOn(text, request_.position->agent);
+        checkFetch();
+        return;
+    }
+    for (auto attempt = attempts_.begin(); attempt != attempts_.end(); ++attempt) {
+        std::string text = attempt->second.assembler->accept(message);
+        if (!text.empty()) {
+            attempt->second.lastProgress = clock_.now();
+            attempt->second.text += text;
+            if (isCompletion())
+                passOn(text, attempt->second.ticket.agent);
+        }
+        if (attempt->first == message.attempt) {
+            checkAttempt(attempt);
+            return;
+        }
+    }
+}
+
+void CallDriver::receiveEnd(const EndMessage& message)
+{
+    if (phase_ == Phase::Fetching) {
+        stream_->acceptEnd(message);
+        checkFetch();
+        return;
+    }
+    for (auto attempt = attempts_.begin(); attempt != attempts_.end(); ++attempt) {
+        if (attempt->second.assembler->acceptEnd(message)) {
+            checkAttempt(attempt);
+            return;
+        }
+    }
+}
+
+void CallDriver::receiveResolution(const ResolutionMessage& message)
+{
+    bool isAsking = phase_ == Phase::Resolving || phase_ == Phase::Following;
+    if (!isAsking || message.queryId != request_.callId + "/" + std::to_string(lastQuery_))
+        return;
+    switch (message.state) {
+    case CallState::Running:
+        return;
+    case CallState::Unknown:
+        finish(ResultCode::OutcomeUnknown, Executed::Unknown, text_);
+        return;
+    case CallState::Done:
+        if (message.code == ResultCode::Ok)
+            succeed(message.answer);
+        else {
+            closeClaim(ClaimState::Done, ResultCode::OutcomeUnknown, {});
+            finish(ResultCode::OutcomeUnknown, Executed::Unknown, text_);
+        }
+        return;
+    case CallState::NotStarted:
+        break;
+    }
+    if (phase_ == Phase::Following) {
+        isRowSeen_ = true;
+        retry(ResultCode::TicketInvalid);
+        return;
+    }
+    for (auto attempt = attempts_.begin(); attempt != attempts_.end(); ++attempt) {
+        if (attempt->second.ticket == queryTicket_) {
+            attemptNotStarted(attempt, ResultCode::LinkClosed);
+            return;
+        }
+    }
+}
+
+void CallDriver::linkClosed(const std::string& agent)
+{
+    if (phase_ == Phase::Fetching && agent == request_.position->agent) {
+        isFetchSent_ = false;
+        return;
+    }
+    if (phase_ != Phase::Sent)
+        return;
+    std::vector<std::uint32_t> lost;
+    for (const auto& entry : attempts_) {
+        if (entry.second.ticket.agent == agent)
+            lost.push_back(entry.first);
+    }
+    for (std::uint32_t number : lost) {
+        auto attempt = attempts_.find(number);
+        if (phase_ != Phase::Sent || attempt == attempts_.end())
+            return;
+        if (request_.isIdempotent)
+            attemptLost(attempt, ResultCode::LinkClosed);
+        else
+            beginResolve(attempt->second.ticket);
+    }
+}
+
+void CallDriver::ticketsAvailable()
+{
+    if (phase_ == Phase::Waiting)
+        takeTicket();
+}
+
+void CallDriver::cancel()
+{
+    if (phase_ == Phase::Finished)
+        return;
+    isCallerGone_ = true;
+    if (request_.isIdempotent) {
+        cancelAttempts();
+        finish(ResultCode::Cancelled, executedSoFar(), text_);
+    } else if (phase_ == Phase::Waiting || phase_ == Phase::ReadingClaim)
+        finish(ResultCode::Cancelled, executedSoFar(), text_);
+}
+
+void CallDriver::tick()
+{
+    if (phase_ == Phase::Finished || phase_ == Phase::Created)
+        return;
+    if (isPastDeadline()) {
+        if (request_.isIdempotent)
+            cancelAttempts();
+        finish(ResultCode::DeadlinePassed, executedSoFar(), text_);
+        return;
+    }
+    if (phase_ == Phase::Waiting)
+        takeTicket();
+    else if (phase_ == Phase::Resolving)
+        pollTicket();
+    else if (phase_ == Phase::Following)
+        pollClaim();
+    else if (phase_ == Phase::Fetching)
+        fetch();
+    else if (phase_ == Phase::Sent && request_.isIdempotent) {
+        for (auto attempt = attempts_.begin(); attempt != attempts_.end(); ++attempt) {
+            if (clock_.now() - attempt->second.lastProgress < settings_.stallLimit)
+                continue;
+            hooks_.send(attempt->second.ticket.agent, CancelMessage { request_.callId, attempt->first });
+            attemptLost(attempt, ResultCode::Timeout);
+            return;
+        }
+        hedge();
+    }
+}
+
+Executed CallDriver::executedSoFar() const
+{
+    if (phase_ == Phase::Following || request_.position)
+        return Executed::Unknown;
+    if (!attempts_.empty() || isUncertain_)
+        return Executed::Unknown;
+    if (!request_.isIdempotent && request_.mayBeRepeat && !isRowSeen_)
+        return Executed::Unknown;
+    return Executed::No;
+}
+
+void CallDriver::takeTicket()
+{
+    if (isPastDeadline()) {
+        finish(ResultCode::DeadlinePassed, executedSoFar(), text_);
+        return;
+    }
+    std::optional<Ticket> ticket = hooks_.takeTicket(request_, tried_);
+    if (!ticket)
+        return;
+    if (request_.isIdempotent)
+        send(*ticket);
+    else
+        writeClaim(*ticket);
+}
+
+// Makes sure that a ticket which a late claim write may still name is never used for another call.
+void CallDriver::discardTicket(const Ticket& ticket)
+{
+    hooks_.send(ticket.agent, ResolveMessage { request_.callId + "/discard", ticket });
+}
+
+void CallDriver::send(const Ticket& ticket)
+{
+    std::uint32_t number = ++lastAttempt_;
+    Attempt attempt;
+    attempt.ticket = ticket;
+    attempt.sentAt = clock_.now();
+    attempt.lastProgress = attempt.sentAt;
+    attempt.assembler = isCompletion() ? stream_ : std::make_shared<AnswerAssembler>(request_.callId, settings_.maxEarlyBytes);
+    attempt.assembler->beginAttempt(number);
+
+    CallMessage message;
+    message.callId = request_.callId;
+    message.attempt = number;
+    message.ticket = ticket;
+    message.configurationVersion = hooks_.configurationVersion();
+    message.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(request_.deadline - clock_.now());
+    message.kind = request_.kind;
+    message.operation = request_.operation;
+    message.customer = request_.customer;
+    message.priority = request_.priority;
+    message.payload = request_.payload;
+    message.resumeText = text_;
+    if (!hooks_.send(ticket.agent, message)) {
+        // Nothing was sent. The next tick chooses again, so that a router that names the same agent can't loop.
+        tried_.insert(ticket.agent);
+        if (attempts_.empty())
+            phase_ = Phase::Waiting;
+        return;
+    }
+    ++sends_;
+    attempts_.emplace(number, std::move(attempt));
+    phase_ = Phase::Sent;
+}
+
+void CallDriver::retry(ResultCode code)
+{
+    if (isPastDeadline() || code == ResultCode::DeadlinePassed) {
+        finish(ResultCode::DeadlinePassed, executedSoFar(), text_);
+        return;
+    }
+    // The first send is not a retry, for example after the claim of another owner was taken over.
+    if (sends_ && !budget_.trySpend()) {
+        finish(text_.empty() ? ResultCode::RetryBudgetSpent : ResultCode::StreamInterrupted, executedSoFar(), text_);
+        return;
+    }
+    phase_ = Phase::Waiting;
+    if (isCallerGone_) {
+        finish(ResultCode::Cancelled, executedSoFar(), text_);
+        return;
+    }
+    takeTicket();
+}
+
+void CallDriver::hedge()
+{
+    std::optional<Duration> delay = hedges_.delay();
+    if (isCompletion() || isHedged_ || attempts_.size() != 1 || !delay)
+        return;
+    const Attempt& first = attempts_.begin()->second;
+    if (clock_.now() - first.sentAt < *delay)
+        return;
+    std::set<std::string> tried = tried_;
+    tried.insert(first.ticket.agent);
+    std::optional<Ticket> ticket = hooks_.takeTicket(request_, tried);
+    if (!ticket)
+        return;
+    if (ticket->agent == first.ticket.agent || !budget_.trySpend()) {
+        hooks_.returnTicket(*ticket);
+        return;
+    }
+    isHedged_ = true;
+    send(*ticket);
+}
+
+void CallDriver::readClaim()
+{
+    phase_ = Phase::ReadingClaim;
+    std::weak_ptr<int> alive = alive_;
+    claims_.read(rowKey_, [this, alive](const ClaimResult& result) {
+        if (alive.expired() || phase_ != Phase::ReadingClaim)
+            return;
+        if (result.status != ResultCode::Ok) {
+            finish(ResultCode::TableUnavailable, executedSoFar(), {});
+            return;
+        }
+        if (result.record) {
+            followClaim(*result.record);
+            return;
+        }
+        isRowSeen_ = true;
+        phase_ = Phase::Waiting;
+        takeTicket();
+    });
+}
+
+void CallDriver::writeClaim(const Ticket& ticket)
+{
+    phase_ = Phase::Claiming;
+    ClaimRecord record;
+    record.fingerprint = requestFingerprint(request_.operation, request_.payload);
+    record.attempt = claim_ ? claim_->attempt + 1 : 1;
+    record.owner = request_.callId;
+    record.ticket = ticket;
+    std::weak_ptr<int> alive = alive_;
+    claims_.write(rowKey_, claim_, record, [this, alive, ticket, record](const ClaimResult& result) {
+        if (!alive.expired())
+            claimWritten(ticket, record, result);
+    });
+}
+
+void CallDriver::claimWritten(const Ticket& ticket, const ClaimRecord& record, const ClaimResult& result)
+{
+    bool isOurs = result.status == ResultCode::Ok;
+    if (isOurs) {
+        claim_ = record;
+        isRowSeen_ = true;
+    }
+    if (phase_ != Phase::Claiming) {
+        discardTicket(ticket);
+        if (isOurs)
+            closeClaim(ClaimState::Released, ResultCode::Ok, {});
+        return;
+    }
+    if (isOurs && (isPastDeadline() || isCallerGone_)) {
+        discardTicket(ticket);
+        finish(isCallerGone_ ? ResultCode::Cancelled : ResultCode::DeadlinePassed, executedSoFar(), {});
+        return;
+    }
+    if (isOurs) {
+        send(ticket);
+        return;
+    }
+    if (result.status == ResultCode::TableConflict && result.record) {
+        hooks_.returnTicket(ticket);
+        followClaim(*result.record);
+        return;
+    }
+    discardTicket(ticket);
+    finish(ResultCode::TableUnavailable, executedSoFar(), {});
+}
+
+void CallDriver::followClaim(const ClaimRecord& record)
+{
+    if (record.fingerprint != requestFingerprint(request_.operation, request_.payload)) {
+        finish(ResultCode::IdempotencyKeyReused, Executed::No, {});
+        return;
+    }
+    if (record.state == ClaimState::Done) {
+        // The row is stored already.
+        claim_.reset();
+        if (record.code == ResultCode::Ok)
+            succeed(record.answer);
+        else
+            finish(record.code, Executed::Unknown, {});
+        return;
+    }
+    bool isNewTicket = phase_ != Phase::Following || !(queryTicket_ == record.ticket);
+    claim_ = record;
+    if (record.state == ClaimState::Released) {
+        isRowSeen_ = true;
+        phase_ = Phase::Waiting;
+        takeTicket();
+        return;
+    }
+    phase_ = Phase::Following;
+    if (!isNewTicket)
+        return;
+    queryTicket_ = record.ticket;
+    ++lastQuery_;
+    followedSince_ = clock_.now();
+    lastReached_ = followedSince_;
+    nextPoll_ = followedSince_ + settings_.pollInterval;
+}
+
+void CallDriver::pollClaim()
+{
+    if (clock_.now() < nextPoll_)
+        return;
+    std::weak_ptr<int> alive = alive_;
+    claims_.read(rowKey_, [this, alive](const ClaimResult& result) {
+        if (alive.expired() || phase_ != Phase::Following || result.status != ResultCode::Ok || !result.record)
+            return;
+        if (!(*result.record == *claim_))
+            followClaim(*result.record);
+    });
+    if (phase_ != Phase::Following)
+        return;
+    if (clock_.now() - followedSince_ >= settings_.claimPatience)
+        pollTicket();
+    else
+        nextPoll_ = clock_.now() + settings_.pollInterval;
+}
+
+// Writes the end of the claim without waiting for it. If the write is lost, the row stays claimed
+// and the next caller asks the agent.
+void CallDriver::closeClaim(ClaimState state, ResultCode code, const std::string& answer)
+{
+    if (!claim_ || claim_->state != ClaimState::Claimed)
+        return;
+    ClaimRecord record = *claim_;
+    record.state = state;
+    record.code = code;
+    record.answer = answer;
+    claims_.write(rowKey_, claim_, record, [](const ClaimResult&) {});
+    claim_ = record;
+}
+
+void CallDriver::beginResolve(const Ticket& ticket)
+{
+    phase_ = Phase::Resolving;
+    queryTicket_ = ticket;
+    ++lastQuery_;
+    lastReached_ = clock_.now();
+    nextPoll_ = lastReached_;
+    pollTicket();
+}
+
+void CallDriver::pollTicket()
+{
+    if (clock_.now() < nextPoll_)
+        return;
+    nextPoll_ = clock_.now() + settings_.pollInterval;
+    ResolveMessage query { request_.callId + "/" + std::to_string(lastQuery_), queryTicket_ };
+    if (hooks_.send(queryTicket_.agent, query))
+        lastReached_ = clock_.now();
+    else if (clock_.now() - lastReached_ >= settings_.unreachableLimit)
+        finish(ResultCode::OutcomeUnknown, Executed::Unknown, text_);
+}
+
+void CallDriver::fetch()
+{
+    if (clock_.now() - lastFetchProgress_ >= settings_.stallLimit) {
+        finish(ResultCode::StreamInterrupted, Executed::Unknown, text_);
+        return;
+    }
+    if (isFetchSent_)
+        return;
+    isFetchSent_ = hooks_.send(request_.position->agent, FetchMessage { request_.callId, request_.position->originalCallId, stream_->offset() });
+}
+
+void CallDriver::checkAttempt(Attempts::iterator attempt)
+{
+    const AnswerAssembler& assembler = *attempt->second.assembler;
+    if (assembler.isComplete()) {
+        succeed(isCompletion() ? text_ : attempt->second.text);
+        return;
+    }
+    bool hasFailed = assembler.end() && assembler.end()->code != ResultCode::Ok;
+    if (!hasFailed && !assembler.isBroken())
+        return;
+    if (request_.isIdempotent) {
+        ResultCode code = hasFailed ? assembler.end()->code : ResultCode::StreamInterrupted;
+        if (!hasFailed)
+            hooks_.send(attempt->second.ticket.agent, CancelMessage { request_.callId, attempt->first });
+        attemptLost(attempt, code);
+    } else if (hasFailed) {
+        closeClaim(ClaimState::Done, ResultCode::OutcomeUnknown, {});
+        finish(ResultCode::OutcomeUnknown, Executed::Unknown, text_);
+    } else if (phase_ == Phase::Sent)
+        beginResolve(attempt->second.ticket);
+}
+
+void CallDriver::checkFetch()
+{
+    lastFetchProgress_ = clock_.now();
+    if (stream_->isComplete()) {
+        succeed(text_);
+        return;
+    }
+    bool hasFailed = stream_->end() && stream_->end()->code != ResultCode::Ok;
+    if (!hasFailed && !stream_->isBroken())
+        return;
+    bool isNotFound = hasFailed && stream_->end()->code == ResultCode::StreamNotFound;
+    finish(isNotFound ? ResultCode::StreamNotFound : ResultCode::StreamInterrupted, Executed::Unknown, text_);
+}
+
+void CallDriver::attemptLost(Attempts::iterator attempt, ResultCode code)
+{
+    isUncertain_ = true;
+    tried_.insert(attempt->second.ticket.agent);
+    attempts_.erase(attempt);
+    if (attempts_.empty())
+        retry(code);
+}
+
+void CallDriver::attemptNotStarted(Attempts::iterator attempt, ResultCode code)
+{
+    tried_.insert(attempt->second.ticket.agent);
+    attempts_.erase(attempt);
+    if (attempts_.empty())
+        retry(code);
+}
+
+void CallDriver::passOn(const std::string& text, const std::string& agent)
+{
+    if (text.empty())
+        return;
+    text_ += text;
+    std::uint64_t start = request_.position ? request_.position->offset : 0;
+    hooks_.onText(text, agent, start + text_.size());
+}
+
+void CallDriver::cancelAttempts()
+{
+    for (const auto& entry : attempts_)
+        hooks_.send(entry.second.ticket.agent, CancelMessage { request_.callId, entry.first });
+}
+
+void CallDriver::succeed(const std::string& answer)
+{
+    if (isCompletion() && answer.size() > text_.size())
+        passOn(answer.substr(text_.size()), queryTicket_.agent);
+    if (!request_.isIdempotent)
+        closeClaim(ClaimState::Done, ResultCode::Ok, answer);
+    else if (!isCompletion()) {
+        hedges_.observe(clock_.now() - attempts_.begin()->second.sentAt);
+        // The loser of a hedge stops using its engine.
+        for (const auto& entry : attempts_) {
+            if (!entry.second.assembler->isComplete())
+                hooks_.send(entry.second.ticket.agent, CancelMessage { request_.callId, entry.first });
+        }
+    }
+    finish(ResultCode::Ok, Executed::Yes, answer);
+}
+
+void CallDriver::finish(ResultCode code, Executed executed, const std::string& answer)
+{
+    if (phase_ == Phase::Finished)
+        return;
+    // A row that names a proven unused ticket is released, so that the next caller need not ask the agent.
+    if (executed == Executed::No && claim_ && claim_->owner == request_.callId)
+        closeClaim(ClaimState::Released, ResultCode::Ok, {});
+    // The answer may be part of an attempt.
+    CallOutcome outcome { code, executed, answer };
+    phase_ = Phase::Finished;
+    attempts_.clear();
+    hooks_.onOutcome(outcome);
+}
+
+}
--- /dev/null
+++ b/Source/Calls/ClaimRecord.cpp
@@ -0,0 +1,84 @@
+#include "Calls/ClaimRecord.h"
+
+#include "Core/Error.h"
+
+#include <nlohmann/json.hpp>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <tuple>
+
+namespace Damaskgrade {
+
+using Json = nlohmann::json;
+
+namespace {
+
+std::string escape(std::string_view part)
+{
+    std::string text;
+    for (char character : part) {
+        if (character == '/')
+            text += "%2F";
+        else if (character == '%')
+            text += "%25";
+        else
+            text += character;
+    }
+    return text;
+}
+
+}
+
+bool operator==(const ClaimRecord& left, const ClaimRecord& right)
+{
+    return std::tie(left.fingerprint, left.attempt, left.owner, left.ticket, left.state, left.code, left.answer)
+        == std::tie(right.fingerprint, right.attempt, right.owner, right.ticket, right.state, right.code, right.answer);
+}
+
+std::string encodeClaim(const ClaimRecord& record)
+{
+    Json json = { { "fingerprint", record.fingerprint }, { "attempt", record.attempt }, { "owner", record.owner },
+        { "agent", record.ticket.agent }, { "incarnation", record.ticket.incarnation },
+        { "session", record.ticket.session }, { "sequence", record.ticket.sequence },
+        { "state", static_cast<int>(record.state) }, { "code", resultNumber(record.code) }, { "answer", record.answer } };
+    // An answer that is not UTF-8 must not make the claim impossible to store.
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+ClaimRecord decodeClaim(std::string_view text)
+{
+    try {
+        Json json = Json::parse(text);
+        ClaimRecord record;
+        record.fingerprint = json.at("fingerprint").get<std::uint64_t>();
+        record.attempt = json.at("attempt").get<std::uint32_t>();
+        record.owner = json.at("owner").get<std::string>();
+        record.ticket.agent = json.at("agent").get<std::string>();
+        record.ticket.incarnation = json.at("incarnation").get<std::string>();
+        record.ticket.session = json.at("session").get<std::uint64_t>();
+        record.ticket.sequence = json.at("sequence").get<std::uint64_t>();
+        int state = json.at("state").get<int>();
+        if (state < 0 || state > static_cast<int>(ClaimState::Released))
+            throw Error(ResultCode::BadFrame, "claim row has the unknown state " + std::to_string(state));
+        record.state = static_cast<ClaimState>(state);
+        record.code = static_cast<ResultCode>(json.at("code").get<std::uint16_t>());
+        record.answer = json.at("answer").get<std::string>();
+        return record;
+    } catch (const Json::exception& failure) {
+        throw Error(ResultCode::BadFrame, std::string("claim row can't be decoded: ") + failure.what());
+    }
+}
+
+std::string claimRowKey(std::string_view customer, std::string_view service, std::string_view operation, std::string_view key)
+{
+    return "claim/" + escape(customer) + "/" + escape(service) + "/" + escape(operation) + "/" + escape(key);
+}
+
+std::uint64_t requestFingerprint(std::string_view operation, std::string_view payload)
+{
+    return XXH3_64bits_withSeed(payload.data(), payload.size(), XXH3_64bits(operation.data(), operation.size()));
+}
+
+}
--- /dev/null
+++ b/Source/Calls/ClaimStore.cpp
@@ -0,0 +1,247 @@
+#include "Calls/ClaimStore.h"
+
+#include "Core/Error.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+struct PendingWrite {
+    std::string rowKey;
+    std::optional<ClaimRecord> expected;
+    ClaimRecord record;
+    ClaimDone done;
+    // The version of the row that holds the expected record.
+    RowVersion version { absentVersion };
+};
+
+using Batch = std::vector<PendingWrite>;
+
+const TableRow* findRow(const TableReadResult& rows, const std::string& key)
+{
+    auto found = std::find_if(rows.rows.begin(), rows.rows.end(), [&key](const TableRow& row) { return row.key == key; });
+    return found == rows.rows.end() ? nullptr : &*found;
+}
+
+// A row that can't be decoded counts as unavailable: nothing is known of its call.
+ClaimResult resultOf(ResultCode status, const TableRow* row)
+{
+    ClaimResult result;
+    try {
+        if (row)
+            result.record = decodeClaim(row->value);
+        result.status = status;
+    } catch (const Error&) {
+        result.status = ResultCode::TableUnavailable;
+    }
+    return result;
+}
+
+std::vector<std::string> rowKeys(const Batch& batch)
+{
+    std::vector<std::string> keys;
+    keys.reserve(batch.size());
+    for (const PendingWrite& write : batch)
+        keys.push_back(write.rowKey);
+    return keys;
+}
+
+}
+
+struct ClaimStore::State : std::enable_shared_from_this<ClaimStore::State> {
+    State(Table& usedTable, ClaimStoreSettings usedSettings)
+        : table(usedTable)
+        , settings(usedSettings)
+    {
+    }
+
+    void pump();
+    Batch takeBatch();
+    void readVersions(Batch batch);
+    void takeVersions(Batch batch, const TableReadResult& rows);
+    void writeBatch(Batch batch);
+    void readBack(Batch batch, ResultCode writeStatus);
+    void compare(PendingWrite& write, ResultCode writeStatus, const TableReadResult& rows);
+    void report(const Batch& batch, const ClaimResult& result);
+
+    Table& table;
+    ClaimStoreSettings settings;
+    ClaimStoreCounters counters;
+    std::deque<PendingWrite> queue;
+    bool isBusy { false };
+};
+
+ClaimStore::ClaimStore(Table& table, ClaimStoreSettings settings)
+    : state_(std::make_shared<State>(table, settings))
+{
+}
+
+void ClaimStore::write(const std::string& rowKey, const std::optional<ClaimRecord>& expected, const ClaimRecord& record, ClaimDone done)
+{
+    if (state_->queue.size() >= state_->settings.maxQueued) {
+        done(ClaimResult());
+        return;
+    }
+    PendingWrite write;
+    write.rowKey = rowKey;
+    write.expected = expected;
+    write.record = record;
+    write.done = std::move(done);
+    state_->queue.push_back(std::move(write));
+    state_->pump();
+}
+
+void ClaimStore::read(const std::string& rowKey, ClaimDone done)
+{
+    ++state_->counters.reads;
+    state_->table.read({ rowKey }, [rowKey, done](const TableReadResult& rows) {
+        done(rows.status == ResultCode::Ok ? resultOf(ResultCode::Ok, findRow(rows, rowKey)) : ClaimResult());
+    });
+}
+
+const ClaimStoreCounters& ClaimStore::counters() const
+{
+    return state_->counters;
+}
+
+void ClaimStore::State::pump()
+{
+    if (isBusy || queue.empty())
+        return;
+    isBusy = true;
+    readVersions(takeBatch());
+}
+
+Batch ClaimStore::State::takeBatch()
+{
+    Batch batch;
+    std::deque<PendingWrite> later;
+    std::set<std::string> rows;
+    while (!queue.empty() && batch.size() < settings.maxBatch) {
+        // One transaction can't decide between two writes to one row.
+        if (rows.insert(queue.front().rowKey).second)
+            batch.push_back(std::move(queue.front()));
+        else
+            later.push_back(std::move(queue.front()));
+        queue.pop_front();
+    }
+    queue.insert(queue.begin(), std::make_move_iterator(later.begin()), std::make_move_iterator(later.end()));
+    return batch;
+}
+
+// The table does not return the versions of rows that it wrote, so a row is read before it is replaced.
+void ClaimStore::State::readVersions(Batch batch)
+{
+    Batch replacements;
+    std::copy_if(batch.begin(), batch.end(), std::back_inserter(replacements), [](const PendingWrite& write) { return write.expected.has_value(); });
+    if (replacements.empty()) {
+        writeBatch(std::move(batch));
+        return;
+    }
+    ++counters.reads;
+    table.read(rowKeys(replacements), [state = shared_from_this(), batch](const TableReadResult& rows) {
+        state->takeVersions(batch, rows);
+    });
+}
+
+void ClaimStore::State::takeVersions(Batch batch, const TableReadResult& rows)
+{
+    Batch ready;
+    std::vector<std::pair<ClaimDone, ClaimResult>> refused;
+    for (PendingWrite& write : batch) {
+        if (!write.expected) {
+            ready.push_back(std::move(write));
+            continue;
+        }
+        const TableRow* row = findRow(rows, write.rowKey);
+        // A write that was not sent will never be applied, but without a row its conflict can't be shown.
+        ClaimResult found = rows.status == ResultCode::Ok ? resultOf(ResultCode::TableConflict, row) : ClaimResult();
+        if (found.status == ResultCode::TableConflict && row && *found.record == *write.expected) {
+            write.version = row->version;
+            ready.push_back(std::move(write));
+        } else
+            refused.emplace_back(std::move(write.done), found);
+    }
+    if (ready.empty())
+        isBusy = false;
+    else
+        writeBatch(std::move(ready));
+    for (const auto& entry : refused)
+        entry.first(entry.second);
+    pump();
+}
+
+void ClaimStore::State::writeBatch(Batch batch)
+{
+    std::vector<TableWrite> writes;
+    writes.reserve(batch.size());
+    for (const PendingWrite& write : batch)
+        writes.push_back({ write.rowKey, encodeClaim(write.record), write.version });
+    ++counters.writes;
+    counters.rowsWritten += writes.size();
+    table.write(writes, [state = shared_from_this(), batch](const TableWriteResult& result) {
+        if (result.status == ResultCode::Ok) {
+            state->isBusy = false;
+            for (const PendingWrite& write : batch)
+                write.done({ ResultCode::Ok, write.record });
+            state->pump();
+            return;
+        }
+        if (result.status != ResultCode::TableConflict)
+            ++state->counters.lostAcknowledgements;
+        state->readBack(batch, result.status);
+    });
+}
+
+void ClaimStore::State::readBack(Batch batch, ResultCode writeStatus)
+{
+    ++counters.reads;
+    table.read(rowKeys(batch), [state = shared_from_this(), batch, writeStatus](const TableReadResult& rows) {
+        state->isBusy = false;
+        if (rows.status != ResultCode::Ok)
+            state->report(batch, ClaimResult());
+        else {
+            Batch remaining = batch;
+            for (PendingWrite& write : remaining)
+                state->compare(write, writeStatus, rows);
+        }
+        state->pump();
+    });
+}
+
+// Decides one write of a batch that was not acknowledged, by the row that is there now.
+void ClaimStore::State::compare(PendingWrite& write, ResultCode writeStatus, const TableReadResult& rows)
+{
+    const TableRow* row = findRow(rows, write.rowKey);
+    ClaimResult found = resultOf(ResultCode::TableConflict, row);
+    if (found.record && *found.record == write.record) {
+        found.status = ResultCode::Ok;
+        write.done(found);
+        return;
+    }
+    RowVersion version = row ? row->version : absentVersion;
+    if (version != write.version) {
+        write.done(found);
+        return;
+    }
+    // The row is as expected. After a conflict another row of the batch was the cause, and the write is tried again.
+    if (writeStatus == ResultCode::TableConflict) {
+        queue.push_back(std::move(write));
+        return;
+    }
+    // After a lost acknowledgement the table may still apply the write.
+    found.status = ResultCode::TableUnavailable;
+    write.done(found);
+}
+
+void ClaimStore::State::report(const Batch& batch, const ClaimResult& result)
+{
+    for (const PendingWrite& write : batch)
+        write.done(result);
+}
+
+}
