--- /dev/null
+++ b/Source/Routing/BackendServerSelector.cpp
@@ -0,0 +1,120 @@
+#include "Routing/BackendServerSelector.h"
+
+#include <algorithm>
+
+namespace Damaskgrade {
+
+namespace {
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+}
+
+BackendServerSelector::BackendServerSelector(const BackendServerTable& table, const PrefixCacheIndex& cache,
+    const OutlierDetector& outliers, const ZoneLatencies& latencies, Random& random, SelectorSettings settings, GroupSkew groupSkew)
+    : table_(table)
+    , cache_(cache)
+    , outliers_(outliers)
+    , latencies_(latencies)
+    , random_(random)
+    , settings_(std::move(settings))
+    , groupSkew_(std::move(groupSkew))
+{
+}
+
+Selection BackendServerSelector::select(const SelectionRequest& request)
+{
+    Selection selection;
+    Eligibility eligibility = eligibleServers(table_, request);
+    if (eligibility.withTicket.empty()) {
+        selection.code = eligibility.count == 0 ? ResultCode::NoBackendServer : ResultCode::Overloaded;
+        return selection;
+    }
+    Score best = betterOfTwo(admissible(eligibility.withTicket), request);
+    selection.code = ResultCode::Ok;
+    selection.server = best.server->name;
+    selection.expectedFirstToken = best.firstToken;
+    selection.expectedHitBlocks = best.hitBlocks;
+    return selection;
+}
+
+std::vector<const BackendServer*> BackendServerSelector::admissible(const std::vector<const BackendServer*>& servers)
+{
+    std::vector<const BackendServer*> healthy;
+    std::vector<const BackendServer*> returning;
+    for (const BackendServer* server : servers) {
+        double share = isSilent(*server) ? 0 : outliers_.admissionShare(server->name);
+        if (share >= 1 || (share > 0 && random_.fraction() < share))
+            healthy.push_back(server);
+        else if (share > 0)
+            returning.push_back(server);
+    }
+    if (!healthy.empty())
+        return healthy;
+    // A ticket at a returning or ejected server is better than leaving the call waiting.
+    return returning.empty() ? servers : returning;
+}
+
+bool BackendServerSelector::isSilent(const BackendServer& server) const
+{
+    return !server.callsInFlight.empty() && table_.now() - server.lastHeardAt > settings_.silenceLimit;
+}
+
+BackendServerSelector::Score BackendServerSelector::betterOfTwo(
+    const std::vector<const BackendServer*>& servers, const SelectionRequest& request)
+{
+    std::size_t first = random_.index(servers.size());
+    Score best = score(*servers[first], request);
+    if (servers.size() == 1)
+        return best;
+    // Draws the second candidate among the others, so that there are always two.
+    std::size_t second = random_.index(servers.size() - 1);
+    if (second >= first)
+        ++second;
+    Score other = score(*servers[second], request);
+    return other.total < best.total ? other : best;
+}
+
+BackendServerSelector::Score BackendServerSelector::score(const BackendServer& server, const SelectionRequest& request) const
+{
+    Score result;
+    result.server = &server;
+    result.hitBlocks = cache_.hitBlocks(server.name, request.prefix);
+    Duration prefill = settings_.prefillPerBlock * static_cast<std::int64_t>(request.prefix.size() - result.hitBlocks);
+    Duration zone = 2 * latencies_.between(settings_.ownZone, server.availabilityZone);
+    result.firstToken = expectedWait(server, request) + prefill + zone;
+    const std::vector<std::string>& adapters = server.traits.adapters;
+    if (!request.adapter.empty() && std::find(adapters.begin(), adapters.end(), request.adapter) == adapters.end())
+        result.firstToken += settings_.adapterLoad;
+    result.total = result.firstToken + scaled(expectedDecoding(server, request), settings_.decodingWeight);
+    return result;
+}
+
+Duration BackendServerSelector::expectedWait(const BackendServer& server, const SelectionRequest& request) const
+{
+    std::size_t capacity = server.hasLoad && server.load.capacity > 0 ? server.load.capacity : settings_.assumedCapacity;
+    std::size_t calls = expectedCalls(server);
+    if (calls < capacity)
+        return Duration::zero();
+    std::size_t ahead = calls - capacity + 1;
+    // The engine takes a call with priority before those that wait.
+    if (request.priority > 0)
+        ahead = 1;
+    Duration callTime = server.meanCallTime > Duration::zero() ? server.meanCallTime : settings_.assumedCallTime;
+    return callTime * static_cast<std::int64_t>(ahead) / static_cast<std::int64_t>(capacity);
+}
+
+Duration BackendServerSelector::expectedDecoding(const BackendServer& server, const SelectionRequest& request) const
+{
+    Duration stepTime = settings_.assumedStepTime;
+    if (server.hasLoad && server.load.stepTime > std::chrono::microseconds::zero())
+        stepTime = server.load.stepTime;
+    Duration decoding = stepTime * request.expectedTokens;
+    double skew = server.group.empty() || !groupSkew_ ? 1 : groupSkew_(server.group);
+    return scaled(decoding, 1 + (skew - 1) * settings_.skewWeight);
+}
+
+}
--- /dev/null
+++ b/Source/Routing/BackendServerSelector.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Core/Random.h"
+#include "Routing/OutlierDetector.h"
+#include "Routing/PrefixCacheIndex.h"
+#include "Routing/Selector.h"
+#include "Routing/ZoneLatencies.h"
+
+#include <functional>
+
+namespace Damaskgrade {
+
+struct SelectorSettings {
+    std::string ownZone;
+    // Time to process one prompt block that is not in the cache.
+    Duration prefillPerBlock { std::chrono::milliseconds(2) };
+    // Time to load an adapter that the server does not have.
+    Duration adapterLoad { std::chrono::milliseconds(500) };
+    // Weight of the decoding time against the time to first token.
+    double decodingWeight { 0.25 };
+    // Weight of the skew of the server's group (R8).
+    double skewWeight { 1.0 };
+    // A server that has calls of this entry and was not heard of for this long is avoided like a suspected one.
+    Duration silenceLimit { std::chrono::milliseconds(1500) };
+    // Assumed until the first call of a server ended.
+    Duration assumedCallTime { std::chrono::seconds(2) };
+    // Assumed until the first load report.
+    std::uint32_t assumedCapacity { 8 };
+    Duration assumedStepTime { std::chrono::milliseconds(20) };
+};
+
+// Selects the better of two random candidates by expected time: waiting for a place in the batch,
+// prompt blocks that are not cached, zone latency, adapter, decoding and skew of the group.
+// Ejected servers get nothing, returning ones a rising share.
+class BackendServerSelector : public Selector {
+public:
+    // Returns the slowest rank's step time over the mean of a model group, 1 if unknown.
+    using GroupSkew = std::function<double(std::string_view group)>;
+
+    BackendServerSelector(const BackendServerTable& table, const PrefixCacheIndex& cache, const OutlierDetector& outliers,
+        const ZoneLatencies& latencies, Random& random, SelectorSettings settings, GroupSkew groupSkew);
+
+    Selection select(const SelectionRequest& request) override;
+
+private:
+    struct Score {
+        const BackendServer* server { nullptr };
+        std::size_t hitBlocks { 0 };
+        Duration firstToken { 0 };
+        Duration total { 0 };
+    };
+
+    std::vector<const BackendServer*> admissible(const std::vector<const BackendServer*>& servers);
+    bool isSilent(const BackendServer& server) const;
+    Score betterOfTwo(const std::vector<const BackendServer*>& servers, const SelectionRequest& request);
+    Score score(const BackendServer& server, const SelectionRequest& request) const;
+    Duration expectedWait(const BackendServer& server, const SelectionRequest& request) const;
+    Duration expectedDecoding(const BackendServer& server, const SelectionRequest& request) const;
+
+    const BackendServerTable& table_;
+    const PrefixCacheIndex& cache_;
+    const OutlierDetector& outliers_;
+    const ZoneLatencies& latencies_;
+    Random& random_;
+    SelectorSettings settings_;
+    GroupSkew groupSkew_;
+};
+
+}
