StandIns: Add the platform, model engine and application engine

Cause: The tests and the demonstration need the outside systems, and the project uses no third-party servers. Change: Add the program damaskgrade-standins with one subcommand for each role. All roles answer GET /healthz and POST /control, which sets delays, stalls, outages, reordering, lost acknowledgements and duplicates. The first engine of a group hosts a step barrier, which also counts steps for which engines arrived with different expert maps.

--- /dev/null
+++ b/StandIns/ApplicationEngineRole.cpp
@@ -0,0 +1,56 @@
+#include "StandIns/ApplicationEngineRole.h"
+
+#include "StandIns/JsonHttp.h"
+#include "StandIns/RunLater.h"
+
+#include <xxhash.h>
+
+namespace Damaskgrade {
+
+using Json = nlohmann::json;
+
+ApplicationEngineRole::ApplicationEngineRole(EventLoop& loop, const ApplicationEngineOptions& options)
+    : loop_(loop)
+    , options_(options)
+    , faults_(
+          loop, [this](const Exchange& exchange) { handle(exchange); },
+          [](const HttpRequest& request) { return request.method == "POST"; })
+    , server_(loop, options.listen, HttpServerLimits(), [this](const Exchange& exchange) { faults_.handle(exchange); })
+{
+}
+
+void ApplicationEngineRole::handle(const Exchange& exchange)
+{
+    const HttpRequest& request = exchange->request();
+    if (std::optional<std::string> operation = pathAfter(request, "/v1/operations/"))
+        execute(exchange, *operation);
+    else if (pathOf(request.target) == "/v1/executions")
+        reportExecutions(*exchange);
+    else
+        respondError(*exchange, 404, "unknown path");
+}
+
+void ApplicationEngineRole::execute(const Exchange& exchange, const std::string& operation)
+{
+    const HttpRequest& request = exchange->request();
+    std::string key = findHeader(request.headers, "Idempotency-Key").value_or("");
+    ++executions_[operation + "/" + key];
+    Json answer { { "service", options_.service }, { "operation", operation } };
+    if (key.empty()) {
+        // A call without a key is a lookup; its answer depends on the request alone.
+        answer["result"] = XXH64(request.body.data(), request.body.size(), 0);
+    } else {
+        answer["booking"] = options_.name + "-" + std::to_string(++bookings_);
+    }
+    runLater(loop_, options_.serviceTime, [exchange, answer] { respondJson(*exchange, 200, answer); });
+}
+
+void ApplicationEngineRole::reportExecutions(HttpExchange& exchange)
+{
+    Json counts = Json::object();
+    for (const auto& [subject, count] : executions_)
+        counts[subject] = count;
+    respondJson(exchange, 200, counts);
+}
+
+}
--- /dev/null
+++ b/StandIns/FaultControl.cpp
@@ -0,0 +1,125 @@
+#include "StandIns/FaultControl.h"
+
+#include "StandIns/FaultExchanges.h"
+#include "StandIns/JsonHttp.h"
+#include "StandIns/RunLater.h"
+
+#include <utility>
+
+namespace Damaskgrade {
+
+using Json = nlohmann::json;
+
+namespace {
+
+// Requests that arrive within this time of each other change places.
+constexpr std::chrono::milliseconds reorderingWindow { 30 };
+
+Json describe(const FaultSettings& settings)
+{
+    return {
+        { "delay_ms", settings.delay.count() },
+        { "down", settings.isDown },
+        { "stall", settings.isStalled },
+        { "reorder", settings.reorders },
+        { "lose_acknowledgements", settings.lostAcknowledgements },
+        { "duplicate", settings.duplicates },
+    };
+}
+
+}
+
+FaultControl::FaultControl(EventLoop& loop, HttpServer::Handler handler, WriteTest isWrite)
+    : loop_(loop)
+    , handler_(std::move(handler))
+    , isWrite_(std::move(isWrite))
+{
+}
+
+void FaultControl::handle(const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (pathOf(exchange->request().target) == "/control") {
+        handleSafely(exchange, [this](const std::shared_ptr<HttpExchange>& control) { applyControl(*control); });
+        return;
+    }
+    if (settings_.isDown) {
+        exchange->abort();
+        return;
+    }
+    if (settings_.isStalled)
+        stalled_.push_back(exchange);
+    else if (settings_.reorders)
+        collectForReordering(exchange);
+    else
+        scheduleHandling(exchange);
+}
+
+void FaultControl::applyControl(HttpExchange& exchange)
+{
+    // Fields that are absent stay as they are, so that tests can combine faults step by step.
+    if (!exchange.request().body.empty()) {
+        Json json = parseJsonObject(exchange.request().body);
+        settings_.delay = std::chrono::milliseconds(json.value("delay_ms", settings_.delay.count()));
+        settings_.isDown = json.value("down", settings_.isDown);
+        settings_.isStalled = json.value("stall", settings_.isStalled);
+        settings_.reorders = json.value("reorder", settings_.reorders);
+        settings_.lostAcknowledgements = json.value("lose_acknowledgements", settings_.lostAcknowledgements);
+        settings_.duplicates = json.value("duplicate", settings_.duplicates);
+    }
+    respondJson(exchange, 200, describe(settings_));
+    if (!settings_.isStalled)
+        releaseStalled();
+}
+
+void FaultControl::collectForReordering(const std::shared_ptr<HttpExchange>& exchange)
+{
+    collected_.push_back(exchange);
+    if (collected_.size() == 1)
+        runLater(loop_, reorderingWindow, [this] { releaseReversed(); });
+}
+
+void FaultControl::releaseReversed()
+{
+    std::vector<std::shared_ptr<HttpExchange>> collected = std::move(collected_);
+    collected_.clear();
+    for (auto exchange = collected.rbegin(); exchange != collected.rend(); ++exchange)
+        scheduleHandling(*exchange);
+}
+
+void FaultControl::releaseStalled()
+{
+    std::vector<std::shared_ptr<HttpExchange>> stalled = std::move(stalled_);
+    stalled_.clear();
+    for (const std::shared_ptr<HttpExchange>& exchange : stalled)
+        handle(exchange);
+}
+
+void FaultControl::scheduleHandling(const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (settings_.delay.count() == 0)
+        carryOut(exchange);
+    else
+        runLater(loop_, settings_.delay, [this, exchange] { carryOut(exchange); });
+}
+
+void FaultControl::carryOut(const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (pathOf(exchange->request().target) == "/healthz") {
+        exchange->respond({ 200, {}, "ok\n" });
+        return;
+    }
+    std::shared_ptr<HttpExchange> answered = exchange;
+    bool isWrite = isWrite_(exchange->request());
+    if (isWrite && settings_.duplicates > 0) {
+        --settings_.duplicates;
+        handleSafely(std::make_shared<DiscardingExchange>(exchange->request()), handler_);
+    }
+    if (isWrite && settings_.lostAcknowledgements > 0) {
+        bool closes = settings_.lostAcknowledgements % 2 == 1;
+        --settings_.lostAcknowledgements;
+        answered = std::make_shared<LostAnswerExchange>(exchange, closes);
+    }
+    handleSafely(answered, handler_);
+}
+
+}
--- /dev/null
+++ b/StandIns/FaultExchanges.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Transport/HttpServer.h"
+
+namespace Damaskgrade {
+
+// Carries out a request whose answer nobody receives: the second copy of a duplicated request.
+class DiscardingExchange : public HttpExchange {
+public:
+    explicit DiscardingExchange(HttpRequest request);
+
+    const HttpRequest& request() const override { return request_; }
+    void respond(HttpResponse) override { }
+    void beginStream(HttpResponse) override { }
+    void write(std::string_view) override { }
+    void endStream() override { }
+    void abort() override { }
+    std::size_t pendingBytes() const override { return 0; }
+    void setCloseHandler(std::function<void()>) override { }
+
+private:
+    HttpRequest request_;
+};
+
+// Carries out a request and then loses its answer: the caller gets status 503 or a closed connection.
+class LostAnswerExchange : public HttpExchange {
+public:
+    LostAnswerExchange(std::shared_ptr<HttpExchange> inner, bool closes);
+
+    const HttpRequest& request() const override { return inner_->request(); }
+    void respond(HttpResponse response) override;
+    void beginStream(HttpResponse) override { }
+    void write(std::string_view) override { }
+    void endStream() override { lose(); }
+    void abort() override { inner_->abort(); }
+    std::size_t pendingBytes() const override { return 0; }
+    void setCloseHandler(std::function<void()> handler) override;
+
+private:
+    void lose();
+
+    std::shared_ptr<HttpExchange> inner_;
+    bool closes_;
+};
+
+}
--- /dev/null
+++ b/StandIns/ModelEngineRole.cpp
@@ -0,0 +1,353 @@
+#include "StandIns/ModelEngineRole.h"
+
+#include "StandIns/JsonHttp.h"
+#include "StandIns/RunLater.h"
+
+#include <cmath>
+#include <xxhash.h>
+
+namespace Damaskgrade {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds retryDelay { 5 };
+// Bounds the wait at the barrier; an engine that reaches it arrives again.
+constexpr std::chrono::minutes barrierTimeout { 10 };
+constexpr std::size_t maxStepRecords = 10000;
+// A step with one more stream takes this share longer.
+constexpr double stepTimePerStream = 0.005;
+constexpr std::size_t bytesPerPromptToken = 4;
+// Higher values concentrate the tokens of a topic on fewer experts.
+constexpr double expertSkew = 4;
+
+bool isEngineWrite(const HttpRequest& request)
+{
+    return request.method == "POST" && pathOf(request.target) != "/v1/barrier";
+}
+
+std::string serverSentEvent(const Json& data)
+{
+    return "data: " + data.dump() + "\n\n";
+}
+
+void finishStream(HttpExchange& exchange, std::uint64_t total, const std::string& reason)
+{
+    exchange.write(serverSentEvent({ { "total", total }, { "finish", reason } }));
+    exchange.endStream();
+}
+
+}
+
+ModelEngineRole::ModelEngineRole(EventLoop& loop, const Clock& clock, const ModelEngineOptions& options)
+    : loop_(loop)
+    , clock_(clock)
+    , options_(options)
+    , client_(loop, barrierTimeout)
+    , cache_(options.cache)
+    , batch_(std::make_shared<ContinuousBatch>(
+          options.capacity, [this](const std::string& prompt) { return prefillTime(prompt); },
+          [this](const std::string& prompt, std::uint64_t index) { countExperts(prompt, index); }))
+    , orders_(options.orders)
+    , barrier_(std::make_shared<StepBarrier>(options.groupEngines))
+    , expertCounts_(options.experts)
+    , loadTimer_(loop.every(options.loadLag, [this] { takeLoadSnapshot(); }))
+    , faults_(
+          loop, [this](const Exchange& exchange) { handle(exchange); }, isEngineWrite)
+    , server_(loop, options.listen, HttpServerLimits(), [this](const Exchange& exchange) { faults_.handle(exchange); })
+{
+    takeLoadSnapshot();
+    wake();
+}
+
+void ModelEngineRole::handle(const Exchange& exchange)
+{
+    const HttpRequest& request = exchange->request();
+    std::string_view path = pathOf(request.target);
+    if (std::optional<std::string> requestId = pathAfter(request, "/v1/kv/"))
+        handleKeyValueCache(*exchange, *requestId);
+    else if (request.method == "GET")
+        handleQuery(exchange);
+    else if (path == "/v1/completions")
+        startCompletion(exchange);
+    else if (path == "/v1/cancel")
+        cancelCompletion(*exchange);
+    else if (path == "/v1/orders")
+        handleOrder(exchange);
+    else if (path == "/v1/barrier")
+        handleArrival(exchange);
+    else
+        respondError(*exchange, 404, "unknown path");
+}
+
+void ModelEngineRole::handleQuery(const Exchange& exchange)
+{
+    std::string_view path = pathOf(exchange->request().target);
+    if (path == "/v1/cache-events")
+        reportCacheEvents(*exchange);
+    else if (path == "/v1/load")
+        reportLoad(*exchange);
+    else if (path == "/v1/steps")
+        reportSteps(*exchange);
+    else if (path == "/v1/orders/state")
+        respondJson(*exchange, 200, orders_.state());
+    else if (path == "/v1/expert-counts")
+        respondJson(*exchange, 200, { { "counts", expertCounts_ } });
+    else
+        respondError(*exchange, 404, "unknown path");
+}
+
+void ModelEngineRole::startCompletion(const Exchange& exchange)
+{
+    Json json = parseJsonObject(exchange->request().body);
+    GenerationRequest request;
+    request.requestId = json.value("request_id", "");
+    request.prompt = json.at("prompt").get<std::string>();
+    request.maxTokens = json.at("max_tokens").get<std::uint64_t>();
+    request.priority = json.value("priority", std::int64_t { 0 });
+    request.resumeText = json.value("resume_text", "");
+    GenerationSink sink;
+    sink.onToken = [exchange](std::uint64_t offset, const std::string& text) {
+        exchange->write(serverSentEvent({ { "offset", offset }, { "text", text } }));
+    };
+    sink.onFinish = [exchange](std::uint64_t total) { finishStream(*exchange, total, "stop"); };
+    sink.onCancel = [exchange](std::uint64_t total) { finishStream(*exchange, total, "cancelled"); };
+    std::uint64_t stream = batch_->add(request, std::move(sink));
+    exchange->setCloseHandler([weak = std::weak_ptr<ContinuousBatch>(batch_), stream] {
+        if (std::shared_ptr<ContinuousBatch> batch = weak.lock())
+            batch->remove(stream);
+    });
+    exchange->beginStream({ 200, { { "Content-Type", "text/event-stream" } }, "" });
+    wake();
+}
+
+void ModelEngineRole::cancelCompletion(HttpExchange& exchange)
+{
+    Json json = parseJsonObject(exchange.request().body);
+    std::size_t cancelled = batch_->cancel(json.at("request_id").get<std::string>());
+    respondJson(exchange, 200, { { "cancelled", cancelled } });
+}
+
+void ModelEngineRole::reportCacheEvents(HttpExchange& exchange)
+{
+    std::uint64_t after = numberParameter(exchange.request(), "after", 0);
+    Json events = Json::array();
+    for (const PrefixCacheEvent& event : cache_.eventsAfter(clock_.now(), after))
+        events.push_back({ { "seq", event.sequence }, { "kind", event.isStored ? "stored" : "evicted" }, { "prefix", event.prefix } });
+    respondJson(exchange, 200, { { "events", events } });
+}
+
+void ModelEngineRole::reportLoad(HttpExchange& exchange)
+{
+    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - load_.time);
+    auto stepTime = std::chrono::duration_cast<std::chrono::microseconds>(load_.stepTime);
+    respondJson(exchange, 200,
+        {
+            { "running", load_.running },
+            { "queued", load_.queued },
+            { "capacity", options_.capacity },
+            { "step_us", stepTime.count() },
+            { "age_ms", age.count() },
+        });
+}
+
+void ModelEngineRole::reportSteps(HttpExchange& exchange)
+{
+    Json steps = Json::array();
+    for (const StepRecord& record : steps_)
+        steps.push_back({ { "step", record.step }, { "map_version", record.mapVersion } });
+    respondJson(exchange, 200,
+        {
+            { "name", options_.name },
+            { "group", options_.group },
+            { "ranks", options_.ranks },
+            { "steps", steps },
+            { "mixed_map_steps", barrier_->mixedMapSteps() },
+        });
+}
+
+void ModelEngineRole::handleKeyValueCache(HttpExchange& exchange, const std::string& requestId)
+{
+    if (exchange.request().method == "POST") {
+        Json json = parseJsonObject(exchange.request().body);
+        cache_.use(clock_.now(), json.at("prompt").get<std::string>());
+        respondJson(exchange, 200, Json::object());
+        return;
+    }
+    const GenerationRequest* request = batch_->findRunning(requestId);
+    if (!request)
+        respondError(exchange, 404, "no running stream of this request");
+    else
+        respondJson(exchange, 200, { { "request_id", requestId }, { "prompt", request->prompt } });
+}
+
+void ModelEngineRole::handleOrder(const Exchange& exchange)
+{
+    Json order = parseJsonObject(exchange->request().body);
+    OrderResult result = orders_.checkFencing(order);
+    if (result.status != 200) {
+        respondJson(*exchange, result.status, { { "error", result.error }, { "highest_token", orders_.state().at("highest_token") } });
+        return;
+    }
+    std::uint64_t bytes = order.value("bytes", std::uint64_t { 0 });
+    if (!options_.weightStore || bytes == 0) {
+        applyOrder(*exchange, order);
+        return;
+    }
+    HttpRequest request;
+    request.target = "/v1/weights/" + percentEncode(order.value("weights", "map")) + "?bytes=" + std::to_string(bytes);
+    client_.send(
+        *options_.weightStore, request,
+        [this, exchange, order](const HttpResponse& response) {
+            if (response.status != 200) {
+                respondError(*exchange, 503, "the weights can't be loaded");
+                return;
+            }
+            handleSafely(exchange, [this, &order](const Exchange& loaded) { applyOrder(*loaded, order); });
+        },
+        [exchange](const HttpFailure&) { respondError(*exchange, 503, "the weight store can't be reached"); });
+}
+
+void ModelEngineRole::applyOrder(HttpExchange& exchange, const Json& order)
+{
+    OrderResult result = orders_.apply(order);
+    if (result.status == 200)
+        respondJson(exchange, 200, orders_.state());
+    else
+        respondError(exchange, result.status, result.error);
+}
+
+void ModelEngineRole::handleArrival(const Exchange& exchange)
+{
+    Json json = parseJsonObject(exchange->request().body);
+    BarrierArrival arrival;
+    arrival.engine = json.at("engine").get<std::string>();
+    arrival.lastStep = json.at("last_step").get<std::uint64_t>();
+    arrival.mapVersion = json.at("map_version").get<std::uint64_t>();
+    arrival.isFresh = json.at("fresh").get<bool>();
+    std::uint64_t number = barrier_->arrive(arrival, [exchange](const BarrierAnswer& answer) {
+        respondJson(*exchange, 200, { { "adopt", answer.adopts }, { "step", answer.step }, { "map_version", answer.mapVersion } });
+    });
+    exchange->setCloseHandler([weak = std::weak_ptr<StepBarrier>(barrier_), number] {
+        if (std::shared_ptr<StepBarrier> barrier = weak.lock())
+            barrier->withdraw(number);
+    });
+}
+
+Duration ModelEngineRole::prefillTime(const std::string& prompt)
+{
+    std::size_t cachedBytes = cache_.use(clock_.now(), prompt) * PrefixCache::blockBytes;
+    double tokens = static_cast<double>(prompt.size() - cachedBytes) / bytesPerPromptToken;
+    std::chrono::duration<double, std::milli> time(tokens / options_.prefillTokensPerMs);
+    return std::chrono::duration_cast<Duration>(time);
+}
+
+// The topic of a prompt, its first block, decides which experts are hot.
+void ModelEngineRole::countExperts(const std::string& prompt, std::uint64_t tokenIndex)
+{
+    std::uint64_t topic = XXH64(prompt.data(), std::min(prompt.size(), PrefixCache::blockBytes), 0);
+    std::uint64_t draw = XXH64(prompt.data(), prompt.size(), ~tokenIndex);
+    double fraction = static_cast<double>(draw >> 11) / static_cast<double>(1ULL << 53);
+    std::uint64_t distance = static_cast<std::uint64_t>(std::pow(fraction, expertSkew) * static_cast<double>(options_.experts));
+    ++expertCounts_[(topic + distance) % options_.experts];
+}
+
+void ModelEngineRole::wake()
+{
+    if (isStepping_)
+        return;
+    isStepping_ = true;
+    loop_.post([this] { beginStep(); });
+}
+
+void ModelEngineRole::beginStep()
+{
+    if (!options_.barrier && batch_->isEmpty()) {
+        isStepping_ = false;
+        return;
+    }
+    std::uint64_t step = orders_.lastStep() + 1;
+    if (faults_.settings().isStalled || !orders_.tryBegin(step)) {
+        retryStep();
+        return;
+    }
+    if (options_.barrier)
+        arriveAtBarrier(step);
+    else
+        runStep(step);
+}
+
+void ModelEngineRole::retryStep()
+{
+    runLater(loop_, retryDelay, [this] { beginStep(); });
+}
+
+void ModelEngineRole::arriveAtBarrier(std::uint64_t step)
+{
+    Json arrival {
+        { "engine", options_.name },
+        { "last_step", orders_.lastStep() },
+        { "map_version", orders_.mapVersionAt(step) },
+        { "fresh", orders_.lastStep() == 0 },
+    };
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/barrier";
+    request.body = arrival.dump();
+    client_.send(
+        *options_.barrier, request,
+        [this](const HttpResponse& response) { handleBarrierAnswer(response); },
+        [this](const HttpFailure&) { retryStep(); });
+}
+
+void ModelEngineRole::handleBarrierAnswer(const HttpResponse& response)
+{
+    if (response.status != 200) {
+        retryStep();
+        return;
+    }
+    Json json = Json::parse(response.body);
+    std::uint64_t step = json.at("step").get<std::uint64_t>();
+    if (!json.at("adopt").get<bool>()) {
+        runStep(step);
+        return;
+    }
+    orders_.adopt(step, json.at("map_version").get<std::uint64_t>());
+    beginStep();
+}
+
+void ModelEngineRole::runStep(std::uint64_t step)
+{
+    batch_->fill(clock_.now());
+    auto time = std::chrono::ceil<std::chrono::milliseconds>(currentStepTime());
+    runLater(loop_, time, [this, step] { finishStep(step); });
+}
+
+void ModelEngineRole::finishStep(std::uint64_t step)
+{
+    // A stalled rank ends no step, which holds up its whole group.
+    if (faults_.settings().isStalled) {
+        runLater(loop_, retryDelay, [this, step] { finishStep(step); });
+        return;
+    }
+    steps_.push_back({ step, orders_.mapVersionAt(step) });
+    if (steps_.size() > maxStepRecords)
+        steps_.pop_front();
+    orders_.finish(step);
+    batch_->step(clock_.now());
+    beginStep();
+}
+
+Duration ModelEngineRole::currentStepTime() const
+{
+    double factor = 1 + stepTimePerStream * static_cast<double>(batch_->running());
+    return std::chrono::duration_cast<Duration>(options_.stepTime * factor);
+}
+
+void ModelEngineRole::takeLoadSnapshot()
+{
+    load_ = { clock_.now(), batch_->running(), batch_->queued(), currentStepTime() };
+}
+
+}
--- /dev/null
+++ b/StandIns/ModelEngineRole.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Core/Endpoint.h"
+#include "StandIns/ContinuousBatch.h"
+#include "StandIns/EngineOrders.h"
+#include "StandIns/FaultControl.h"
+#include "StandIns/PrefixCache.h"
+#include "StandIns/StepBarrier.h"
+#include "Transport/HttpClient.h"
+
+#include <deque>
+#include <optional>
+
+namespace Damaskgrade {
+
+struct ModelEngineOptions {
+    Endpoint listen;
+    std::string name;
+    std::string group;
+    EngineOrders::Options orders;
+    // The accelerators of this engine.
+    std::size_t ranks { 8 };
+    // Streams that run at the same time.
+    std::size_t capacity { 32 };
+    std::chrono::milliseconds stepTime { 20 };
+    double prefillTokensPerMs { 10 };
+    std::size_t experts { 64 };
+    std::chrono::milliseconds loadLag { 100 };
+    PrefixCacheOptions cache;
+    // The first engine of the group, which hosts the barrier. Without it the engine steps alone.
+    std::optional<Endpoint> barrier;
+    // Engines of the group, for the engine that hosts the barrier.
+    std::size_t groupEngines { 1 };
+    // Orders that load weights read them here. Without it they are loaded at once.
+    std::optional<Endpoint> weightStore;
+};
+
+// Serves one model engine over HTTP and drives its steps.
+class ModelEngineRole {
+public:
+    ModelEngineRole(EventLoop& loop, const Clock& clock, const ModelEngineOptions& options);
+
+private:
+    using Exchange = std::shared_ptr<HttpExchange>;
+
+    struct LoadSnapshot {
+        TimePoint time;
+        std::size_t running { 0 };
+        std::size_t queued { 0 };
+        Duration stepTime { 0 };
+    };
+    struct StepRecord {
+        std::uint64_t step { 0 };
+        std::uint64_t mapVersion { 0 };
+    };
+
+    void handle(const Exchange& exchange);
+    void handleQuery(const Exchange& exchange);
+    void startCompletion(const Exchange& exchange);
+    void cancelCompletion(HttpExchange& exchange);
+    void reportCacheEvents(HttpExchange& exchange);
+    void reportLoad(HttpExchange& exchange);
+    void reportSteps(HttpExchange& exchange);
+    void handleKeyValueCache(HttpExchange& exchange, const std::string& requestId);
+    void handleOrder(const Exchange& exchange);
+    void applyOrder(HttpExchange& exchange, const nlohmann::json& order);
+    void handleArrival(const Exchange& exchange);
+
+    Duration prefillTime(const std::string& prompt);
+    void countExperts(const std::string& prompt, std::uint64_t tokenIndex);
+    void wake();
+    void beginStep();
+    void retryStep();
+    void arriveAtBarrier(std::uint64_t step);
+    void handleBarrierAnswer(const HttpResponse& response);
+    void runStep(std::uint64_t step);
+    void finishStep(std::uint64_t step);
+    Duration currentStepTime() const;
+    void takeLoadSnapshot();
+
+    EventLoop& loop_;
+    const Clock& clock_;
+    ModelEngineOptions options_;
+    HttpClient client_;
+    PrefixCache cache_;
+    // Shared with the close handlers of connections, which may run after the end of this object.
+    std::shared_ptr<ContinuousBatch> batch_;
+    EngineOrders orders_;
+    std::shared_ptr<StepBarrier> barrier_;
+    std::vector<std::uint64_t> expertCounts_;
+    std::deque<StepRecord> steps_;
+    LoadSnapshot load_;
+    bool isStepping_ { false };
+    std::unique_ptr<Timer> loadTimer_;
+    FaultControl faults_;
+    HttpServer server_;
+};
+
+}
