Utilities: Add the demonstration of the whole path (partial)

Cause: a newcomer should see calls, bookings, a change and a drain go through real processes with one command.

Change: demo.sh and the shared deployment functions; load reports and cache events from the agent; a load report of the application engine stand-in.

--- a/Source/Agent/AgentProcess.cpp
+++ b/Source/Agent/AgentProcess.cpp
@@ -13,8 +13,13 @@
 
 constexpr std::chrono::milliseconds tickPeriod { 50 };
 constexpr std::chrono::milliseconds engineReportPeriod { 200 };
+// An entry hears of the load of each of its agents this often even without new tickets. About 24 agents
+// with 200 bytes each stay within 15 KB a second.
+constexpr std::chrono::milliseconds loadReportPeriod { 500 };
 // The engine counts as lost after this many reports in a row without an answer.
 constexpr std::uint32_t maxEngineMisses = 3;
+// An entry that misses older events sees a gap and discards what it knows of the engine.
+constexpr std::size_t maxCacheEvents = 1024;
 // Calls that may queue at the engine beyond those it runs, as a share of its capacity.
 constexpr double queueShare = 0.25;
 
@@ -40,6 +45,7 @@
     links_ = std::make_unique<LinkServer>(loop_, settings_.link, makeLinkHandlers());
     tickTimer_ = loop_.every(tickPeriod, [this] { tick(); });
     engineTimer_ = loop_.every(engineReportPeriod, [this] { pollEngine(); });
+    reportTimer_ = loop_.every(loadReportPeriod, [this] { reportLoad(); });
     loop_.onTermination([this] { beginDrain(); });
     pollEngine();
 }
@@ -54,11 +60,7 @@
     hooks.startCall = [this](RunId run, const CallMessage& call) { startCall(run, call); };
     hooks.cancelCall = [this](RunId run) { engine_.cancel(engineKey(run)); };
     hooks.send = [this](std::uint64_t session, const AgentMessage& message) { send(session, message); };
-    hooks.addLoadReport = [this](TicketsMessage& message) {
-        message.load = load_;
-        message.load.age += std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - loadReceivedAt_);
-        message.cacheEvents = cacheEvents_;
-    };
+    hooks.addLoadReport = [this](TicketsMessage& message) { fillReport(message); };
     return { settings_.name, incarnation_, clock_, callSettings, std::move(hooks) };
 }
 
@@ -105,15 +107,13 @@
     answer.serves = settings_.serves;
     answer.group = settings_.group;
     link->send(encodeMessage(answer, hybridClock_.tick()));
-    Peer peer;
-    peer.link = link;
-    peer.name = hello.name;
+    peers_[link] = { link, 0, hello.name, 0 };
     // The first tickets are sent while the session opens, so the link must be known by then.
     pendingLink_ = link;
-    peer.session = calls_.openSession();
+    std::uint64_t session = calls_.openSession();
     pendingLink_ = nullptr;
-    linkBySession_[peer.session] = link;
-    peers_[link] = peer;
+    linkBySession_[session] = link;
+    peers_[link].session = session;
     LOG(INFO) << "entry " << hello.name << " linked";
 }
 
@@ -134,6 +134,12 @@
     const SessionPointer& link = found == linkBySession_.end() ? pendingLink_ : found->second;
     if (!link)
         return;
+    if (std::holds_alternative<TicketsMessage>(message)) {
+        TicketsMessage tickets = std::get<TicketsMessage>(message);
+        addCacheEvents(peers_[link], tickets);
+        link->send(encodeMessage(tickets, hybridClock_.tick()));
+        return;
+    }
     std::visit([this, &link](const auto& typed) { link->send(encodeMessage(typed, hybridClock_.tick())); }, message);
 }
 
@@ -162,11 +168,7 @@
 {
     engine_.fetchLoad([this](const std::optional<LoadReport>& load) { takeLoad(load); });
     if (settings_.engineKind == EngineKind::Model)
-        engine_.fetchCacheEvents(lastCacheEvent_, [this](const std::vector<CacheEvent>& events) {
-            cacheEvents_ = events;
-            if (!events.empty())
-                lastCacheEvent_ = events.back().sequence;
-        });
+        engine_.fetchCacheEvents(lastCacheEvent_, [this](const std::vector<CacheEvent>& events) { takeCacheEvents(events); });
 }
 
 void AgentProcess::takeLoad(const std::optional<LoadReport>& load)
@@ -192,6 +194,44 @@
     calls_.engineAvailable();
 }
 
+void AgentProcess::reportLoad()
+{
+    for (const auto& [session, link] : linkBySession_) {
+        TicketsMessage message;
+        message.session = session;
+        message.isDraining = isDraining_;
+        fillReport(message);
+        send(session, message);
+    }
+}
+
+void AgentProcess::fillReport(TicketsMessage& message) const
+{
+    message.load = load_;
+    message.load.age += std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - loadReceivedAt_);
+}
+
+void AgentProcess::takeCacheEvents(const std::vector<CacheEvent>& events)
+{
+    for (const CacheEvent& event : events) {
+        if (event.sequence <= lastCacheEvent_)
+            continue;
+        cacheEvents_.push_back(event);
+        lastCacheEvent_ = event.sequence;
+    }
+    while (cacheEvents_.size() > maxCacheEvents)
+        cacheEvents_.pop_front();
+}
+
+void AgentProcess::addCacheEvents(Peer& peer, TicketsMessage& message) const
+{
+    for (const CacheEvent& event : cacheEvents_) {
+        if (event.sequence > peer.lastCacheEvent)
+            message.cacheEvents.push_back(event);
+    }
+    peer.lastCacheEvent = lastCacheEvent_;
+}
+
 void AgentProcess::tick()
 {
     calls_.tick();
--- a/Source/Agent/AgentProcess.h
+++ b/Source/Agent/AgentProcess.h
@@ -8,6 +8,7 @@
 #include "Transport/HttpServer.h"
 #include "Transport/LinkServer.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -28,6 +29,8 @@
         SessionPointer link;
         std::uint64_t session { 0 };
         std::string name;
+        // The last cache event that was sent to this entry.
+        std::uint64_t lastCacheEvent { 0 };
     };
 
     AgentCalls makeCalls();
@@ -40,6 +43,10 @@
     void pollEngine();
     void takeLoad(const std::optional<LoadReport>& load);
     void tick();
+    void reportLoad();
+    void fillReport(TicketsMessage& message) const;
+    void addCacheEvents(Peer& peer, TicketsMessage& message) const;
+    void takeCacheEvents(const std::vector<CacheEvent>& events);
     void beginDrain();
     void serveHttp(const std::shared_ptr<HttpExchange>& exchange);
     std::string metricsText() const;
@@ -57,7 +64,8 @@
     SessionPointer pendingLink_;
     LoadReport load_;
     TimePoint loadReceivedAt_;
-    std::vector<CacheEvent> cacheEvents_;
+    // The newest cache events, in order.
+    std::deque<CacheEvent> cacheEvents_;
     std::uint64_t lastCacheEvent_ { 0 };
     std::uint32_t engineMisses_ { 0 };
     bool isEngineAvailable_ { false };
@@ -67,6 +75,7 @@
     std::unique_ptr<LinkServer> links_;
     std::unique_ptr<Timer> tickTimer_;
     std::unique_ptr<Timer> engineTimer_;
+    std::unique_ptr<Timer> reportTimer_;
 };
 
 }
--- a/Source/Calls/CallDriver.cpp
+++ b/Source/Calls/CallDriver.cpp
@@ -251,6 +251,7 @@
     message.kind = request_.kind;
     message.operation = request_.operation;
     message.customer = request_.customer;
+    message.idempotencyKey = request_.idempotencyKey;
     message.priority = request_.priority;
     message.payload = request_.payload;
     message.resumeText = text_;
--- a/Source/Entry/EntryReports.cpp
+++ b/Source/Entry/EntryReports.cpp
@@ -34,7 +34,7 @@
     for (const auto& [executed, count] : counters.executed)
         page.addCounter("damaskgrade_call_executed_total", "Final outcomes by whether the call was executed", static_cast<double>(count), { { "executed", std::string(executedName(executed)) } });
     const ClaimStoreCounters& claims = calls.claimCounters();
-    page.addCounter("damaskgrade_claim_transactions_total", "Transactions that wrote claims", static_cast<double>(claims.transactions));
+    page.addCounter("damaskgrade_claim_writes_total", "Write transactions for claims", static_cast<double>(claims.writes));
     page.addCounter("damaskgrade_claim_rows_total", "Claim rows written", static_cast<double>(claims.rowsWritten));
     page.addCounter("damaskgrade_claim_reads_total", "Claim rows read", static_cast<double>(claims.reads));
     page.addCounter("damaskgrade_claim_lost_acknowledgements_total", "Claim writes without an acknowledgement", static_cast<double>(claims.lostAcknowledgements));
--- a/StandIns/ApplicationEngineRole.cpp
+++ b/StandIns/ApplicationEngineRole.cpp
@@ -26,6 +26,8 @@
         execute(exchange, *operation);
     else if (pathOf(request.target) == "/v1/executions")
         reportExecutions(*exchange);
+    else if (pathOf(request.target) == "/v1/load")
+        reportLoad(*exchange);
     else
         respondError(*exchange, 404, "unknown path");
 }
@@ -42,7 +44,16 @@
     } else {
         answer["booking"] = options_.name + "-" + std::to_string(++bookings_);
     }
-    runLater(loop_, options_.serviceTime, [exchange, answer] { respondJson(*exchange, 200, answer); });
+    ++running_;
+    runLater(loop_, options_.serviceTime, [this, exchange, answer] {
+        --running_;
+        respondJson(*exchange, 200, answer);
+    });
+}
+
+void ApplicationEngineRole::reportLoad(HttpExchange& exchange)
+{
+    respondJson(exchange, 200, { { "running", running_ }, { "queued", 0 }, { "capacity", options_.capacity }, { "step_us", 0 }, { "age_ms", 0 } });
 }
 
 void ApplicationEngineRole::reportExecutions(HttpExchange& exchange)
--- a/StandIns/PrefixCache.h
+++ b/StandIns/PrefixCache.h
@@ -28,7 +28,7 @@
 // The prompt blocks whose KV cache an engine holds, least recently used first out.
 class PrefixCache {
 public:
-    static constexpr std::size_t blockBytes = 64;
+    static constexpr std::size_t blockBytes = 256;
 
     explicit PrefixCache(const PrefixCacheOptions& options);
 
--- /dev/null
+++ b/Utilities/demo.sh
@@ -0,0 +1,235 @@
+#!/usr/bin/env bash
+# Builds everything, starts a small deployment on loopback addresses as separate processes, sends
+# calls, bookings and configuration changes through it under failures, and reports each check.
+# Usage: demo.sh [--deployment vitosha|tubolimpo] [--keep-logs]
+# Exits with 1 if a check fails.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+deployment=vitosha
+keepLogs=no
+while [ $# -gt 0 ]; do
+  case "$1" in
+    --deployment) deployment="${2:-}"; shift 2 ;;
+    --keep-logs) keepLogs=yes; shift ;;
+    *) echo "demo.sh: unknown option \"$1\"; write --deployment vitosha or --deployment tubolimpo" >&2; exit 2 ;;
+  esac
+done
+
+build=build
+work="$(mktemp -d)"
+token=demo-token
+# The index 0 is unused, so that zone i has the index i.
+case "$deployment" in
+  vitosha)
+    zones=(- bg-south-a bg-south-b bg-south-c)
+    ;;
+  tubolimpo)
+    zones=(- sul-a sul-b sul-c)
+    ;;
+  *) echo "demo.sh: unknown deployment \"$deployment\"; write vitosha or tubolimpo" >&2; exit 2 ;;
+esac
+example="Examples/$deployment.toml"
+model="$(sed -n 's/^\[models\.model\.\([^].]*\)\].*/\1/p' "$example" | head -1)"
+mapfile -t groups < <(sed -n 's/^groups *= *\[\(.*\)\].*/\1/p' "$example" | head -1 | tr -d '" ' | tr ',' '\n')
+IFS=. read -r service booking < <(grep -B1 'idempotent = false' "$example" | sed -n 's/^\[models\.service\.\([^.]*\)\.operation\.\([^].]*\)\].*/\1.\2/p' | head -1)
+lookup="$(grep -B1 'idempotent = true' "$example" | sed -n "s/^\[models\.service\.$service\.operation\.\([^].]*\)\].*/\1/p" | head -1)"
+customer="$(sed -n 's/^\[customers\.\([^].]*\)\].*/\1/p' "$example" | head -1)"
+
+./Utilities/build.sh >/dev/null
+# shellcheck source=Utilities/deployment.sh
+. ./Utilities/deployment.sh
+cleanUp() {
+  endAll
+  if [ "$keepLogs" = yes ]; then echo "Logs are in $work"; else rm -rf "$work"; fi
+}
+trap cleanUp EXIT
+
+# The demonstration knows the token of every team.
+tokenHash="$(printf %s "$token" | sha256sum | cut -d' ' -f1)"
+sed "s/^token_sha256 = .*/token_sha256 = [\"$tokenHash\"]/" "$example" >"$work/document.toml"
+
+passed=0
+failed=0
+check() {
+  local name="$1"
+  shift
+  if "$@"; then
+    echo "  pass  $name"
+    passed=$((passed + 1))
+  else
+    echo "  FAIL  $name"
+    failed=$((failed + 1))
+  fi
+}
+
+# post ENTRY PATH BODY [curl options]: prints the body.
+post() {
+  local entry="${entryAddress[$1]}" path="$2" body="$3"
+  shift 3
+  curl -s -N -m 60 -X POST "http://$entry$path" -H "X-Customer: $customer" -H 'Content-Type: application/json' -d "$body" "$@"
+}
+
+completionBody() {
+  echo "{\"model\":\"$model\",\"prompt\":\"$1\",\"max_tokens\":$2,\"stream\":$3}"
+}
+
+# Prints the text of a completion, streamed or whole.
+textOf() {
+  grep -o '"text":"[^"]*"' "$1" | sed 's/"text":"//; s/"$//' | tr -d '\n'
+}
+
+executions() {
+  local i sum=0 count
+  for i in 1 2 3; do
+    count="$(curl -s -m 5 "http://${engineAddress[application-$i]}/v1/executions" | grep -o "\"$booking/$1\":[0-9]*" | cut -d: -f2 || true)"
+    sum=$((sum + ${count:-0}))
+  done
+  echo "$sum"
+}
+
+configVersion() {
+  "$program" config get --entry "${entryAddress[$1]}" 2>/dev/null | head -1 | tr -dc '0-9'
+}
+
+setCustomers() {
+  "$program" config set --entry "${entryAddress[$1]}" --section customers --if-match "$2" --token "$token" "$3"
+}
+
+checkAddresses() {
+  local answer
+  answer="$(curl -s "http://${entryAddress[entry-1]}/v1/addresses?zone=${zones[2]}")"
+  [ "$(grep -o '127\.10\.[0-9.]*:' <<<"$answer" | wc -l)" -eq 4 ] && grep -q '"addresses":\["127.10.2.' <<<"$answer"
+}
+
+checkStream() {
+  post entry-1 /v1/completions "$(completionBody 'Quote for an obsolete chip' 30 true)" >"$work/stream"
+  post entry-2 /v1/completions "$(completionBody 'Quote for an obsolete chip' 30 false)" >"$work/whole"
+  grep -q 'data: \[DONE\]' "$work/stream" && [ -n "$(textOf "$work/whole")" ] && [ "$(textOf "$work/stream")" = "$(textOf "$work/whole")" ]
+}
+
+checkLookup() {
+  post entry-3 "/v1/services/$service/$lookup" '{"part":"7400"}' | grep -q '"result"'
+}
+
+checkBooking() {
+  post entry-1 "/v1/services/$service/$booking" '{"part":"7400"}' -H 'Idempotency-Key: first' >"$work/booking1" &
+  local first=$!
+  post entry-2 "/v1/services/$service/$booking" '{"part":"7400"}' -H 'Idempotency-Key: first' >"$work/booking2"
+  wait "$first"
+  grep -q '"booking"' "$work/booking1" && cmp -s "$work/booking1" "$work/booking2" && [ "$(executions first)" -eq 1 ]
+}
+
+checkErrors() {
+  post entry-1 "/v1/services/$service/$booking" '{}' | grep -q '"code":1004' || return 1
+  post entry-1 "/v1/services/$service/$booking" '{"part":"other"}' -H 'Idempotency-Key: first' | grep -q '"code":1005' || return 1
+  post entry-1 /v1/completions '{' | grep -q '"code":1001' || return 1
+  head -c 1500000 /dev/zero | curl -s -m 20 -X POST "http://${entryAddress[entry-1]}/v1/completions" --data-binary @- | grep -q '"code":1002' || return 1
+  post entry-1 /v1/completions "$(completionBody x 5 false)" | grep -q '"choices"'
+}
+
+checkChange() {
+  "$program" config get --entry "${entryAddress[entry-1]}" --section customers | tail -n +2 >"$work/customers.toml"
+  sed "0,/^weight = .*/s//weight = 7.5/" "$work/customers.toml" >"$work/changed.toml"
+  setCustomers entry-2 "$(configVersion entry-2)" "$work/changed.toml" >/dev/null || return 1
+  local i
+  for i in 1 2 3 4; do
+    waitFor 7 grep -q 'weight = 7.5' <("$program" config get --entry "${entryAddress[entry-$i]}" --section customers) || return 1
+  done
+}
+
+# Two operators change the same section at the same time; exactly one of them succeeds.
+checkRace() {
+  local version results=0
+  version="$(configVersion entry-1)"
+  sed "0,/^weight = .*/s//weight = 3.5/" "$work/customers.toml" >"$work/race1.toml"
+  sed "0,/^weight = .*/s//weight = 4.5/" "$work/customers.toml" >"$work/race2.toml"
+  (setCustomers entry-1 "$version" "$work/race1.toml" >/dev/null 2>&1 && echo accepted >"$work/race1") &
+  local first=$!
+  (setCustomers entry-3 "$version" "$work/race2.toml" >/dev/null 2>&1 && echo accepted >"$work/race2") || true
+  wait "$first" || true
+  [ -f "$work/race1" ] && results=$((results + 1))
+  [ -f "$work/race2" ] && results=$((results + 1))
+  [ "$results" -eq 1 ]
+}
+
+checkBadDocument() {
+  sed "0,/^weight = .*/s//weight = 0/" "$work/customers.toml" >"$work/bad.toml"
+  ! setCustomers entry-1 "$(configVersion entry-1)" "$work/bad.toml" 2>"$work/bad" && grep -q 'line .*weight' "$work/bad"
+}
+
+checkEngineKill() {
+  local victim
+  post entry-1 /v1/completions "$(completionBody 'Summarise the shortage notice' 250 true)" >"$work/killed" &
+  local call=$!
+  waitFor 10 grep -q '^id:' "$work/killed" || return 1
+  victim="$(sed -n 's/^id: [^/]*\/\([^/]*\)\/.*/\1/p' "$work/killed" | head -1)"
+  signalProcess "engine-$victim" KILL
+  wait "$call" || true
+  post entry-2 /v1/completions "$(completionBody 'Summarise the shortage notice' 250 false)" >"$work/reference"
+  grep -q 'data: \[DONE\]' "$work/killed" && [ "$(textOf "$work/killed")" = "$(textOf "$work/reference")" ]
+}
+
+# The entry is killed in the middle of a stream; the caller resumes at another one.
+checkEntryKill() {
+  local last
+  post entry-3 /v1/completions "$(completionBody 'Brief the crew on Rua Sete' 250 true)" >"$work/part1" &
+  local call=$!
+  waitFor 10 grep -q '^id:' "$work/part1" || return 1
+  sleep 0.3
+  signalProcess entry-3 KILL
+  wait "$call" || true
+  # The last event may have been cut; only whole events count.
+  awk 'BEGIN { RS = ""; ORS = "\n\n" } /\}$/' "$work/part1" >"$work/part1whole"
+  last="$(sed -n 's/^id: //p' "$work/part1whole" | tail -1)"
+  post entry-2 /v1/completions "$(completionBody 'Brief the crew on Rua Sete' 250 true)" -H "Last-Event-ID: $last" >"$work/part2"
+  post entry-1 /v1/completions "$(completionBody 'Brief the crew on Rua Sete' 250 false)" >"$work/reference"
+  grep -q 'data: \[DONE\]' "$work/part2" && [ "$(textOf "$work/part1whole")$(textOf "$work/part2")" = "$(textOf "$work/reference")" ]
+}
+
+checkShutdown() {
+  post entry-4 /v1/completions "$(completionBody 'Inspection summary' 250 true)" >"$work/drained" &
+  local call=$!
+  waitFor 10 grep -q '^id:' "$work/drained" || return 1
+  signalProcess entry-4 TERM
+  sleep 0.5
+  post entry-4 /v1/completions "$(completionBody x 5 false)" | grep -q '"code":2004,.*"executed":"no"' || return 1
+  waitFor 5 bash -c "! curl -s http://${entryAddress[entry-1]}/v1/addresses | grep -q '${entryAddress[entry-4]}'" || return 1
+  wait "$call" || true
+  post entry-1 /v1/completions "$(completionBody 'Inspection summary' 250 false)" >"$work/reference"
+  grep -q 'data: \[DONE\]' "$work/drained" && [ "$(textOf "$work/drained")" = "$(textOf "$work/reference")" ]
+}
+
+checkOutage() {
+  curl -s -X POST "http://$platform/control" -d '{"down":true}' >/dev/null
+  sleep 4
+  local result=0
+  post entry-1 /v1/completions "$(completionBody x 5 false)" | grep -q '"choices"' || result=1
+  post entry-2 "/v1/services/$service/$lookup" '{}' | grep -q '"result"' || result=1
+  post entry-1 "/v1/services/$service/$booking" '{}' -H 'Idempotency-Key: outage' | grep -q '"executed":"no"' || result=1
+  ! setCustomers entry-1 "$(configVersion entry-1)" "$work/customers.toml" >/dev/null 2>&1 || result=1
+  curl -s -X POST "http://$platform/control" -d '{"down":false}' >/dev/null
+  [ "$(executions outage)" -eq 0 ] || result=1
+  waitFor 10 bash -c "curl -s -X POST http://${entryAddress[entry-1]}/v1/services/$service/$booking -H 'X-Customer: $customer' -H 'Idempotency-Key: later' -d '{}' | grep -q booking" || result=1
+  [ "$(executions later)" -eq 1 ] || result=1
+  return "$result"
+}
+
+start="$SECONDS"
+echo "Deployment $deployment: 4 entries, 16 model engines, 3 application engines in ${zones[*]:1}"
+startDeployment
+echo "  ${#processIds[@]} processes started"
+check "callers are told all entry addresses, nearest zone first" checkAddresses
+check "a streamed answer is whole and the same at two entries" checkStream
+check "a lookup is answered" checkLookup
+check "a booking sent twice over two entries is executed once" checkBooking
+check "bad requests get their numbers" checkErrors
+check "a configuration change is in force on all entries" checkChange
+check "of two operators racing on one section one succeeds" checkRace
+check "a bad section is refused with its line" checkBadDocument
+check "a stream survives the kill of its engine" checkEngineKill
+check "calls go on and bookings are refused during a platform outage" checkOutage
+check "a graceful shutdown of an entry finishes its stream" checkShutdown
+check "a caller resumes its stream after the kill of an entry" checkEntryKill
+echo "$passed passed, $failed failed in $((SECONDS - start)) s"
+[ "$failed" -eq 0 ]
--- /dev/null
+++ b/Utilities/deployment.sh
@@ -0,0 +1,142 @@
+# shellcheck shell=bash
+# shellcheck disable=SC2034,SC2154  # variables are shared with the script that sources this file
+# Functions that start and end a small deployment on loopback addresses; sourced by demo.sh and bench.sh.
+# The caller sets: deployment, work (a folder for logs), build (the build folder).
+# Availability zone i uses the addresses 127.10.i.x.
+
+program="$build/Source/damaskgrade"
+standIns="$build/StandIns/damaskgrade-standins"
+platform=127.10.0.1:7000
+callerPort=8000
+linkPort=8001
+httpPort=8002
+enginePort=8003
+
+declare -A processIds=()
+declare -a engineNames=()
+declare -A engineAddress=()
+
+# Starts a process with a name, its log in $work.
+startProcess() {
+  local name="$1"
+  shift
+  "$@" >"$work/$name.log" 2>&1 &
+  processIds[$name]=$!
+}
+
+# Sends a signal to a started process.
+signalProcess() {
+  kill "-$2" "${processIds[$1]}" 2>/dev/null || true
+}
+
+endAll() {
+  local name
+  for name in "${!processIds[@]}"; do
+    kill -CONT "${processIds[$name]}" 2>/dev/null || true
+    kill -KILL "${processIds[$name]}" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+}
+
+# Waits until a command succeeds: waitFor SECONDS command...
+waitFor() {
+  local limit=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    if [ "$SECONDS" -ge "$limit" ]; then
+      return 1
+    fi
+    sleep 0.1
+  done
+}
+
+answers() {
+  curl -s -f -m 2 "http://$1/healthz"
+}
+
+isReady() {
+  curl -s -f -m 2 "http://$1/readyz"
+}
+
+registerInstance() {
+  local name="$1" role="$2" zone="$3" link="$4" serves="$5" callers="$6"
+  local body="{\"name\":\"$name\",\"role\":\"$role\",\"state\":\"live\",\"availabilityZone\":\"$zone\",\"serves\":\"$serves\",\"link\":\"$link\""
+  if [ -n "$callers" ]; then
+    body="$body,\"callers\":\"$callers\""
+  fi
+  curl -s -f -X PUT "http://$platform/v1/instances/$name" -d "$body}" >/dev/null
+}
+
+startPlatform() {
+  startProcess platform "$standIns" platform --listen "$platform" --list-lag-ms 500 \
+    --table-writes-per-second 400 --table-reads-per-second 2000
+  waitFor 10 answers "$platform"
+}
+
+# Starts a model engine and its agent: startModelEngine NAME ZONE-INDEX HOST GROUP BARRIER GROUP-SIZE
+startModelEngine() {
+  local name="$1" zone="$2" host="$3" group="$4" barrier="$5" size="$6"
+  local address="127.10.$zone.$host"
+  local -a options=(--listen "$address:$enginePort" --name "$name" --model "$model" --group "$group"
+    --ranks 2 --capacity 8 --step-ms 10 --prefill-tokens-per-ms 10 --weight-store "$platform")
+  if [ "$size" -gt 1 ]; then
+    options+=(--group-engines "$size")
+    if [ "$barrier" != "$address:$enginePort" ]; then
+      options+=(--barrier "$barrier")
+    fi
+  fi
+  startProcess "engine-$name" "$standIns" model-engine "${options[@]}"
+  startProcess "agent-$name" "$program" agent --name "$name" --availability-zone "${zones[$zone]}" \
+    --link "$address:$linkPort" --http "$address:$httpPort" --engine "$address:$enginePort" \
+    --engine-kind model --serves "$model" --group "$group" --ranks 2 --platform "$platform"
+  engineNames+=("$name")
+  engineAddress[$name]="$address:$enginePort"
+  registerInstance "$name" backendServer "${zones[$zone]}" "$address:$linkPort" "$model" ""
+}
+
+# Starts an application engine and its agent: startApplicationEngine NAME ZONE-INDEX HOST
+startApplicationEngine() {
+  local name="$1" zone="$2" host="$3"
+  local address="127.10.$zone.$host"
+  startProcess "engine-$name" "$standIns" application-engine --listen "$address:$enginePort" --name "$name" \
+    --service "$service" --service-ms 5
+  startProcess "agent-$name" "$program" agent --name "$name" --availability-zone "${zones[$zone]}" \
+    --link "$address:$linkPort" --http "$address:$httpPort" --engine "$address:$enginePort" \
+    --engine-kind application --serves "$service" --platform "$platform"
+  engineAddress[$name]="$address:$enginePort"
+  registerInstance "$name" backendServer "${zones[$zone]}" "$address:$linkPort" "$service" ""
+}
+
+# Starts an entry instance: startEntry NAME ZONE-INDEX HOST
+startEntry() {
+  local name="$1" zone="$2" host="$3"
+  local address="127.10.$zone.$host"
+  startProcess "$name" "$program" entry --name "$name" --availability-zone "${zones[$zone]}" \
+    --callers "$address:$callerPort" --link "$address:$linkPort" --platform "$platform" \
+    --slots entry-1,entry-2,entry-3,entry-4 --initial-document "$work/document.toml"
+  entryAddress[$name]="$address:$callerPort"
+  registerInstance "$name" entry "${zones[$zone]}" "$address:$linkPort" "" "$address:$callerPort"
+}
+
+# Starts the whole deployment: 16 model engines in groups of 4 or 2, 3 application engines, 4 entries.
+startDeployment() {
+  local i group zone barrier
+  startPlatform
+  for i in $(seq 0 15); do
+    group=$((i / 4 + 1))
+    zone=$(((group - 1) % 3 + 1))
+    barrier="127.10.$zone.$((100 + (group - 1) * 4)):$enginePort"
+    startModelEngine "model-$((i + 1))" "$zone" "$((100 + i))" "${groups[$((group - 1))]}" "$barrier" 4
+  done
+  for i in 1 2 3; do
+    startApplicationEngine "application-$i" "$i" 50
+  done
+  for i in 1 2 3 4; do
+    startEntry "entry-$i" "$(((i - 1) % 3 + 1))" "$((10 + i))"
+  done
+  for i in 1 2 3 4; do
+    waitFor 30 isReady "${entryAddress[entry-$i]}"
+  done
+}
+
+declare -A entryAddress=()
