--- /dev/null
+++ b/Benchmarks/Limits/LimitsRun.cpp
@@ -0,0 +1,174 @@
+#include "LimitsRun.h"
+
+#include <algorithm>
+
+namespace Damaskgrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds tick(5);
+constexpr seconds middleStart(20);
+constexpr seconds middleEnd(40);
+constexpr seconds runTime(50);
+constexpr seconds deadline(4);
+constexpr std::size_t fifoBound = 16;
+
+double inSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+}
+
+LimitsRun::LimitsRun(const LimitScenario& scenario, LimitPolicy policy, std::uint64_t seed, LimitResult& result)
+    : scenario_(scenario)
+    , result_(result)
+    , beganAt_(clock_.now())
+    , random_(seed)
+{
+    result_.customers.resize(scenario_.customers.size());
+    for (std::size_t entry = 0; entry < scenario_.entries; ++entry) {
+        limiters_.push_back(makeLimiter(policy));
+        places_.push_back(scenario_.places / scenario_.entries);
+        started_.push_back(0);
+    }
+}
+
+void LimitsRun::run()
+{
+    for (Duration passed { 0 }; passed < runTime; passed += tick) {
+        clock_.advance(tick);
+        losePlaces();
+        endCalls();
+        for (std::size_t entry = 0; entry < scenario_.entries; ++entry) {
+            std::size_t places = places_[entry];
+            limiters_[entry]->setFreeTickets(places - std::min(places, started_[entry]));
+            for (const AdmissionDecision& decision : limiters_[entry]->advance())
+                apply(decision);
+        }
+        arrive();
+    }
+}
+
+std::unique_ptr<Limiter> LimitsRun::makeLimiter(LimitPolicy policy) const
+{
+    constexpr std::size_t unbounded = 1000000;
+    if (policy == LimitPolicy::Fifo)
+        return std::make_unique<FifoLimiter>(clock_, unbounded);
+    if (policy == LimitPolicy::BoundedFifo)
+        return std::make_unique<FifoLimiter>(clock_, fifoBound);
+    std::map<std::string, double> weights;
+    for (const CustomerLoad& customer : scenario_.customers)
+        weights[customer.name] = customer.weight;
+    return std::make_unique<ControllerLimiter>(clock_, weights);
+}
+
+void LimitsRun::arrive()
+{
+    for (std::size_t customer = 0; customer < scenario_.customers.size(); ++customer) {
+        const CustomerLoad& load = scenario_.customers[customer];
+        double rate = isMiddle(clock_.now()) ? load.burstCallsPerSecond : load.callsPerSecond;
+        // At most one arrival per customer and tick; the largest rate is far below one per tick.
+        if (random_.fraction() >= rate * inSeconds(tick))
+            continue;
+        Call call;
+        call.customer = customer;
+        call.entry = random_.index(load.entries > 0 ? load.entries : scenario_.entries);
+        call.arrivedAt = clock_.now();
+        call.deadline = clock_.now() + deadline;
+        call.serviceTime = std::chrono::duration_cast<Duration>(seconds(1) * (0.5 + random_.fraction()));
+        std::string id = std::to_string(nextCall_++);
+        if (isCounted(call))
+            ++result_.customers[customer].calls;
+        calls_.emplace(id, call);
+        submit(id);
+    }
+}
+
+void LimitsRun::submit(const std::string& id)
+{
+    const Call& call = calls_.at(id);
+    AdmissionRequest request;
+    request.callId = id;
+    request.customer = scenario_.customers[call.customer].name;
+    request.deadline = call.deadline;
+    apply(limiters_[call.entry]->submit(request));
+}
+
+void LimitsRun::endCalls()
+{
+    std::vector<std::string> ended;
+    for (const auto& [id, call] : calls_) {
+        if (call.isStarted && call.endsAt <= clock_.now())
+            ended.push_back(id);
+    }
+    for (const std::string& id : ended) {
+        const Call& call = calls_.at(id);
+        limiters_[call.entry]->finished(id);
+        --started_[call.entry];
+        CustomerResult& result = result_.customers[call.customer];
+        if (isCounted(call))
+            ++(call.endsAt <= call.deadline ? result.onTime : result.late);
+        calls_.erase(id);
+    }
+}
+
+void LimitsRun::losePlaces()
+{
+    bool isLost = scenario_.lostPlaces > 0 && isMiddle(clock_.now());
+    if (isLost == isLost_)
+        return;
+    isLost_ = isLost;
+    std::size_t places = scenario_.places - (isLost ? scenario_.lostPlaces : 0);
+    for (std::size_t& entryPlaces : places_)
+        entryPlaces = places / scenario_.entries;
+    if (!isLost)
+        return;
+    // The calls on the lost machine, a share of those in flight, are submitted again.
+    std::vector<std::string> lost;
+    double share = static_cast<double>(scenario_.lostPlaces) / static_cast<double>(scenario_.places);
+    for (auto& [id, call] : calls_) {
+        if (call.isStarted && random_.fraction() < share)
+            lost.push_back(id);
+    }
+    for (const std::string& id : lost) {
+        Call& call = calls_.at(id);
+        call.isStarted = false;
+        --started_[call.entry];
+        limiters_[call.entry]->abandoned(id);
+        submit(id);
+    }
+}
+
+void LimitsRun::apply(const AdmissionDecision& decision)
+{
+    Call& call = calls_.at(decision.callId);
+    if (decision.action == AdmissionAction::Start) {
+        call.isStarted = true;
+        call.endsAt = clock_.now() + call.serviceTime;
+        ++started_[call.entry];
+    }
+    if (decision.action != AdmissionAction::Refuse)
+        return;
+    if (isCounted(call)) {
+        ++result_.customers[call.customer].refused;
+        ++result_.refusals;
+        result_.refusalDelayTotal += inSeconds(clock_.now() - call.arrivedAt);
+    }
+    calls_.erase(decision.callId);
+}
+
+bool LimitsRun::isCounted(const Call& call) const
+{
+    return isMiddle(call.arrivedAt);
+}
+
+bool LimitsRun::isMiddle(TimePoint time) const
+{
+    return time - beganAt_ >= middleStart && time - beganAt_ < middleEnd;
+}
+
+}
--- /dev/null
+++ b/Benchmarks/Limits/LimitsRun.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Core/ManualClock.h"
+#include "Core/Random.h"
+#include "Limiter.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Damaskgrade {
+
+enum class LimitPolicy {
+    Fifo,
+    BoundedFifo,
+    Damaskgrade,
+};
+
+struct CustomerLoad {
+    std::string name;
+    double weight { 1 };
+    double callsPerSecond { 0 };
+    // Calls per second from second 20 to 40.
+    double burstCallsPerSecond { 0 };
+    // The customer uses the first so many entries; 0: all.
+    std::size_t entries { 0 };
+};
+
+struct LimitScenario {
+    std::string name;
+    std::vector<CustomerLoad> customers;
+    std::size_t entries { 4 };
+    // Places of all machines together. A call takes 1 s on average, so this is also the capacity in calls per second.
+    std::size_t places { 48 };
+    // Places lost from second 20 to 40.
+    std::size_t lostPlaces { 0 };
+};
+
+struct CustomerResult {
+    std::uint64_t calls { 0 };
+    std::uint64_t onTime { 0 };
+    std::uint64_t late { 0 };
+    std::uint64_t refused { 0 };
+};
+
+struct LimitResult {
+    std::vector<CustomerResult> customers;
+    double refusalDelayTotal { 0 };
+    std::uint64_t refusals { 0 };
+};
+
+// Drives the limiters of some entries on a manual clock. Calls that arrive from second 20 to 40 are counted.
+class LimitsRun {
+public:
+    LimitsRun(const LimitScenario& scenario, LimitPolicy policy, std::uint64_t seed, LimitResult& result);
+    void run();
+
+private:
+    struct Call {
+        std::size_t customer { 0 };
+        std::size_t entry { 0 };
+        TimePoint arrivedAt;
+        TimePoint deadline;
+        Duration serviceTime { 0 };
+        bool isStarted { false };
+        TimePoint endsAt;
+    };
+
+    std::unique_ptr<Limiter> makeLimiter(LimitPolicy policy) const;
+    void arrive();
+    void submit(const std::string& id);
+    void endCalls();
+    void losePlaces();
+    void apply(const AdmissionDecision& decision);
+    bool isCounted(const Call& call) const;
+    bool isMiddle(TimePoint time) const;
+
+    LimitScenario scenario_;
+    LimitResult& result_;
+    ManualClock clock_;
+    TimePoint beganAt_;
+    Random random_;
+    std::vector<std::unique_ptr<Limiter>> limiters_;
+    std::vector<std::size_t> places_;
+    std::vector<std::size_t> started_;
+    std::map<std::string, Call> calls_;
+    std::uint64_t nextCall_ { 1 };
+    bool isLost_ { false };
+};
+
+}
--- /dev/null
+++ b/Benchmarks/Routing/EngineModel.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Calls/CallMessages.h"
+#include "Core/Clock.h"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace Damaskgrade {
+
+// One call as an engine sees it.
+struct EngineCall {
+    std::uint64_t id { 0 };
+    std::size_t entry { 0 };
+    std::shared_ptr<const std::vector<std::uint64_t>> prefix;
+    std::size_t uncachedBlocks { 0 };
+    std::uint32_t tokensLeft { 0 };
+    bool hasFirstToken { false };
+    TimePoint lastTokenAt;
+};
+
+struct EngineSettings {
+    std::size_t batchSize { 16 };
+    std::size_t cachedBlocks { 2000 };
+    std::size_t prefillBlocksPerStep { 16 };
+    Duration stepBase { std::chrono::milliseconds(8) };
+    Duration stepPerCall { std::chrono::microseconds(500) };
+    Duration stepPerPrefillBlock { std::chrono::milliseconds(1) };
+};
+
+struct EngineFigures {
+    std::uint64_t promptBlocks { 0 };
+    std::uint64_t hitBlocks { 0 };
+};
+
+// A model engine with continuous batching, chunked prefill and a prefix cache that drops the oldest block.
+class EngineModel {
+public:
+    struct Progress {
+        std::vector<EngineCall> firstTokens;
+        std::vector<EngineCall> ended;
+        std::vector<Duration> tokenIntervals;
+    };
+
+    explicit EngineModel(EngineSettings settings);
+
+    void submit(EngineCall call);
+    void cancel(std::uint64_t id);
+    // Runs all steps that end by now.
+    Progress advance(TimePoint now);
+
+    void setSlowness(double factor) { slowness_ = factor; }
+    void setFrozen(bool isFrozen) { isFrozen_ = isFrozen; }
+    // Loses all calls and the cache.
+    void restart();
+
+    LoadReport report() const;
+    std::vector<CacheEvent> takeCacheEvents();
+    std::size_t calls() const { return waiting_.size() + running_.size(); }
+    const EngineFigures& figures() const { return figures_; }
+
+private:
+    void fillBatch();
+    Duration runStep(TimePoint stepEnd, Progress& progress);
+    Duration prefill();
+    std::size_t cachedPrefix(const std::vector<std::uint64_t>& prefix) const;
+    void store(std::uint64_t hash);
+
+    EngineSettings settings_;
+    double slowness_ { 1 };
+    bool isFrozen_ { false };
+    TimePoint nextStepAt_;
+    Duration lastStep_ { 0 };
+    std::deque<EngineCall> waiting_;
+    std::vector<EngineCall> running_;
+    std::list<std::uint64_t> cacheOrder_;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> cache_;
+    std::vector<CacheEvent> events_;
+    std::uint64_t nextSequence_ { 1 };
+    EngineFigures figures_;
+};
+
+}
--- /dev/null
+++ b/Benchmarks/Routing/RoutingRun.cpp
@@ -0,0 +1,381 @@
+#include "RoutingRun.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Damaskgrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t entryCount = 4;
+constexpr std::size_t engineCount = 16;
+constexpr std::size_t ticketsPerEntry = 8;
+constexpr std::size_t conversationCount = 400;
+constexpr std::size_t customerCount = 10;
+constexpr std::size_t uniqueBlocks = 4;
+constexpr milliseconds tick(1);
+constexpr milliseconds reportInterval(250);
+constexpr seconds warmUp(10);
+constexpr seconds runTime(60);
+constexpr seconds faultStart(20);
+constexpr seconds faultEnd(40);
+constexpr seconds frozenEnd(50);
+// An entry gives up a call that shows no token for this long, and retries it elsewhere.
+constexpr seconds silenceTimeout(3);
+// Share of deliveries that lose a cache event.
+constexpr double gapShare = 0.01;
+
+std::string engineName(std::size_t engine)
+{
+    return "engine-" + std::string(engine < 10 ? "0" : "") + std::to_string(engine);
+}
+
+std::size_t engineIndex(const std::string& name)
+{
+    return static_cast<std::size_t>(std::stoi(name.substr(7)));
+}
+
+std::string zoneName(std::size_t index)
+{
+    return "zone-" + std::string(1, static_cast<char>('a' + index % 3));
+}
+
+double inMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+std::unique_ptr<Selector> makeSelector(Policy policy, const BackendServerTable& table, const PrefixCacheIndex& cache,
+    const OutlierDetector& outliers, const ZoneLatencies& latencies, Random& random, const std::string& zone)
+{
+    SelectorSettings settings;
+    settings.ownZone = zone;
+    switch (policy) {
+    case Policy::RoundRobin:
+        return std::make_unique<RoundRobinSelector>(table);
+    case Policy::LeastReported:
+        return std::make_unique<LeastReportedSelector>(table);
+    case Policy::TwoChoices:
+        return std::make_unique<TwoChoicesSelector>(table, random);
+    case Policy::Damaskgrade:
+        break;
+    }
+    return std::make_unique<BackendServerSelector>(table, cache, outliers, latencies, random, settings, nullptr);
+}
+
+}
+
+RoutingRun::Entry::Entry(const Clock& clock, const ZoneLatencies& latencies, std::size_t index, Policy policy, std::uint64_t seed)
+    : random(seed * 100 + index)
+    , table(clock)
+    , cache(16384)
+    , outliers(clock, OutlierSettings())
+    , selector(makeSelector(policy, table, cache, outliers, latencies, random, zoneName(index)))
+{
+}
+
+RoutingRun::RoutingRun(const Scenario& scenario, Policy policy, std::uint64_t seed, Samples& samples)
+    : scenario_(scenario)
+    , policy_(policy)
+    , samples_(samples)
+    , beganAt_(clock_.now())
+    , random_(seed)
+    , latencies_(std::chrono::microseconds(500))
+    , isUp_(engineCount, true)
+    , incarnations_(engineCount, 0)
+    , lastReports_(engineCount)
+    , nextArrival_(clock_.now())
+{
+    for (std::size_t index = 0; index < entryCount; ++index)
+        entries_.push_back(std::make_unique<Entry>(clock_, latencies_, index, policy, seed));
+    for (std::size_t engine = 0; engine < engineCount; ++engine) {
+        engines_.push_back(std::make_unique<EngineModel>(EngineSettings()));
+        connect(engine, true);
+    }
+    makeConversations();
+}
+
+void RoutingRun::run()
+{
+    for (Duration passed { 0 }; passed < runTime; passed += tick) {
+        clock_.advance(tick);
+        applyFault();
+        arrive();
+        runEngines();
+        if (passed % reportInterval == Duration::zero())
+            publishReports();
+        deliverReports();
+        if (passed % milliseconds(100) == Duration::zero()) {
+            giveUpSilentCalls();
+            sampleImbalance();
+        }
+        for (std::unique_ptr<Entry>& entry : entries_) {
+            entry->outliers.evaluate();
+            dispatch(*entry);
+        }
+    }
+    for (std::unique_ptr<EngineModel>& engine : engines_) {
+        samples_.promptBlocks += engine->figures().promptBlocks;
+        samples_.hitBlocks += engine->figures().hitBlocks;
+    }
+    for (const auto& [id, call] : calls_) {
+        if (!call.hasFirstToken && clock_.now() - call.arrivedAt > seconds(5))
+            ++samples_.unanswered;
+    }
+}
+
+void RoutingRun::connect(std::size_t engine, bool isFirst)
+{
+    HelloMessage hello;
+    hello.name = engineName(engine);
+    hello.incarnation = std::to_string(++incarnations_[engine]);
+    hello.availabilityZone = zoneName(engine);
+    hello.engineKind = "model";
+    hello.serves = "model-a";
+    for (std::unique_ptr<Entry>& entry : entries_) {
+        entry->table.connected(hello);
+        entry->outliers.add(hello.name, hello.serves);
+        if (!isFirst)
+            entry->cache.forget(hello.name);
+        entry->table.setTicketsHeld(hello.name, ticketsPerEntry);
+    }
+}
+
+// Each conversation has its customer's instructions, 16 blocks, and a history of 4 to 64 blocks.
+void RoutingRun::makeConversations()
+{
+    for (std::size_t index = 0; index < conversationCount; ++index) {
+        std::vector<std::uint64_t> blocks;
+        for (std::uint64_t block = 0; block < 16; ++block)
+            blocks.push_back((index % customerCount) * 1000 + block + 1);
+        std::size_t history = 4 + random_.index(61);
+        for (std::size_t block = 0; block < history; ++block)
+            blocks.push_back(random_.bits());
+        conversations_.push_back(std::move(blocks));
+    }
+}
+
+void RoutingRun::arrive()
+{
+    while (nextArrival_ <= clock_.now()) {
+        double gap = -std::log(1 - random_.fraction()) / scenario_.callsPerSecond;
+        nextArrival_ += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap));
+        Call call;
+        call.id = nextCall_++;
+        call.entry = random_.index(entryCount);
+        call.arrivedAt = clock_.now();
+        // A few conversations get most calls: the square of a fraction prefers low numbers.
+        double draw = random_.fraction();
+        std::size_t conversation = static_cast<std::size_t>(draw * draw * static_cast<double>(conversationCount));
+        std::vector<std::uint64_t> prefix = conversations_[conversation];
+        for (std::size_t block = 0; block < uniqueBlocks; ++block)
+            prefix.push_back(random_.bits());
+        call.prefix = std::make_shared<const std::vector<std::uint64_t>>(std::move(prefix));
+        call.tokens = 64 + static_cast<std::uint32_t>(random_.index(129));
+        ++samples_.calls;
+        entries_[call.entry]->waiting.push_back(call.id);
+        calls_.emplace(call.id, std::move(call));
+    }
+}
+
+void RoutingRun::applyFault()
+{
+    Duration passed = clock_.now() - beganAt_;
+    if (scenario_.fault == Fault::Straggler && passed == faultStart)
+        engines_[5]->setSlowness(3);
+    if (scenario_.fault == Fault::Frozen && (passed == faultStart || passed == frozenEnd))
+        engines_[5]->setFrozen(passed == faultStart);
+    if (scenario_.fault == Fault::ZoneLost && passed == faultStart)
+        loseZone();
+    if (scenario_.fault == Fault::ZoneLost && passed == faultEnd)
+        returnZone();
+}
+
+void RoutingRun::loseZone()
+{
+    isZoneLost_ = true;
+    std::vector<std::uint64_t> lost;
+    for (const auto& [id, call] : calls_) {
+        if (!call.server.empty() && isInLostZone(engineIndex(call.server)))
+            lost.push_back(id);
+    }
+    std::sort(lost.begin(), lost.end());
+    for (std::uint64_t id : lost)
+        retry(id);
+    for (std::size_t engine = 0; engine < engineCount; ++engine) {
+        if (!isInLostZone(engine))
+            continue;
+        isUp_[engine] = false;
+        engines_[engine]->restart();
+        for (std::unique_ptr<Entry>& entry : entries_) {
+            entry->table.disconnected(engineName(engine));
+            entry->outliers.remove(engineName(engine));
+        }
+    }
+}
+
+void RoutingRun::returnZone()
+{
+    for (std::size_t engine = 0; engine < engineCount; ++engine) {
+        if (!isInLostZone(engine))
+            continue;
+        isUp_[engine] = true;
+        connect(engine, false);
+    }
+}
+
+void RoutingRun::publishReports()
+{
+    for (std::size_t engine = 0; engine < engineCount; ++engine) {
+        if (!isUp_[engine])
+            continue;
+        bool isFrozen = scenario_.fault == Fault::Frozen && engine == 5 && clock_.now() - beganAt_ >= faultStart
+            && clock_.now() - beganAt_ < frozenEnd;
+        if (!isFrozen)
+            lastReports_[engine] = engines_[engine]->report();
+        deliveries_.push_back({ clock_.now() + scenario_.reportLag, engine, lastReports_[engine], clock_.now(),
+            engines_[engine]->takeCacheEvents() });
+    }
+}
+
+void RoutingRun::deliverReports()
+{
+    while (!deliveries_.empty() && deliveries_.front().at <= clock_.now()) {
+        Delivery delivery = std::move(deliveries_.front());
+        deliveries_.pop_front();
+        if (!isUp_[delivery.engine])
+            continue;
+        TicketsMessage message;
+        message.load = delivery.load;
+        message.load.age = std::chrono::duration_cast<milliseconds>(clock_.now() - delivery.takenAt);
+        for (std::unique_ptr<Entry>& entry : entries_) {
+            entry->table.ticketsReceived(engineName(delivery.engine), message);
+            std::vector<CacheEvent> events = delivery.events;
+            if (!events.empty() && random_.fraction() < gapShare)
+                events.erase(events.begin() + static_cast<std::ptrdiff_t>(random_.index(events.size())));
+            entry->cache.apply(engineName(delivery.engine), events);
+        }
+    }
+}
+
+void RoutingRun::runEngines()
+{
+    for (std::size_t engine = 0; engine < engineCount; ++engine) {
+        if (!isUp_[engine])
+            continue;
+        EngineModel::Progress progress = engines_[engine]->advance(clock_.now());
+        for (const EngineCall& call : progress.firstTokens)
+            firstToken(call);
+        for (const EngineCall& call : progress.ended)
+            ended(call);
+        if (clock_.now() - beganAt_ < warmUp)
+            continue;
+        for (Duration interval : progress.tokenIntervals)
+            samples_.tokenInterval.push_back(static_cast<float>(inMilliseconds(interval)));
+    }
+}
+
+void RoutingRun::giveUpSilentCalls()
+{
+    std::vector<std::uint64_t> silent;
+    for (const auto& [id, call] : calls_) {
+        if (!call.server.empty() && !call.hasFirstToken && clock_.now() - call.startedAt > silenceTimeout)
+            silent.push_back(id);
+    }
+    std::sort(silent.begin(), silent.end());
+    for (std::uint64_t id : silent) {
+        Call& call = calls_.at(id);
+        engines_[engineIndex(call.server)]->cancel(id);
+        entries_[call.entry]->outliers.callFailed(call.server);
+        retry(id);
+    }
+}
+
+void RoutingRun::dispatch(Entry& entry)
+{
+    std::size_t count = entry.waiting.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        std::uint64_t id = entry.waiting.front();
+        if (!send(entry, calls_.at(id)))
+            return;
+        entry.waiting.pop_front();
+    }
+}
+
+bool RoutingRun::send(Entry& entry, Call& call)
+{
+    SelectionRequest request;
+    request.serves = "model-a";
+    request.prefix = *call.prefix;
+    request.tried = call.tried;
+    Selection selection = entry.selector->select(request);
+    if (selection.code != ResultCode::Ok) {
+        call.tried.clear();
+        return false;
+    }
+    call.server = selection.server;
+    call.startedAt = clock_.now();
+    entry.table.callStarted(call.server, std::to_string(call.id));
+    engines_[engineIndex(call.server)]->submit({ call.id, call.entry, call.prefix, 0, call.tokens, false, clock_.now() });
+    return true;
+}
+
+void RoutingRun::retry(std::uint64_t id)
+{
+    Call& call = calls_.at(id);
+    Entry& entry = *entries_[call.entry];
+    entry.table.callEnded(call.server, std::to_string(id));
+    entry.table.setTicketsHeld(call.server, entry.table.find(call.server)->ticketsHeld + 1);
+    call.tried.push_back(call.server);
+    call.server.clear();
+    ++samples_.retries;
+    entry.waiting.push_front(id);
+}
+
+void RoutingRun::firstToken(const EngineCall& engineCall)
+{
+    Call& call = calls_.at(engineCall.id);
+    Entry& entry = *entries_[call.entry];
+    entry.table.callProgressed(call.server);
+    entry.outliers.callSucceeded(call.server, clock_.now() - call.startedAt);
+    Duration arrival = call.arrivedAt - beganAt_;
+    if (!call.hasFirstToken && arrival >= warmUp)
+        samples_.firstToken.push_back(inMilliseconds(clock_.now() - call.arrivedAt));
+    if (!call.hasFirstToken && arrival >= faultEnd && arrival < faultEnd + seconds(10))
+        samples_.firstTokenAfterReturn.push_back(inMilliseconds(clock_.now() - call.arrivedAt));
+    call.hasFirstToken = true;
+}
+
+void RoutingRun::ended(const EngineCall& engineCall)
+{
+    Call& call = calls_.at(engineCall.id);
+    Entry& entry = *entries_[call.entry];
+    entry.table.callProgressed(call.server);
+    entry.table.callEnded(call.server, std::to_string(call.id));
+    entry.table.setTicketsHeld(call.server, entry.table.find(call.server)->ticketsHeld + 1);
+    calls_.erase(engineCall.id);
+}
+
+void RoutingRun::sampleImbalance()
+{
+    if (clock_.now() - beganAt_ < warmUp)
+        return;
+    double total = 0;
+    double busiest = 0;
+    double up = 0;
+    for (std::size_t engine = 0; engine < engineCount; ++engine) {
+        if (!isUp_[engine])
+            continue;
+        double calls = static_cast<double>(engines_[engine]->calls());
+        total += calls;
+        busiest = std::max(busiest, calls);
+        up += 1;
+    }
+    if (total > 0)
+        samples_.imbalance.push_back(busiest * up / total);
+}
+
+}
--- /dev/null
+++ b/Benchmarks/Routing/RoutingRun.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "Core/ManualClock.h"
+#include "Core/Random.h"
+#include "EngineModel.h"
+#include "Routing/BackendServerSelector.h"
+#include "Routing/BaselineSelectors.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Damaskgrade {
+
+enum class Policy {
+    RoundRobin,
+    LeastReported,
+    TwoChoices,
+    Damaskgrade,
+};
+
+enum class Fault {
+    None,
+    // One engine is three times slower from second 20 on.
+    Straggler,
+    // One engine does nothing from second 20 to 50; its agent still holds the link and repeats the last report.
+    Frozen,
+    // A third of the engines is gone from second 20 to 40 and comes back with empty caches.
+    ZoneLost,
+};
+
+struct Scenario {
+    std::string name;
+    Duration reportLag { 0 };
+    double callsPerSecond { 0 };
+    Fault fault { Fault::None };
+};
+
+// Samples of all seeds of one scenario and policy, in milliseconds.
+struct Samples {
+    std::vector<double> firstToken;
+    // First token of calls that arrived in the 10 s after a fault ended.
+    std::vector<double> firstTokenAfterReturn;
+    std::vector<float> tokenInterval;
+    // Calls at the busiest engine over the mean of all engines, sampled every 100 ms.
+    std::vector<double> imbalance;
+    std::uint64_t promptBlocks { 0 };
+    std::uint64_t hitBlocks { 0 };
+    std::uint64_t calls { 0 };
+    std::uint64_t retries { 0 };
+    std::uint64_t unanswered { 0 };
+};
+
+// Drives the routing of 4 entries in front of 16 engine models on a manual clock.
+class RoutingRun {
+public:
+    RoutingRun(const Scenario& scenario, Policy policy, std::uint64_t seed, Samples& samples);
+    void run();
+
+private:
+    struct Call {
+        std::uint64_t id { 0 };
+        std::size_t entry { 0 };
+        TimePoint arrivedAt;
+        TimePoint startedAt;
+        std::shared_ptr<const std::vector<std::uint64_t>> prefix;
+        std::uint32_t tokens { 0 };
+        std::vector<std::string> tried;
+        std::string server;
+        bool hasFirstToken { false };
+    };
+
+    struct Entry {
+        Entry(const Clock& clock, const ZoneLatencies& latencies, std::size_t index, Policy policy, std::uint64_t seed);
+
+        Random random;
+        BackendServerTable table;
+        PrefixCacheIndex cache;
+        OutlierDetector outliers;
+        std::unique_ptr<Selector> selector;
+        std::deque<std::uint64_t> waiting;
+    };
+
+    struct Delivery {
+        TimePoint at;
+        std::size_t engine { 0 };
+        LoadReport load;
+        TimePoint takenAt;
+        std::vector<CacheEvent> events;
+    };
+
+    void connect(std::size_t engine, bool isFirst);
+    void makeConversations();
+    void arrive();
+    void applyFault();
+    void loseZone();
+    void returnZone();
+    void publishReports();
+    void deliverReports();
+    void runEngines();
+    void giveUpSilentCalls();
+    void dispatch(Entry& entry);
+    bool send(Entry& entry, Call& call);
+    void retry(std::uint64_t id);
+    void firstToken(const EngineCall& engineCall);
+    void ended(const EngineCall& engineCall);
+    void sampleImbalance();
+    bool isInLostZone(std::size_t engine) const { return engine % 3 == 0; }
+
+    Scenario scenario_;
+    Policy policy_;
+    Samples& samples_;
+    ManualClock clock_;
+    TimePoint beganAt_;
+    Random random_;
+    ZoneLatencies latencies_;
+    std::vector<std::unique_ptr<EngineModel>> engines_;
+    std::vector<bool> isUp_;
+    std::vector<int> incarnations_;
+    std::vector<LoadReport> lastReports_;
+    std::vector<std::unique_ptr<Entry>> entries_;
+    std::deque<Delivery> deliveries_;
+    std::unordered_map<std::uint64_t, Call> calls_;
+    std::vector<std::vector<std::uint64_t>> conversations_;
+    std::uint64_t nextCall_ { 1 };
+    TimePoint nextArrival_;
+    bool isZoneLost_ { false };
+};
+
+}
