--- /dev/null
+++ b/Tests/Limits/AdmissionControllerTest.cpp
@@ -0,0 +1,289 @@
+#include "Limits/AdmissionController.h"
+#include "Core/ManualClock.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+namespace Damaskgrade {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct AdmissionFixture {
+    explicit AdmissionFixture(AdmissionSettings settings = smallQueues())
+        : controller(clock, settings, CustomerShares(1))
+    {
+        controller.setWeights({ { "a", 1 }, { "b", 1 }, { "large", 4 } });
+    }
+
+    static AdmissionSettings smallQueues()
+    {
+        AdmissionSettings settings;
+        settings.maximumQueued = 20;
+        settings.maximumQueuedPerCustomer = 15;
+        settings.assumedServiceTime = seconds(1);
+        return settings;
+    }
+
+    AdmissionDecision submit(const std::string& id, const std::string& customer = "a", Duration timeLeft = seconds(60), std::int32_t priority = 0)
+    {
+        AdmissionRequest request;
+        request.callId = id;
+        request.customer = customer;
+        request.priority = priority;
+        request.deadline = clock.now() + timeLeft;
+        return controller.submit(request);
+    }
+
+    std::vector<std::string> submitMany(int count, const std::string& customer)
+    {
+        std::vector<std::string> queued;
+        for (int i = 0; i < count; ++i) {
+            std::string id = customer + std::to_string(i);
+            if (submit(id, customer).action == AdmissionAction::Queue)
+                queued.push_back(id);
+        }
+        return queued;
+    }
+
+    // Ends the call and lets the next one start; returns the started call or an empty string.
+    std::string replace(const std::string& id)
+    {
+        controller.finished(id);
+        controller.setFreeTickets(controller.freeTickets() + 1);
+        for (const AdmissionDecision& decision : controller.advance()) {
+            if (decision.action == AdmissionAction::Start)
+                return decision.callId;
+        }
+        return "";
+    }
+
+    ManualClock clock;
+    AdmissionController controller;
+};
+
+}
+
+// Guards against a late refusal that leaves the caller no time to go elsewhere.
+TEST_CASE("a call that cannot meet its deadline is refused at once")
+{
+    AdmissionFixture fixture;
+    fixture.controller.setFreeTickets(2);
+    CHECK(fixture.submit("first").action == AdmissionAction::Start);
+    CHECK(fixture.submit("second").action == AdmissionAction::Start);
+    CHECK(fixture.submit("third", "a", milliseconds(1600)).action == AdmissionAction::Queue);
+    AdmissionDecision refused = fixture.submit("fourth", "a", milliseconds(1600));
+    CHECK(refused.action == AdmissionAction::Refuse);
+    CHECK(refused.code == ResultCode::DeadlineNotReachable);
+    CHECK(fixture.submit("fifth", "a", milliseconds(0)).code == ResultCode::DeadlinePassed);
+    CHECK(fixture.controller.queued() == 1);
+}
+
+// Guards against an estimate that stays too long after an incident and refuses all calls for ever.
+TEST_CASE("with no call in flight, a call is started whatever the estimate")
+{
+    AdmissionFixture fixture;
+    fixture.controller.setFreeTickets(1);
+    CHECK(fixture.submit("first", "a", milliseconds(100)).action == AdmissionAction::Start);
+    CHECK(fixture.controller.freeTickets() == 0);
+}
+
+// Guards against an estimate that doesn't follow a slower backend server.
+TEST_CASE("the estimate follows the observed service times")
+{
+    AdmissionFixture fixture;
+    fixture.controller.setFreeTickets(1);
+    fixture.submit("first");
+    Duration before = fixture.controller.expectedWait("a");
+    fixture.clock.advance(seconds(5));
+    fixture.controller.finished("first");
+    fixture.controller.setFreeTickets(1);
+    fixture.submit("second");
+    CHECK(fixture.controller.expectedWait("a") > 3 * before);
+}
+
+// Guards against queued calls that are started after their deadline, and against a wrong code.
+TEST_CASE("queued calls expire when their deadline is out of reach")
+{
+    AdmissionFixture fixture;
+    fixture.controller.setFreeTickets(1);
+    fixture.submit("running");
+    CHECK(fixture.submit("queued", "a", seconds(3)).action == AdmissionAction::Queue);
+    fixture.clock.advance(milliseconds(2500));
+    std::vector<AdmissionDecision> decisions = fixture.controller.advance();
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].callId == "queued");
+    CHECK(decisions[0].code == ResultCode::DeadlineNotReachable);
+    CHECK(fixture.controller.queued() == 0);
+    fixture.submit("other", "a", seconds(3));
+    fixture.clock.advance(seconds(4));
+    CHECK(fixture.controller.advance()[0].code == ResultCode::DeadlinePassed);
+}
+
+// Guards against queues without a bound, and against a burst that fills the queue for the others.
+TEST_CASE("a burst is refused at its own limit and makes room for others")
+{
+    AdmissionFixture fixture;
+    fixture.controller.setFreeTickets(1);
+    fixture.submit("running", "b");
+    fixture.submitMany(30, "a");
+    CHECK(fixture.controller.queued() == 15);
+    CHECK(fixture.submit("more", "a").code == ResultCode::CustomerLimitReached);
+    CHECK(fixture.submitMany(5, "b").size() == 5);
+    CHECK(fixture.controller.queued() == 20);
+    CHECK(fixture.submit("pushing", "b").action == AdmissionAction::Queue);
+    CHECK(fixture.controller.queued() == 20);
+    std::vector<AdmissionDecision> decisions = fixture.controller.advance();
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].callId == "a14");
+    CHECK(decisions[0].code == ResultCode::CustomerLimitReached);
+    CHECK(fixture.submit("over", "a").code != ResultCode::Ok);
+}
+
+// Guards against a refusal as "customer limit" when the entry as a whole is full.
+TEST_CASE("a full queue refuses as overloaded if no one waits with more than the caller")
+{
+    AdmissionFixture fixture;
+    fixture.controller.setFreeTickets(1);
+    fixture.submit("running", "b");
+    fixture.submitMany(10, "a");
+    fixture.submitMany(10, "b");
+    CHECK(fixture.submit("more", "a").code == ResultCode::Overloaded);
+}
+
+// Guards against urgent calls that wait behind others of their customer, and against priority as a way to a larger share.
+TEST_CASE("priority orders the calls of one customer and not the customers")
+{
+    AdmissionFixture fixture;
+    fixture.controller.setFreeTickets(1);
+    fixture.submit("running", "a");
+    fixture.submit("usual", "a");
+    fixture.submit("urgent", "a", seconds(60), 5);
+    fixture.submit("other", "b");
+    fixture.clock.advance(seconds(1));
+    std::string first = fixture.replace("running");
+    CHECK(first == "other");
+    CHECK(fixture.replace(first) == "urgent");
+}
+
+// Guards against capacity that stays lost after calls were cancelled or not sent.
+TEST_CASE("abandoned calls leave the queue and give their charge back")
+{
+    AdmissionFixture fixture;
+    fixture.controller.setFreeTickets(1);
+    fixture.submit("running", "a");
+    fixture.submit("queued", "a");
+    fixture.controller.abandoned("queued");
+    CHECK(fixture.controller.queued() == 0);
+    fixture.controller.abandoned("running");
+    CHECK(fixture.controller.inFlight() == 0);
+    fixture.controller.abandoned("unknown");
+    fixture.controller.setFreeTickets(1);
+    fixture.submit("blocking", "large");
+    fixture.submit("a1", "a");
+    fixture.submit("b1", "b");
+    CHECK(fixture.replace("blocking") == "a1");
+}
+
+// Guards against refusals while links are opened again, when no capacity is known for a moment.
+TEST_CASE("without tickets and calls in flight, calls wait within their deadline")
+{
+    AdmissionFixture fixture;
+    CHECK(fixture.submit("patient", "a", seconds(5)).action == AdmissionAction::Queue);
+    CHECK(fixture.submit("urgent", "a", milliseconds(1500)).code == ResultCode::DeadlineNotReachable);
+    fixture.controller.setFreeTickets(1);
+    CHECK(fixture.controller.advance()[0].callId == "patient");
+}
+
+// Guards against starvation: a burst of one customer must leave the others their shares of the starts.
+TEST_CASE("under a burst of the large customer, the small ones get their share")
+{
+    AdmissionSettings settings;
+    settings.assumedServiceTime = seconds(1);
+    AdmissionFixture fixture(settings);
+    fixture.controller.setFreeTickets(1);
+    fixture.submit("running", "large");
+    fixture.submitMany(100, "large");
+    fixture.submitMany(15, "a");
+    fixture.submitMany(15, "b");
+    std::map<char, int> starts;
+    std::string running = "running";
+    for (int i = 0; i < 36; ++i) {
+        fixture.clock.advance(seconds(1));
+        running = fixture.replace(running);
+        ++starts[running.front()];
+    }
+    CHECK(starts['a'] >= 5);
+    CHECK(starts['b'] >= 5);
+    CHECK(starts['l'] >= 22);
+}
+
+// Guards against idle capacity, lost calls, calls started without a ticket, and queues beyond their bounds.
+TEST_CASE("every call is decided once, and no ticket is free while a call waits")
+{
+    bool isHeld = rc::check([] {
+        AdmissionFixture fixture;
+        std::set<std::string> waiting;
+        std::vector<std::string> running;
+        int tickets = *rc::gen::inRange(0, 6);
+        int steps = *rc::gen::inRange(1, 150);
+        for (int step = 0; step < steps; ++step) {
+            std::string id = "call-" + std::to_string(step);
+            if (*rc::gen::inRange(0, 3) > 0) {
+                std::string customer = *rc::gen::element<std::string>("a", "b", "large", "unknown");
+                AdmissionDecision decision = fixture.submit(id, customer, milliseconds(*rc::gen::inRange(0, 20000)), *rc::gen::inRange(-1, 2));
+                if (decision.action == AdmissionAction::Start)
+                    running.push_back(id);
+                if (decision.action == AdmissionAction::Queue)
+                    waiting.insert(id);
+                RC_ASSERT((decision.action == AdmissionAction::Refuse) == (decision.code != ResultCode::Ok));
+            } else if (!running.empty()) {
+                std::size_t which = *rc::gen::inRange<std::size_t>(0, running.size());
+                fixture.controller.finished(running[which]);
+                running.erase(running.begin() + static_cast<std::ptrdiff_t>(which));
+            }
+            // A machine is lost or comes back.
+            if (*rc::gen::inRange(0, 20) == 0)
+                tickets = *rc::gen::inRange(0, 6);
+            fixture.clock.advance(milliseconds(*rc::gen::inRange(0, 800)));
+            std::size_t places = static_cast<std::size_t>(tickets);
+            fixture.controller.setFreeTickets(places - std::min(places, running.size()));
+            for (const AdmissionDecision& decision : fixture.controller.advance()) {
+                RC_ASSERT(waiting.erase(decision.callId) == 1u);
+                if (decision.action == AdmissionAction::Start)
+                    running.push_back(decision.callId);
+            }
+            RC_ASSERT(running.size() == fixture.controller.inFlight());
+            RC_ASSERT(waiting.size() == fixture.controller.queued());
+            RC_ASSERT(fixture.controller.freeTickets() == 0u || waiting.empty());
+            RC_ASSERT(waiting.size() <= 20u);
+        }
+    });
+    CHECK(isHeld);
+}
+
+// Guards against a share below the bound: a customer that uses one of four entries gets at least its share of that entry.
+TEST_CASE("a customer at one entry gets its share of that entry's tickets")
+{
+    AdmissionFixture fixture;
+    fixture.controller.setFreeTickets(1);
+    fixture.submit("running", "b");
+    int startsOfA = 0;
+    std::string running = "running";
+    for (int i = 0; i < 60; ++i) {
+        fixture.submit("a-" + std::to_string(i), "a");
+        fixture.submit("b-" + std::to_string(i), "b");
+        fixture.submit("l-" + std::to_string(i), "large");
+        fixture.clock.advance(seconds(1));
+        running = fixture.replace(running);
+        startsOfA += running.front() == 'a' ? 1 : 0;
+    }
+    CHECK(startsOfA >= 60 / 6 - 2);
+}
+
+}
--- /dev/null
+++ b/Tests/Routing/AgentSubsetTest.cpp
@@ -0,0 +1,83 @@
+#include "Routing/AgentSubset.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+namespace Damaskgrade {
+
+namespace {
+
+std::vector<SubsetAgent> makeAgents(int count, int zones, int services)
+{
+    std::vector<SubsetAgent> agents;
+    agents.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i)
+        agents.push_back({ "agent-" + std::to_string(i), "zone-" + std::to_string(i % zones), "m-" + std::to_string(i / zones % services) });
+    return agents;
+}
+
+std::size_t removedCount(const std::vector<std::string>& before, const std::vector<std::string>& after)
+{
+    std::vector<std::string> removed;
+    std::set_difference(before.begin(), before.end(), after.begin(), after.end(), std::back_inserter(removed));
+    return removed.size();
+}
+
+}
+
+// Guards against entries at today's size that miss an agent.
+TEST_CASE("a small deployment connects to all agents")
+{
+    std::vector<SubsetAgent> agents = makeAgents(19, 3, 2);
+    CHECK(AgentSubset(24, 4).choose("entry-1", agents).size() == 19);
+}
+
+// Guards against waves of new connections whenever one agent comes or goes.
+TEST_CASE("an agent that comes or goes changes at most one connection")
+{
+    bool isHeld = rc::check([] {
+        int zones = *rc::gen::inRange(1, 6);
+        std::vector<SubsetAgent> agents = makeAgents(*rc::gen::inRange(60, 200), zones, 1);
+        AgentSubset subset(24, 4);
+        std::string entry = "entry-" + std::to_string(*rc::gen::inRange(0, 1000));
+        std::vector<std::string> before = subset.choose(entry, agents);
+        std::size_t gone = *rc::gen::inRange<std::size_t>(0, agents.size());
+        bool wasChosen = std::binary_search(before.begin(), before.end(), agents[gone].name);
+        agents.erase(agents.begin() + static_cast<std::ptrdiff_t>(gone));
+        std::vector<std::string> after = subset.choose(entry, agents);
+        RC_ASSERT(before.size() == 24u);
+        RC_ASSERT(removedCount(before, after) == (wasChosen ? 1u : 0u));
+        RC_ASSERT(removedCount(after, before) == (wasChosen ? 1u : 0u));
+    });
+    CHECK(isHeld);
+}
+
+// Guards against an entry that loses all its agents of a service with one zone, and against overloaded agents.
+TEST_CASE("at the target size, connections spread over zones, services and agents")
+{
+    std::vector<SubsetAgent> agents = makeAgents(600, 6, 3);
+    AgentSubset subset(24, 4);
+    std::map<std::string, int> connections;
+    for (int entry = 0; entry < 340; ++entry) {
+        std::map<std::string, int> zones;
+        std::map<std::string, int> services;
+        for (const std::string& name : subset.choose("entry-" + std::to_string(entry), agents)) {
+            const SubsetAgent& agent = agents[static_cast<std::size_t>(std::stoi(name.substr(6)))];
+            ++connections[name];
+            ++zones[agent.availabilityZone];
+            ++services[agent.serves];
+        }
+        CHECK(services.size() == 3);
+        CHECK(zones.size() >= 4);
+        for (const auto& [zone, count] : zones)
+            CHECK(count <= 6);
+    }
+    CHECK(connections.size() == 600);
+    for (const auto& [name, count] : connections)
+        CHECK(count <= 34);
+}
+
+}
--- /dev/null
+++ b/Tests/Routing/BackendServerSelectorTest.cpp
@@ -0,0 +1,230 @@
+#include "Routing/BaselineSelectors.h"
+#include "RoutingFixture.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace Damaskgrade {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against new work for draining, suspected, disconnected and ejected servers in any combination of states.
+TEST_CASE("a server out of service is never selected while another is healthy")
+{
+    bool isHeld = rc::check([] {
+        RoutingFixture fixture(*rc::gen::arbitrary<std::uint64_t>());
+        fixture.connect("healthy");
+        int count = *rc::gen::inRange(1, 8);
+        for (int i = 0; i < count; ++i) {
+            std::string name = "other-" + std::to_string(i);
+            fixture.connect(name);
+            fixture.report(name, 0);
+            int state = *rc::gen::inRange(0, 4);
+            if (state == 0)
+                fixture.table.setDraining(name, true);
+            if (state == 1)
+                fixture.table.setSuspected(name, true);
+            if (state == 2)
+                fixture.table.disconnected(name);
+            if (state == 3) {
+                for (int failure = 0; failure < 5; ++failure)
+                    fixture.outliers.callFailed(name);
+                if (!fixture.outliers.isEjected(name))
+                    fixture.table.setDraining(name, true);
+            }
+        }
+        fixture.report("healthy", 8, 50);
+        for (int i = 0; i < 10; ++i)
+            RC_ASSERT(fixture.select().server == "healthy");
+    });
+    CHECK(isHeld);
+}
+
+// Guards against new work for a draining server when no other is left (R13), for each policy.
+TEST_CASE("a draining server gets nothing even if it is the only one")
+{
+    RoutingFixture fixture;
+    fixture.connect("one");
+    fixture.table.setDraining("one", true);
+    SelectionRequest request;
+    request.serves = "m";
+    CHECK(fixture.select().code == ResultCode::NoBackendServer);
+    CHECK(RoundRobinSelector(fixture.table).select(request).code == ResultCode::NoBackendServer);
+    CHECK(LeastReportedSelector(fixture.table).select(request).code == ResultCode::NoBackendServer);
+    CHECK(TwoChoicesSelector(fixture.table, fixture.random).select(request).code == ResultCode::NoBackendServer);
+}
+
+// Guards against an outage by wrong suspicion or by ejection when all servers fail.
+TEST_CASE("with all servers suspected or failing, calls are still tried")
+{
+    RoutingFixture fixture;
+    for (const char* name : { "one", "two", "three" }) {
+        fixture.connect(name);
+        for (int i = 0; i < 20; ++i)
+            fixture.outliers.callFailed(name);
+    }
+    CHECK(fixture.select().code == ResultCode::Ok);
+    for (const char* name : { "one", "two", "three" })
+        fixture.table.setSuspected(name, true);
+    CHECK(fixture.select().code == ResultCode::Ok);
+}
+
+// Guards against a retry at the server that just failed the call, and against a wrong code.
+TEST_CASE("tried servers are left out, and a lack of tickets is told from a lack of servers")
+{
+    RoutingFixture fixture;
+    fixture.connect("one");
+    fixture.connect("two");
+    std::vector<std::string> tried { "one" };
+    SelectionRequest request;
+    request.tried = tried;
+    CHECK(fixture.countSelected("two", 20, request) == 20);
+    fixture.table.setTicketsHeld("two", 0);
+    CHECK(fixture.select(request).code == ResultCode::Overloaded);
+    tried.push_back("two");
+    request.tried = tried;
+    CHECK(fixture.select(request).code == ResultCode::NoBackendServer);
+}
+
+// Guards against calls to an engine that is frozen while its link and the instance list show it as live.
+TEST_CASE("a silent server with calls in flight is avoided")
+{
+    RoutingFixture fixture;
+    fixture.connect("frozen");
+    fixture.connect("busy");
+    fixture.table.callStarted("frozen", "call");
+    fixture.clock.advance(seconds(2));
+    fixture.report("busy", 8, 8);
+    CHECK(fixture.countSelected("frozen", 50) == 0);
+    fixture.table.callProgressed("frozen");
+    CHECK(fixture.countSelected("frozen", 50) == 50);
+}
+
+// Guards against herding on the server with the oldest and best report.
+TEST_CASE("with stale reports, own calls spread over the servers")
+{
+    RoutingFixture fixture;
+    for (int i = 0; i < 4; ++i) {
+        fixture.connect("engine-" + std::to_string(i));
+        fixture.report("engine-" + std::to_string(i), i == 0 ? 0 : 4);
+    }
+    for (int i = 0; i < 64; ++i) {
+        std::string name = fixture.select().server;
+        fixture.clock.advance(milliseconds(1));
+        fixture.table.callStarted(name, std::to_string(i));
+    }
+    for (const auto& [name, server] : fixture.table.servers())
+        CHECK(server.callsInFlight.size() <= 24);
+}
+
+// Guards against the loss of each part of the score: all else equal, the better server must win.
+TEST_CASE("the expected time decides between two candidates")
+{
+    RoutingFixture fixture;
+    std::vector<std::uint64_t> prefix { 1, 2, 3, 4 };
+    SelectionRequest request;
+    request.prefix = prefix;
+    fixture.connect("one", "a");
+    fixture.connect("two", "a");
+    fixture.report("one", 2);
+    fixture.report("two", 2);
+
+    SUBCASE("prefix in the cache")
+    {
+        std::vector<CacheEvent> events { { 1, CacheEventKind::Stored, 1 }, { 2, CacheEventKind::Stored, 2 } };
+        fixture.cache.apply("two", events);
+    }
+    SUBCASE("same zone")
+    {
+        fixture.connect("one", "b");
+    }
+    SUBCASE("free place in the batch")
+    {
+        fixture.report("one", 8, 1);
+    }
+    SUBCASE("adapter is loaded")
+    {
+        request.adapter = "lora";
+        BackendServerTraits traits;
+        traits.adapters = { "lora" };
+        fixture.table.setTraits("two", traits);
+    }
+    SUBCASE("shorter steps")
+    {
+        TicketsMessage message;
+        message.load = { 2, 0, 8, std::chrono::microseconds(90000), milliseconds(0) };
+        fixture.table.ticketsReceived("one", message);
+    }
+    SUBCASE("role of the engine")
+    {
+        request.role = EngineRole::Decode;
+        BackendServerTraits traits;
+        traits.role = EngineRole::Prefill;
+        fixture.table.setTraits("one", traits);
+    }
+    SUBCASE("version of the model")
+    {
+        request.version = "2";
+        BackendServerTraits traits;
+        traits.versions = { "1", "2" };
+        fixture.table.setTraits("two", traits);
+    }
+    CHECK(fixture.countSelected("two", 30, request) == 30);
+}
+
+// Guards against a group with a straggler rank that looks as good as one in step (R8).
+TEST_CASE("the skew of a group counts against it")
+{
+    RoutingFixture fixture;
+    HelloMessage hello;
+    hello.name = "skewed";
+    hello.serves = "m";
+    hello.group = "g";
+    fixture.skew = 2;
+    fixture.table.connected(hello);
+    fixture.table.setTicketsHeld("skewed", 10);
+    fixture.connect("plain");
+    fixture.report("skewed", 2);
+    fixture.report("plain", 2);
+    CHECK(fixture.countSelected("skewed", 30) == 0);
+}
+
+// Guards against priority calls that wait for a queue which the engine lets them pass.
+TEST_CASE("a call with priority does not count the waiting calls")
+{
+    RoutingFixture fixture;
+    fixture.connect("near", "a");
+    fixture.connect("far", "b");
+    fixture.report("near", 8, 3);
+    fixture.report("far", 8, 2);
+    SelectionRequest request;
+    CHECK(fixture.countSelected("far", 30, request) == 30);
+    request.priority = 1;
+    CHECK(fixture.countSelected("near", 30, request) == 30);
+}
+
+// Guards against the flooding of a zone that comes back with empty queues.
+TEST_CASE("a returned zone gets a small share of the calls at first")
+{
+    RoutingFixture fixture;
+    for (int i = 0; i < 6; ++i)
+        fixture.connect("engine-" + std::to_string(i));
+    fixture.clock.advance(seconds(30));
+    for (int i = 0; i < 6; ++i)
+        fixture.report("engine-" + std::to_string(i), 8, 4);
+    for (const char* name : { "engine-0", "engine-1" }) {
+        fixture.table.disconnected(name);
+        fixture.outliers.remove(name);
+        fixture.connect(name, "a", "2");
+    }
+    int returned = 0;
+    for (int i = 0; i < 300; ++i) {
+        std::string name = fixture.select().server;
+        returned += name == "engine-0" || name == "engine-1" ? 1 : 0;
+    }
+    CHECK(returned < 100);
+    CHECK(returned > 0);
+}
+
+}
