Entry, Agent: Record events for the time line

Cause: operators read what happened over all processes from one place.

Change: both processes record changes of state, store them in batches and serve them live; demo.sh reads the names of its deployment from the example.

--- a/Source/Agent/AgentProcess.cpp
+++ b/Source/Agent/AgentProcess.cpp
@@ -36,6 +36,9 @@
     , settings_(std::move(settings))
     , incarnation_(random.identifier())
     , hybridClock_(clock)
+    , objects_(loop, settings_.platform, settings_.platformTimeout)
+    , events_(hybridClock_, recorderOptions())
+    , timeline_(loop, clock, objects_, events_)
     , engine_(loop, settings_)
     , calls_(makeCalls())
 {
@@ -48,10 +51,19 @@
     reportTimer_ = loop_.every(loadReportPeriod, [this] { reportLoad(); });
     loop_.onTermination([this] { beginDrain(); });
     pollEngine();
+    events_.record(EventKind::ProcessStarted, settings_.name, "agent of " + settings_.serves + " in " + settings_.availabilityZone);
 }
 
 AgentProcess::~AgentProcess() = default;
 
+EventRecorderOptions AgentProcess::recorderOptions() const
+{
+    EventRecorderOptions options;
+    options.instance = settings_.name;
+    options.incarnation = incarnation_;
+    return options;
+}
+
 AgentCalls AgentProcess::makeCalls()
 {
     AgentCallsSettings callSettings;
@@ -179,6 +191,7 @@
             isEngineAvailable_ = false;
             LOG(WARNING) << "engine at " << formatEndpoint(settings_.engine) << " does not answer";
             calls_.engineFailed("the engine does not answer");
+            events_.record(EventKind::BackendServerEjected, settings_.name, "the engine does not answer");
         }
         return;
     }
@@ -192,6 +205,7 @@
     isEngineAvailable_ = true;
     LOG(INFO) << "engine at " << formatEndpoint(settings_.engine) << " answers";
     calls_.engineAvailable();
+    events_.record(EventKind::BackendServerReadmitted, settings_.name, "the engine answers");
 }
 
 void AgentProcess::reportLoad()
@@ -256,6 +270,7 @@
     isDraining_ = true;
     LOG(INFO) << "draining with " << calls_.runningCalls() << " calls running";
     calls_.beginDrain();
+    events_.record(EventKind::DrainStarted, settings_.name, std::to_string(calls_.runningCalls()) + " calls running");
 }
 
 void AgentProcess::serveHttp(const std::shared_ptr<HttpExchange>& exchange)
@@ -263,6 +278,8 @@
     std::string_view path = pathOf(exchange->request().target);
     if (path == "/metrics")
         exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText() });
+    else if (path == "/v1/timeline")
+        exchange->respond({ 200, { { "Content-Type", "application/json" } }, encodeTimelineBatch(events_.live()) });
     else if (path == "/healthz")
         exchange->respond({ 200, {}, "ok\n" });
     else if (path == "/readyz")
--- a/Source/Agent/AgentProcess.h
+++ b/Source/Agent/AgentProcess.h
@@ -5,6 +5,9 @@
 #include "Calls/AgentCalls.h"
 #include "Core/HybridClock.h"
 #include "Core/Random.h"
+#include "Platform/HttpObjectStore.h"
+#include "Timeline/EventRecorder.h"
+#include "Timeline/TimelineWriter.h"
 #include "Transport/HttpServer.h"
 #include "Transport/LinkServer.h"
 
@@ -34,6 +37,7 @@
     };
 
     AgentCalls makeCalls();
+    EventRecorderOptions recorderOptions() const;
     LinkHandlers makeLinkHandlers();
     void receiveFrame(const SessionPointer& link, const Frame& frame);
     void greet(const SessionPointer& link, const HelloMessage& hello);
@@ -56,6 +60,9 @@
     AgentSettings settings_;
     std::string incarnation_;
     HybridClock hybridClock_;
+    HttpObjectStore objects_;
+    EventRecorder events_;
+    TimelineWriter timeline_;
     EngineClient engine_;
     AgentCalls calls_;
     std::map<SessionPointer, Peer> peers_;
--- a/Source/Entry/EntryProcess.cpp
+++ b/Source/Entry/EntryProcess.cpp
@@ -33,6 +33,9 @@
     , hybridClock_(clock)
     , table_(loop, settings_.platform, settings_.platformTimeout)
     , instanceList_(loop, settings_.platform, settings_.platformTimeout)
+    , objects_(loop, settings_.platform, settings_.platformTimeout)
+    , events_(hybridClock_, recorderOptions())
+    , timeline_(loop, clock, objects_, events_)
     , calls_(clock, random, hybridClock_, table_, settings_.availabilityZone, callHooks())
     , callerApi_(clock, random, calls_, callerHooks())
     , agents_(loop, random, agentHooks())
@@ -50,10 +53,19 @@
     instanceTimer_ = loop_.every(instancePollPeriod, [this] { pollInstances(); });
     loop_.onTermination([this] { beginDrain(); });
     pollInstances();
+    events_.record(EventKind::ProcessStarted, settings_.name, "entry in " + settings_.availabilityZone);
 }
 
 EntryProcess::~EntryProcess() = default;
 
+EventRecorderOptions EntryProcess::recorderOptions() const
+{
+    EventRecorderOptions options;
+    options.instance = settings_.name;
+    options.incarnation = incarnation_;
+    return options;
+}
+
 HelloMessage EntryProcess::hello() const
 {
     HelloMessage message;
@@ -102,7 +114,7 @@
     AdministrationHooks hooks;
     hooks.validate = [](const ConfigurationText& text) { parseDocument(text); };
     hooks.status = [this] { return statusJson(); };
-    hooks.timeline = [] { return std::string(R"({"events":[]})"); };
+    hooks.timeline = [this] { return encodeTimelineBatch(events_.live()); };
     return hooks;
 }
 
@@ -123,6 +135,7 @@
         weights[name] = customer.weight;
     calls_.setCustomerWeights(weights);
     LOG(INFO) << "configuration version " << document->version << " is in force";
+    events_.record(EventKind::ConfigurationInForce, document->changeId, "version " + std::to_string(document->version));
 }
 
 // Keeps the last list while the platform is unavailable.
@@ -211,9 +224,35 @@
     exchange.respond({ httpStatus(code), {}, reason + "\n" });
 }
 
+void EntryProcess::recordAdmission()
+{
+    Admission state = configuration_->protocol().admission();
+    if (state.isAllowed == wasAdmitting_)
+        return;
+    wasAdmitting_ = state.isAllowed;
+    events_.record(state.isAllowed ? EventKind::AdmissionResumed : EventKind::AdmissionStopped, settings_.name, state.reason);
+    LOG(INFO) << (state.isAllowed ? "admitting new work" : "not admitting new work: " + state.reason);
+}
+
+void EntryProcess::recordPeers()
+{
+    for (const std::string& slot : configuration_->membership().slots()) {
+        PeerState state = configuration_->membership().status(slot).state;
+        PeerState& last = peerStates_[slot];
+        if (slot == settings_.name || state == last)
+            continue;
+        bool isSuspected = state == PeerState::Suspected;
+        if (isSuspected || last == PeerState::Suspected)
+            events_.record(isSuspected ? EventKind::InstanceSuspected : EventKind::InstanceRecovered, slot, "");
+        last = state;
+    }
+}
+
 void EntryProcess::tick()
 {
     calls_.tick();
+    recordAdmission();
+    recordPeers();
     if (!isDraining_)
         return;
     Duration elapsed = clock_.now() - drainStartedAt_;
@@ -237,6 +276,7 @@
     drainStartedAt_ = clock_.now();
     configuration_->membership().startDraining();
     http_->closeAfterResponses();
+    events_.record(EventKind::DrainStarted, settings_.name, std::to_string(calls_.activeCalls()) + " calls running");
     LOG(INFO) << "draining with " << calls_.activeCalls() << " calls running";
 }
 
--- a/Source/Entry/EntryProcess.h
+++ b/Source/Entry/EntryProcess.h
@@ -9,9 +9,12 @@
 #include "Entry/EntrySettings.h"
 #include "Entry/PeerLinks.h"
 #include "Platform/HttpInstanceList.h"
+#include "Platform/HttpObjectStore.h"
 #include "Platform/HttpTable.h"
 #include "Routing/AddressSelector.h"
 #include "Routing/AgentSubset.h"
+#include "Timeline/EventRecorder.h"
+#include "Timeline/TimelineWriter.h"
 #include "Transport/HttpServer.h"
 #include "Transport/LinkDirectory.h"
 
@@ -28,6 +31,7 @@
     ~EntryProcess();
 
 private:
+    EventRecorderOptions recorderOptions() const;
     HelloMessage hello() const;
     CallServiceHooks callHooks();
     CallerApiHooks callerHooks();
@@ -44,6 +48,8 @@
     void serveHealth(HttpExchange& exchange, std::string_view path);
     ResultCode admission() const;
     void tick();
+    void recordAdmission();
+    void recordPeers();
     void beginDrain();
     std::string metricsText() const;
     std::string statusJson() const;
@@ -56,6 +62,9 @@
     HybridClock hybridClock_;
     HttpTable table_;
     HttpInstanceList instanceList_;
+    HttpObjectStore objects_;
+    EventRecorder events_;
+    TimelineWriter timeline_;
     std::vector<InstanceRecord> instances_;
     Document document_;
     CallService calls_;
@@ -69,6 +78,9 @@
     AgentSubset subset_;
     std::unique_ptr<HttpServer> http_;
     bool isDraining_ { false };
+    // The states that the last events reported.
+    bool wasAdmitting_ { false };
+    std::map<std::string, PeerState> peerStates_;
     bool isOverTimeReported_ { false };
     TimePoint drainStartedAt_;
     std::unique_ptr<Timer> tickTimer_;
--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -30,10 +30,15 @@
   *) echo "demo.sh: unknown deployment \"$deployment\"; write vitosha or tubolimpo" >&2; exit 2 ;;
 esac
 example="Examples/$deployment.toml"
-model="$(sed -n 's/^\[models\.model\.\([^].]*\)\].*/\1/p' "$example" | head -1)"
-mapfile -t groups < <(sed -n 's/^groups *= *\[\(.*\)\].*/\1/p' "$example" | head -1 | tr -d '" ' | tr ',' '\n')
-IFS=. read -r service booking < <(grep -B1 'idempotent = false' "$example" | sed -n 's/^\[models\.service\.\([^.]*\)\.operation\.\([^].]*\)\].*/\1.\2/p' | head -1)
-lookup="$(grep -B1 'idempotent = true' "$example" | sed -n "s/^\[models\.service\.$service\.operation\.\([^].]*\)\].*/\1/p" | head -1)"
+# Lines "model group" for all groups of the document.
+modelGroups="$(awk -F'[][.]' '/^\[models\.model\./ { model = $4 } /^groups = / { gsub(/groups = |[",\[\]]/, " "); count = split($0, names, " "); for (i = 1; i <= count; i++) print model, names[i] }' "$example")"
+mapfile -t groupModels < <(cut -d' ' -f1 <<<"$modelGroups")
+mapfile -t groups < <(cut -d' ' -f2 <<<"$modelGroups")
+model="${groupModels[0]}"
+# The first service has an operation that is idempotent and one that is not.
+services="$(awk -F'[][.]' '/^\[models\.service\./ { service = $4 } /^[a-z-]+ = \{ idempotent/ { split($0, words, " "); print service, words[1], words[6] }' "$example")"
+read -r service booking _ < <(grep 'false' <<<"$services")
+lookup="$(grep "^$service .*true" <<<"$services" | head -1 | cut -d' ' -f2)"
 customer="$(sed -n 's/^\[customers\.\([^].]*\)\].*/\1/p' "$example" | head -1)"
 
 ./Utilities/build.sh >/dev/null
--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -35,7 +35,7 @@
     kill -CONT "${processIds[$name]}" 2>/dev/null || true
     kill -KILL "${processIds[$name]}" 2>/dev/null || true
   done
-  wait 2>/dev/null || true
+  wait >/dev/null 2>&1 || true
 }
 
 # Waits until a command succeeds: waitFor SECONDS command...
@@ -73,25 +73,20 @@
   waitFor 10 answers "$platform"
 }
 
-# Starts a model engine and its agent: startModelEngine NAME ZONE-INDEX HOST GROUP BARRIER GROUP-SIZE
+# Starts a model engine and its agent: startModelEngine NUMBER ZONE-INDEX GROUP-INDEX BARRIER ENGINES-OF-GROUP
+# The first engine of a group hosts its barrier.
 startModelEngine() {
-  local name="$1" zone="$2" host="$3" group="$4" barrier="$5" size="$6"
-  local address="127.10.$zone.$host"
-  local -a options=(--listen "$address:$enginePort" --name "$name" --model "$model" --group "$group"
-    --ranks 2 --capacity 8 --step-ms 10 --prefill-tokens-per-ms 10 --weight-store "$platform")
-  if [ "$size" -gt 1 ]; then
-    options+=(--group-engines "$size")
-    if [ "$barrier" != "$address:$enginePort" ]; then
-      options+=(--barrier "$barrier")
-    fi
-  fi
+  local name="model-$1" zone="$2" group="${groups[$3]}" served="${groupModels[$3]}" barrier="$4" size="$5"
+  local address="127.10.$zone.$((100 + $1))"
+  local -a options=(--listen "$address:$enginePort" --name "$name" --model "$served" --group "$group"
+    --ranks 2 --capacity 8 --step-ms 10 --prefill-tokens-per-ms 10 --weight-store "$platform" --group-engines "$size" --barrier "$barrier")
   startProcess "engine-$name" "$standIns" model-engine "${options[@]}"
   startProcess "agent-$name" "$program" agent --name "$name" --availability-zone "${zones[$zone]}" \
     --link "$address:$linkPort" --http "$address:$httpPort" --engine "$address:$enginePort" \
-    --engine-kind model --serves "$model" --group "$group" --ranks 2 --platform "$platform"
+    --engine-kind model --serves "$served" --group "$group" --ranks 2 --platform "$platform"
   engineNames+=("$name")
   engineAddress[$name]="$address:$enginePort"
-  registerInstance "$name" backendServer "${zones[$zone]}" "$address:$linkPort" "$model" ""
+  registerInstance "$name" backendServer "${zones[$zone]}" "$address:$linkPort" "$served" ""
 }
 
 # Starts an application engine and its agent: startApplicationEngine NAME ZONE-INDEX HOST
@@ -118,15 +113,19 @@
   registerInstance "$name" entry "${zones[$zone]}" "$address:$linkPort" "" "$address:$callerPort"
 }
 
-# Starts the whole deployment: 16 model engines in groups of 4 or 2, 3 application engines, 4 entries.
+# Starts the whole deployment: 16 model engines, spread over the groups, each group in one
+# availability zone; 3 application engines; 4 entries.
 startDeployment() {
-  local i group zone barrier
+  local i group zone barrier size count="${#groups[@]}"
+  local -A barriers=()
   startPlatform
-  for i in $(seq 0 15); do
-    group=$((i / 4 + 1))
-    zone=$(((group - 1) % 3 + 1))
-    barrier="127.10.$zone.$((100 + (group - 1) * 4)):$enginePort"
-    startModelEngine "model-$((i + 1))" "$zone" "$((100 + i))" "${groups[$((group - 1))]}" "$barrier" 4
+  for i in $(seq 1 16); do
+    group=$(((i - 1) % count))
+    zone=$((group % 3 + 1))
+    size=$(((16 - group + count - 1) / count))
+    barrier="${barriers[$group]:-}"
+    barriers[$group]="${barrier:-127.10.$zone.$((100 + i)):$enginePort}"
+    startModelEngine "$i" "$zone" "$group" "${barriers[$group]}" "$size"
   done
   for i in 1 2 3; do
     startApplicationEngine "application-$i" "$i" 50
