Membership, Configuration: Add gossip, the document and the change protocol

A change to the configuration document must take effect everywhere or nowhere (R15) while processes, the network and the table fail.

Membership keeps an age vector by request and answer, so that contact is dated by the request. Configuration parses and checks the document by section and runs the change protocol as decision code over the table interface.

--- /dev/null
+++ b/Source/Configuration/ChangeCoordinator.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "Configuration/ChangeLog.h"
+#include "Configuration/MemberState.h"
+
+#include <functional>
+#include <set>
+
+namespace Damaskgrade {
+
+// An operator's change of one section.
+struct ChangeRequest {
+    std::string section;
+    std::string text;
+    // The version that the operator read (If-Match).
+    ConfigurationVersion basedOn { 0 };
+    // The token of the operator's team.
+    std::string token;
+};
+
+struct CoordinatorHooks {
+    std::function<void(const std::string& slot, const ConfigurationMessage&)> send;
+    // Throws Error(DocumentInvalid).
+    std::function<void(const ConfigurationText&)> validate;
+    // Returns the team that the token belongs to. Throws Error(NotSectionOwner).
+    std::function<std::string(const ConfigurationText&, const std::string& section, const std::string& token)> authorize;
+    std::function<void(const DocumentPointer&)> onCommitted;
+};
+
+// Returns the document that a change makes of the one it is based on.
+// Throws Error(UnknownSection) or Error(DocumentInvalid).
+CommittedDocument applyChange(const CommittedDocument& base, const std::string& changeId, const std::string& section, const std::string& text);
+
+enum class ChangePhase {
+    // Waits until the version before it is in force everywhere.
+    Waiting,
+    Proposing,
+    // The commit was sent; its outcome is open until the table answers.
+    Committing,
+};
+
+// The change that a coordinator is working on.
+struct OngoingChange {
+    std::string id;
+    ChangeRequest request;
+    ChangePhase phase { ChangePhase::Waiting };
+    TimePoint submittedAt;
+    TimePoint proposedAt;
+    TimePoint sentAt;
+    // The head row on which the commit is conditional.
+    HeadState head;
+    DocumentPointer candidate;
+    std::set<std::string> canApply;
+    std::map<std::string, std::string> delayReasons;
+    int attempt { 0 };
+};
+
+// Drives one change at a time from its submission to the decision: it collects votes, commits
+// by one conditional write of the head row, and finds out what became of a write without an answer.
+class ChangeCoordinator {
+public:
+    ChangeCoordinator(std::string self, std::vector<std::string> slots, const TimeLimits& limits, const Clock& clock,
+        ConfigurationStore& store, MemberState& member, ChangeLog& log, CoordinatorHooks hooks);
+
+    // Starts a change. Throws Error(NotReady, UnknownSection, NotSectionOwner, VersionMismatch,
+    // DocumentInvalid, ChangeInProgress, TableUnavailable); then the change is in force nowhere.
+    void submit(const std::string& changeId, const ChangeRequest& request);
+
+    void tick();
+    void receive(const std::string& from, const ProposeResultMessage& result);
+    bool isBusy() const { return change_.has_value(); }
+
+private:
+    void checkSection(const ChangeRequest& request) const;
+    bool isPreviousInForce() const;
+    void propose();
+    void sendProposals();
+    void checkVotes();
+    std::vector<std::string> missingVotes() const;
+    void commit();
+    void readOutcome();
+    void decide(const CommitOutcome& outcome);
+    void abandon();
+    void finishCommitted();
+    void retryOrRefuse();
+    void refuse(ResultCode code, const std::string& reason);
+
+    // Wraps a callback so that it does nothing once the attempt it belongs to is over.
+    template <typename Step>
+    auto forThisAttempt(Step step);
+
+    std::string self_;
+    std::vector<std::string> slots_;
+    TimeLimits limits_;
+    const Clock& clock_;
+    ConfigurationStore& store_;
+    MemberState& member_;
+    ChangeLog& log_;
+    CoordinatorHooks hooks_;
+    std::optional<OngoingChange> change_;
+};
+
+}
--- /dev/null
+++ b/Source/Configuration/TableReader.cpp
@@ -0,0 +1,146 @@
+#include "Configuration/TableReader.h"
+
+#include <cmath>
+#include <sstream>
+
+namespace Damaskgrade {
+
+namespace {
+
+std::string formatNumber(double value)
+{
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+template <typename Number>
+std::string rangeAdvice(const char* kind, Number least, Number most)
+{
+    return std::string("write ") + kind + " from " + formatNumber(static_cast<double>(least)) + " to " + formatNumber(static_cast<double>(most));
+}
+
+}
+
+TableReader::TableReader(const toml::table& table, std::string path, std::string section, std::size_t linesBefore, std::vector<DocumentProblem>& problems)
+    : table_(table)
+    , path_(std::move(path))
+    , section_(std::move(section))
+    , linesBefore_(linesBefore)
+    , problems_(problems)
+{
+}
+
+std::int64_t TableReader::integer(const std::string& key, std::int64_t least, std::int64_t most)
+{
+    std::string advice = rangeAdvice("a whole number", least, most);
+    const toml::node* node = find(key, advice);
+    if (!node)
+        return least;
+    std::optional<std::int64_t> value = node->value_exact<std::int64_t>();
+    if (value && *value >= least && *value <= most)
+        return *value;
+    addProblem(key, value ? "is " + std::to_string(*value) : "is no whole number", advice);
+    return least;
+}
+
+double TableReader::number(const std::string& key, double least, double most)
+{
+    std::string advice = rangeAdvice("a number", least, most);
+    const toml::node* node = find(key, advice);
+    if (!node)
+        return least;
+    std::optional<double> value = node->is_number() ? node->value<double>() : std::nullopt;
+    if (value && std::isfinite(*value) && *value >= least && *value <= most)
+        return *value;
+    addProblem(key, value ? "is " + formatNumber(*value) : "is no number", advice);
+    return least;
+}
+
+bool TableReader::boolean(const std::string& key)
+{
+    const char* advice = "write true or false";
+    const toml::node* node = find(key, advice);
+    if (node && !node->is_boolean())
+        addProblem(key, "is neither true nor false", advice);
+    return node && node->value_exact<bool>().value_or(false);
+}
+
+std::vector<std::string> TableReader::names(const std::string& key, bool isRequired)
+{
+    const char* advice = "write a list of names, such as [\"a\", \"b\"]";
+    const toml::node* node = find(key, advice, isRequired);
+    if (!node)
+        return {};
+    std::vector<std::string> names;
+    const toml::array* list = node->as_array();
+    bool isValid = list && !list->empty();
+    for (std::size_t index = 0; list && index < list->size(); ++index) {
+        std::optional<std::string> name = list->get(index)->value_exact<std::string>();
+        isValid = isValid && name && !name->empty();
+        names.push_back(name.value_or(""));
+    }
+    if (isValid)
+        return names;
+    addProblem(key, "is no list of names", advice);
+    return {};
+}
+
+void TableReader::child(const std::string& key, bool isRequired, const std::function<void(TableReader&)>& step)
+{
+    std::string advice = "write a table [" + path_ + "." + key + "]";
+    const toml::node* node = find(key, advice, isRequired);
+    if (!node)
+        return;
+    const toml::table* table = node->as_table();
+    if (!table)
+        return addProblem(key, "is no table", advice);
+    TableReader reader(*table, path_ + "." + key, section_, linesBefore_, problems_);
+    step(reader);
+    reader.finish();
+}
+
+void TableReader::children(const std::function<void(const std::string&, TableReader&)>& step)
+{
+    for (const auto& [key, value] : table_) {
+        std::string name(key.str());
+        child(name, true, [&name, &step](TableReader& reader) { step(name, reader); });
+    }
+}
+
+void TableReader::finish()
+{
+    std::string knownKeys;
+    for (const std::string& key : known_)
+        knownKeys += (knownKeys.empty() ? "" : ", ") + key;
+    for (const auto& [key, value] : table_) {
+        if (known_.count(std::string(key.str())) == 0)
+            addProblem(std::string(key.str()), "is not a known key", "write one of: " + knownKeys);
+    }
+}
+
+void TableReader::addProblem(const std::string& key, const std::string& reason, const std::string& advice)
+{
+    problems_.push_back({ section_, lineOf(key), key.empty() ? path_ : path_ + "." + key, reason, advice });
+}
+
+const toml::node* TableReader::find(const std::string& key, const std::string& advice, bool isRequired)
+{
+    known_.insert(key);
+    const toml::node* node = table_.get(key);
+    if (!node && isRequired)
+        addProblem(key, "is missing", advice);
+    return node;
+}
+
+// A missing key gets the line of its table.
+std::size_t TableReader::lineOf(const std::string& key) const
+{
+    for (const auto& [name, value] : table_) {
+        if (name.str() == key)
+            return linesBefore_ + name.source().begin.line;
+    }
+    return linesBefore_ + std::max<std::size_t>(1, table_.source().begin.line);
+}
+
+}
--- /dev/null
+++ b/Tests/Configuration/Deployment.cpp
@@ -0,0 +1,392 @@
+#include "Configuration/Deployment.h"
+
+#include "Configuration/Document.h"
+#include "Core/Error.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace Damaskgrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds step { 25 };
+constexpr milliseconds tableDelay { 5 };
+constexpr milliseconds clientTimeout { 900 };
+constexpr milliseconds slowTable { 5000 };
+constexpr milliseconds convergenceTime { 20000 };
+// Stated here again on purpose: the oracle must not follow a changed TimeLimits.
+constexpr milliseconds inForceBound { 7000 };
+
+[[noreturn]] void fail(const std::string& message)
+{
+    throw std::runtime_error(message);
+}
+
+std::string number(std::uint64_t value)
+{
+    return std::to_string(value);
+}
+
+ConfigurationText initialText()
+{
+    std::map<std::string, std::string> sections;
+    for (const std::string& section : sectionNames())
+        sections[section] = "[" + section + "]\nchange = \"initial\"\n";
+    return ConfigurationText::fromSections(sections);
+}
+
+}
+
+void ConfigurationOracle::admitted(const std::string& slot, ConfigurationVersion version, TimePoint now)
+{
+    firstAdmitted_.emplace(version, now);
+    for (auto newer = firstAdmitted_.upper_bound(version); newer != firstAdmitted_.end(); ++newer) {
+        if (now - newer->second > inForceBound)
+            fail(slot + " admitted under version " + number(version) + " more than 7 s after an admission under version " + number(newer->first));
+    }
+    for (auto newer = accepted_.upper_bound(version); newer != accepted_.end(); ++newer) {
+        if (now - newer->second > inForceBound)
+            fail(slot + " admitted under version " + number(version) + " more than 7 s after version " + number(newer->first) + " was accepted");
+    }
+}
+
+void ConfigurationOracle::inForce(const std::string& slot, const CommittedDocument& document, TimePoint)
+{
+    ConfigurationVersion& highest = highest_[slot];
+    if (document.version < highest)
+        fail(slot + " went from version " + number(highest) + " down to " + number(document.version));
+    highest = document.version;
+    inForceChanges_.insert(document.changeId);
+    if (refused_.count(document.changeId) > 0)
+        fail(slot + " has the refused change " + document.changeId + " in force");
+    auto known = changeOfVersion_.emplace(document.version, document.changeId).first;
+    if (known->second != document.changeId)
+        fail("version " + number(document.version) + " is change " + known->second + " and on " + slot + " " + document.changeId);
+}
+
+void ConfigurationOracle::reported(const ChangeRecord& change, TimePoint now)
+{
+    if (change.state == ChangeState::Accepted)
+        accepted_.emplace(change.version, now);
+    if (change.state != ChangeState::Refused)
+        return;
+    refused_.insert(change.id);
+    if (inForceChanges_.count(change.id) > 0)
+        fail("change " + change.id + " was reported refused and is in force");
+}
+
+// A table client with the timeout of the real one: it always answers, at last with TableUnavailable.
+class Deployment::TableClient : public Table {
+public:
+    TableClient(Deployment& deployment, std::size_t index)
+        : deployment_(deployment)
+        , index_(index)
+    {
+    }
+
+    void read(const std::vector<std::string>& keys, std::function<void(const TableReadResult&)> done) override
+    {
+        run<TableReadResult>([rows = &deployment_.rows_, keys] { return rows->read(keys); }, done);
+    }
+
+    void scan(const std::string& prefix, std::function<void(const TableReadResult&)> done) override
+    {
+        run<TableReadResult>([rows = &deployment_.rows_, prefix] { return rows->scan(prefix); }, done);
+    }
+
+    void write(const std::vector<TableWrite>& writes, std::function<void(const TableWriteResult&)> done) override
+    {
+        run<TableWriteResult>([rows = &deployment_.rows_, writes] { return rows->write(writes); }, done);
+    }
+
+private:
+    template <typename Result>
+    void run(std::function<Result()> execute, const std::function<void(const Result&)>& done)
+    {
+        bool isCut = deployment_.isPartitioned_ && ((deployment_.partitionMask_ >> index_) & 1U) != (deployment_.tableBit_ ? 1U : 0U);
+        TableMode mode = isCut ? TableMode::Down : deployment_.tableMode_;
+        Duration delay = mode == TableMode::Slow ? deployment_.randomDelay(slowTable) : Duration(tableDelay);
+        // Lives in a shared place, because the answer comes either on time or not at all.
+        std::shared_ptr<bool> isAnswered = std::make_shared<bool>(false);
+        Deployment* deployment = &deployment_;
+        std::size_t index = index_;
+        if (mode != TableMode::Down) {
+            bool answers = mode != TableMode::AnswersLost;
+            deployment_.schedule(delay, std::nullopt, [=] {
+                Result result = execute();
+                if (answers)
+                    deployment->schedule(tableDelay, index, [=] { answer(isAnswered, done, result); });
+            });
+        }
+        deployment_.schedule(clientTimeout, index_, [=] { answer(isAnswered, done, Result()); });
+    }
+
+    template <typename Result>
+    static void answer(const std::shared_ptr<bool>& isAnswered, const std::function<void(const Result&)>& done, const Result& result)
+    {
+        if (*isAnswered)
+            return;
+        *isAnswered = true;
+        done(result);
+    }
+
+    Deployment& deployment_;
+    std::size_t index_;
+};
+
+Deployment::Deployment(std::size_t slotCount, std::uint64_t seed, TimeLimits limits)
+    : limits_(limits)
+    , random_(seed)
+    , slots_(slotCount)
+{
+    for (std::size_t index = 0; index < slotCount; ++index) {
+        slots_[index].name = "entry-" + number(index + 1);
+        names_.push_back(slots_[index].name);
+    }
+    rows_.write(initialRows(initialText(), names_));
+    for (std::size_t index = 0; index < slotCount; ++index)
+        start(index);
+}
+
+void Deployment::start(std::size_t index)
+{
+    index %= slots_.size();
+    Slot& slot = slots_[index];
+    if (slot.protocol)
+        return;
+    slot.isPaused = false;
+    ++slot.incarnation;
+    slot.table = std::make_unique<TableClient>(*this, index);
+    slot.membership = std::make_unique<Membership>(MembershipSettings { slot.name, slot.incarnation, names_, limits_ }, clock_, random_, membershipHooks(index));
+    slot.protocol = std::make_unique<ChangeProtocol>(ChangeProtocolSettings { slot.name, names_, limits_ }, *slot.table, clock_, protocolHooks(index));
+}
+
+void Deployment::kill(std::size_t index)
+{
+    Slot& slot = at(index);
+    slot.protocol.reset();
+    slot.membership.reset();
+    slot.isPaused = false;
+}
+
+MembershipHooks Deployment::membershipHooks(std::size_t index)
+{
+    MembershipHooks hooks;
+    hooks.sendRequest = [this, index](const std::string& to, const GossipRequest& request) { post(index, to, encodeMessage(request, 0)); };
+    hooks.sendGossip = [this, index](const std::string& to, const GossipMessage& message) { post(index, to, encodeMessage(message, 0)); };
+    hooks.onDigest = [this, index](const std::string& slot, const std::string& digest, TimePoint asOf) {
+        slots_[index].protocol->observeDigest(slot, digest, asOf);
+    };
+    return hooks;
+}
+
+ChangeProtocolHooks Deployment::protocolHooks(std::size_t index)
+{
+    ChangeProtocolHooks hooks;
+    hooks.send = [this, index](const std::string& to, const ConfigurationMessage& message) { post(index, to, encodeMessage(message, 0)); };
+    hooks.validate = [](const ConfigurationText& text) {
+        if (text.join().find("invalid") != std::string::npos)
+            throw Error(ResultCode::DocumentInvalid, "line 2, change: is invalid; write anything else");
+    };
+    hooks.authorize = [](const ConfigurationText&, const std::string&, const std::string&) { return std::string("team"); };
+    hooks.onInForce = [](const DocumentPointer&) {};
+    hooks.onDigest = [this, index](const std::string& digest) { slots_[index].membership->setDigest(digest); };
+    return hooks;
+}
+
+void Deployment::schedule(Duration delay, std::optional<std::size_t> target, std::function<void()> run)
+{
+    if (target) {
+        // An event for a process is lost with the process.
+        std::uint32_t incarnation = slots_[*target].incarnation;
+        run = [this, target, incarnation, inner = std::move(run)] {
+            if (slots_[*target].protocol && slots_[*target].incarnation == incarnation)
+                inner();
+        };
+    }
+    events_.emplace(clock_.now() + delay, Event { target, std::move(run) });
+}
+
+void Deployment::post(std::size_t from, const std::string& to, const Frame& frame)
+{
+    std::size_t target = indexOf(to);
+    if (!isReachable(from, target) || random_.fraction() < network_.lossShare)
+        return;
+    std::size_t copies = random_.fraction() < network_.duplicateShare ? 2 : 1;
+    for (std::size_t copy = 0; copy < copies; ++copy)
+        schedule(randomDelay(network_.maxDelay), target, [this, from, target, frame] { deliver(from, target, frame); });
+}
+
+void Deployment::deliver(std::size_t from, std::size_t to, const Frame& frame)
+{
+    Slot& slot = slots_[to];
+    const std::string& sender = slots_[from].name;
+    if (frame.type == GossipRequest::type)
+        slot.membership->receive(sender, decodeGossipRequest(frame.body));
+    else if (frame.type == GossipMessage::type)
+        slot.membership->receive(sender, decodeGossip(frame.body));
+    else
+        slot.protocol->receive(sender, *decodeConfigurationMessage(frame));
+}
+
+void Deployment::advance(Duration duration)
+{
+    for (Duration elapsed {}; elapsed < duration; elapsed += step) {
+        clock_.advance(step);
+        runDueEvents();
+        for (Slot& slot : slots_) {
+            if (!slot.protocol || slot.isPaused)
+                continue;
+            // Asked before the timers run, as a call may arrive first after a resume.
+            observe(slot);
+            slot.membership->tick();
+            slot.protocol->tick();
+            observe(slot);
+        }
+    }
+}
+
+void Deployment::runDueEvents()
+{
+    for (auto event = events_.begin(); event != events_.end() && event->first <= clock_.now();) {
+        bool isHeld = event->second.target && slots_[*event->second.target].isPaused;
+        if (isHeld) {
+            ++event;
+            continue;
+        }
+        std::function<void()> run = std::move(event->second.run);
+        event = events_.erase(event);
+        run();
+    }
+}
+
+void Deployment::observe(Slot& slot)
+{
+    if (slot.protocol->inForce())
+        oracle_.inForce(slot.name, *slot.protocol->inForce(), clock_.now());
+    observeChanges(slot);
+    Admission admission = slot.protocol->admission();
+    if (!admission.isAllowed)
+        return;
+    ++counters_.admissions;
+    if (isFaulty())
+        ++counters_.admissionsUnderFaults;
+    oracle_.admitted(slot.name, admission.version, clock_.now());
+}
+
+void Deployment::observeChanges(Slot& slot)
+{
+    for (const ChangeRecord& change : slot.protocol->history()) {
+        oracle_.reported(change, clock_.now());
+        // Entries that only learned of a change don't know its team.
+        if (change.team.empty())
+            continue;
+        auto [last, isNew] = lastStates_.emplace(change.id, change.state);
+        if (!isNew && last->second == change.state)
+            continue;
+        last->second = change.state;
+        counters_.accepted += change.state == ChangeState::Accepted ? 1 : 0;
+        counters_.refused += change.state == ChangeState::Refused ? 1 : 0;
+        counters_.undecided += change.state == ChangeState::Undecided ? 1 : 0;
+    }
+}
+
+std::string Deployment::submit(std::size_t index, const std::string& section, ConfigurationVersion behind)
+{
+    Slot& slot = at(index);
+    std::string id = "change-" + number(nextChange_++);
+    if (!slot.protocol || slot.isPaused || !slot.protocol->inForce())
+        return id;
+    ConfigurationVersion version = slot.protocol->inForce()->version;
+    ChangeRequest request { section, "[" + section + "]\nchange = \"" + id + "\"\n", version - std::min(behind, version), "token" };
+    try {
+        slot.protocol->submit(id, request);
+    } catch (const Error& error) {
+        oracle_.refusedAtSubmission(id);
+        submitErrors_[id] = error.what();
+    }
+    return id;
+}
+
+void Deployment::partition(unsigned mask, bool tableBit)
+{
+    isPartitioned_ = true;
+    partitionMask_ = mask;
+    tableBit_ = tableBit;
+}
+
+void Deployment::heal()
+{
+    isPartitioned_ = false;
+    tableMode_ = TableMode::Up;
+    network_ = NetworkMode();
+    for (std::size_t index = 0; index < slots_.size(); ++index) {
+        resume(index);
+        start(index);
+    }
+}
+
+void Deployment::checkConvergence()
+{
+    heal();
+    advance(convergenceTime);
+    HeadRow row = head();
+    counters_.versions = row.committed;
+    if (row.inForce != row.committed)
+        fail("the head row shows version " + number(row.inForce) + " in force and " + number(row.committed) + " committed after all faults healed");
+    for (Slot& slot : slots_) {
+        Admission admission = slot.protocol->admission();
+        if (!admission.isAllowed)
+            fail(slot.name + " admits nothing after all faults healed: " + admission.reason);
+        if (admission.version != row.committed)
+            fail(slot.name + " has version " + number(admission.version) + " instead of " + number(row.committed) + " after all faults healed");
+        for (const ChangeRecord& change : slot.protocol->history()) {
+            if (change.state != ChangeState::Accepted && change.state != ChangeState::Refused)
+                fail("change " + change.id + " is still " + std::string(changeStateName(change.state)) + " on " + slot.name);
+        }
+    }
+}
+
+ConfigurationVersion Deployment::inForceAt(std::size_t index)
+{
+    Slot& slot = at(index);
+    return slot.protocol && slot.protocol->inForce() ? slot.protocol->inForce()->version : 0;
+}
+
+bool Deployment::admits(std::size_t index)
+{
+    Slot& slot = at(index);
+    return slot.protocol && slot.protocol->admission().isAllowed;
+}
+
+const HeadRow Deployment::head() const
+{
+    return decodeHead(rows_.read({ headKey }).rows.front().value);
+}
+
+bool Deployment::isReachable(std::size_t from, std::size_t to) const
+{
+    return !isPartitioned_ || ((partitionMask_ >> from) & 1U) == ((partitionMask_ >> to) & 1U);
+}
+
+bool Deployment::isFaulty() const
+{
+    bool isNetworkFaulty = isPartitioned_ || network_.lossShare > 0 || network_.duplicateShare > 0 || network_.maxDelay > NetworkMode().maxDelay;
+    bool isAnyDown = std::any_of(slots_.begin(), slots_.end(), [](const Slot& slot) { return !slot.protocol || slot.isPaused; });
+    return isNetworkFaulty || isAnyDown || tableMode_ != TableMode::Up;
+}
+
+std::size_t Deployment::indexOf(const std::string& name) const
+{
+    return static_cast<std::size_t>(std::find(names_.begin(), names_.end(), name) - names_.begin());
+}
+
+Duration Deployment::randomDelay(Duration most)
+{
+    return milliseconds(random_.index(static_cast<std::size_t>(std::chrono::duration_cast<milliseconds>(most).count()) + 1));
+}
+
+}
--- /dev/null
+++ b/Tests/Membership/MembershipTest.cpp
@@ -0,0 +1,293 @@
+#include "Membership/Membership.h"
+
+#include "Core/Error.h"
+#include "Core/ManualClock.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <iostream>
+#include <memory>
+
+namespace Damaskgrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Entries that reach each other at once, on one clock.
+class Peers {
+public:
+    explicit Peers(std::size_t count)
+        : limits_(timeLimitsForSlots(count))
+    {
+        for (std::size_t index = 0; index < count; ++index)
+            names_.push_back("entry-" + std::to_string(1000 + index));
+        for (std::size_t index = 0; index < count; ++index)
+            members_.push_back(std::make_unique<Membership>(MembershipSettings { names_[index], 1, names_, limits_ }, clock_, random_, hooks(index)));
+        isCut_.resize(count);
+    }
+
+    void run(Duration duration, Duration step = milliseconds(50))
+    {
+        for (Duration elapsed {}; elapsed < duration; elapsed += step) {
+            clock_.advance(step);
+            for (std::size_t index = 0; index < members_.size(); ++index) {
+                // Entries start one after the other, so that their periods are spread.
+                bool hasStarted = steps_ >= index % 10;
+                if (!isCut_[index] && hasStarted)
+                    members_[index]->tick();
+            }
+            ++steps_;
+        }
+    }
+
+    void cut(std::size_t index, bool isCut = true) { isCut_[index] = isCut; }
+    Membership& at(std::size_t index) { return *members_[index]; }
+    const std::string& name(std::size_t index) const { return names_[index]; }
+    std::size_t bytesSent() const { return bytesSent_; }
+    std::size_t largestMessage() const { return largestMessage_; }
+    const TimeLimits& limits() const { return limits_; }
+    ManualClock& clock() { return clock_; }
+
+    // Returns how old the state is that this entry has of the slot in the middle, itself included.
+    Duration medianAge(std::size_t index)
+    {
+        std::vector<Duration> ages;
+        for (const std::string& slot : names_)
+            ages.push_back(at(index).status(slot).age);
+        std::sort(ages.begin(), ages.end());
+        return ages[(ages.size() - 1) / 2];
+    }
+
+private:
+    MembershipHooks hooks(std::size_t from)
+    {
+        MembershipHooks hooks;
+        hooks.sendRequest = [this, from](const std::string& slot, const GossipRequest& request) {
+            Frame frame = encodeMessage(request, 0);
+            count(frame);
+            deliver(from, slot, [&](Membership& peer) { peer.receive(names_[from], decodeGossipRequest(frame.body)); });
+        };
+        hooks.sendGossip = [this, from](const std::string& slot, const GossipMessage& message) {
+            Frame frame = encodeMessage(message, 0);
+            count(frame);
+            deliver(from, slot, [&](Membership& peer) { peer.receive(names_[from], decodeGossip(frame.body)); });
+        };
+        hooks.onDigest = [](const std::string&, const std::string&, TimePoint) {};
+        return hooks;
+    }
+
+    template <typename Step>
+    void deliver(std::size_t from, const std::string& slot, const Step& step)
+    {
+        std::size_t to = static_cast<std::size_t>(std::find(names_.begin(), names_.end(), slot) - names_.begin());
+        if (!isCut_[from] && !isCut_[to])
+            step(*members_[to]);
+    }
+
+    void count(const Frame& frame)
+    {
+        std::size_t size = encodeFrame(frame).size();
+        bytesSent_ += size;
+        largestMessage_ = std::max(largestMessage_, size);
+    }
+
+    TimeLimits limits_;
+    ManualClock clock_;
+    Random random_ { 20261204 };
+    std::vector<std::string> names_;
+    std::vector<bool> isCut_;
+    std::vector<std::unique_ptr<Membership>> members_;
+    std::size_t steps_ { 0 };
+    std::size_t bytesSent_ { 0 };
+    std::size_t largestMessage_ { 0 };
+};
+
+// Collects what one membership sends, so that the test decides when it arrives.
+struct Recorder {
+    std::vector<GossipRequest> requests;
+    std::vector<TimePoint> digestTimes;
+
+    MembershipHooks hooks()
+    {
+        MembershipHooks hooks;
+        hooks.sendRequest = [this](const std::string&, const GossipRequest& request) { requests.push_back(request); };
+        hooks.sendGossip = [](const std::string&, const GossipMessage&) {};
+        hooks.onDigest = [this](const std::string&, const std::string&, TimePoint asOf) { digestTimes.push_back(asOf); };
+        return hooks;
+    }
+};
+
+GossipMessage answerTo(const GossipRequest& request, milliseconds age = milliseconds(0))
+{
+    return { request.slotSet, request.nonce, { std::nullopt, SlotReport { 7, age, false, "d" } } };
+}
+
+}
+
+// Guards against a size that breaks the limit of 15 KB per second for each daemon (R25).
+TEST_CASE("gossip stays within its share of the control overhead")
+{
+    for (std::size_t count : { 4, 64, 340 }) {
+        Peers peers(count);
+        for (std::size_t index = 0; index < count; ++index)
+            peers.at(index).setDigest(std::string("\x80\x89\x7a\x00", 4));
+        constexpr int measuredSeconds = 4;
+        peers.run(seconds(4));
+        std::size_t before = peers.bytesSent();
+        peers.run(seconds(measuredSeconds));
+        double bytesPerSecond = static_cast<double>(peers.bytesSent() - before) / (static_cast<double>(count) * measuredSeconds);
+        std::cout << count << " slots: " << peers.largestMessage() << " bytes per age vector, " << bytesPerSecond << " bytes per second sent by each entry\n";
+        CHECK(bytesPerSecond < 15000);
+    }
+}
+
+// Guards against a large deployment in which entries lose half of the others while all are healthy.
+TEST_CASE("half of the slots are known within the contact lease at every size")
+{
+    for (std::size_t count : { 4, 64, 340 }) {
+        Peers peers(count);
+        peers.run(seconds(5));
+        Duration oldest {};
+        for (int sample = 0; sample < 5; ++sample) {
+            peers.run(milliseconds(450));
+            for (std::size_t index = 0; index < count; ++index)
+                oldest = std::max(oldest, peers.medianAge(index));
+        }
+        std::cout << count << " slots: half of the slots are known no older than " << std::chrono::duration_cast<milliseconds>(oldest).count() << " ms, lease "
+                  << std::chrono::duration_cast<milliseconds>(peers.limits().contactLease).count() << " ms\n";
+        CHECK(oldest <= peers.limits().contactLease);
+    }
+}
+
+TEST_CASE("a silent instance is suspected and a returning one is not")
+{
+    Peers peers(4);
+    peers.run(seconds(3));
+    CHECK(peers.at(0).slotsForCallers().size() == 4);
+    peers.cut(3);
+    peers.run(seconds(3));
+    CHECK(peers.at(0).status(peers.name(3)).state == PeerState::Suspected);
+    CHECK(peers.at(0).slotsForCallers().size() == 3);
+    peers.cut(3, false);
+    peers.run(seconds(1));
+    CHECK(peers.at(0).status(peers.name(3)).state == PeerState::Alive);
+}
+
+// Guards against late answers that pass for fresh contact.
+TEST_CASE("contact is dated by the request, however late the answer is")
+{
+    ManualClock clock;
+    Random random(1);
+    Recorder recorder;
+    Membership membership({ "a", 1, { "a", "b" }, {} }, clock, random, recorder.hooks());
+    TimePoint sentAt = clock.now();
+    membership.tick();
+    clock.advance(seconds(3));
+    membership.receive("b", answerTo(recorder.requests.front(), milliseconds(100)));
+    REQUIRE(recorder.digestTimes.size() == 1);
+    CHECK(recorder.digestTimes.front() == sentAt - milliseconds(100));
+    CHECK(membership.status("b").state == PeerState::Suspected);
+    // The same answer again, from another peer, for other slots or unasked for, counts for nothing.
+    membership.receive("b", answerTo(recorder.requests.front()));
+    clock.advance(seconds(1));
+    membership.tick();
+    membership.receive("c", answerTo(recorder.requests.back()));
+    GossipRequest otherSlots = recorder.requests.back();
+    ++otherSlots.slotSet;
+    membership.receive("b", answerTo(otherSlots));
+    CHECK(recorder.digestTimes.size() == 1);
+}
+
+// Guards against a slow instance that takes its own lateness for the failure of others.
+TEST_CASE("a slow instance widens its timeouts")
+{
+    ManualClock clock;
+    Random random(1);
+    Recorder recorder;
+    Membership membership({ "a", 1, { "a", "b" }, {} }, clock, random, recorder.hooks());
+    membership.tick();
+    membership.receive("b", answerTo(recorder.requests.back()));
+    clock.advance(milliseconds(2500));
+    membership.tick();
+    CHECK(membership.healthScore() == 1);
+    CHECK(membership.status("b").state == PeerState::Alive);
+    clock.advance(milliseconds(2500));
+    CHECK(membership.status("b").state == PeerState::Suspected);
+    for (int period = 0; period < 4; ++period) {
+        clock.advance(milliseconds(250));
+        membership.tick();
+        membership.receive("b", answerTo(recorder.requests.back()));
+    }
+    CHECK(membership.healthScore() == 0);
+}
+
+// Guards R13: new work for an instance that drains, and trust in a list that lags (R20).
+TEST_CASE("draining instances and those the list removes get no new work")
+{
+    Peers peers(4);
+    peers.run(seconds(1));
+    peers.at(1).startDraining();
+    peers.run(seconds(1));
+    CHECK(peers.at(0).status(peers.name(1)).isDraining);
+    auto record = [&peers](std::size_t index, InstanceState state) {
+        return InstanceRecord { peers.name(index), InstanceRole::Entry, state, "zone", {}, {} };
+    };
+    Membership& observer = peers.at(0);
+    observer.observeInstanceList({ record(0, InstanceState::Live), record(2, InstanceState::Live) });
+    // Entry 3 is not in the list yet; that does not remove it.
+    CHECK(observer.slotsForCallers() == std::vector<std::string> { peers.name(0), peers.name(2), peers.name(3) });
+    observer.observeInstanceList({ record(0, InstanceState::Live), record(2, InstanceState::Draining), record(3, InstanceState::Live) });
+    CHECK(observer.slotsForCallers() == std::vector<std::string> { peers.name(0), peers.name(3) });
+    observer.observeInstanceList({ record(0, InstanceState::Live), record(2, InstanceState::Live) });
+    CHECK(observer.slotsForCallers() == std::vector<std::string> { peers.name(0), peers.name(2) });
+    // Listed as live, but silent.
+    peers.cut(2);
+    peers.run(seconds(3));
+    CHECK(observer.slotsForCallers() == std::vector<std::string> { peers.name(0) });
+}
+
+TEST_CASE("gossip messages keep their form and malformed ones are refused")
+{
+    GossipMessage message { 5, 9, { std::nullopt, SlotReport { 0x12345678, milliseconds(30), true, "abc" } } };
+    for (int extra = 0; extra < 200; ++extra)
+        message.slots.emplace_back(SlotReport { 1, milliseconds(0), false, "digest " + std::to_string(extra) });
+    message.slots.emplace_back(SlotReport { 1, maxReportedAge + milliseconds(1), false, "" });
+    Frame frame = encodeMessage(message, 0);
+    GossipMessage decoded = decodeGossip(frame.body);
+    REQUIRE(decoded.slots.size() == message.slots.size());
+    CHECK(!decoded.slots.front());
+    // An age must never be rounded down: it would pass for fresher than it is.
+    CHECK(decoded.slots[1]->age == milliseconds(50));
+    CHECK(decoded.slots[1]->incarnation == 0x12345678);
+    CHECK(decoded.slots[1]->isDraining);
+    CHECK(decoded.slots[201]->digest == "digest 199");
+    CHECK(!decoded.slots.back());
+    frame.body.pop_back();
+    CHECK_THROWS_AS(decodeGossip(frame.body), Error);
+}
+
+// Guards against limits that contradict the bound that users rely on.
+TEST_CASE("time limits are checked in one place")
+{
+    for (std::size_t count : { 1, 4, 32, 33, 340 })
+        checkTimeLimits(timeLimitsForSlots(count));
+    auto refuses = [](const std::function<void(TimeLimits&)>& change) {
+        TimeLimits limits;
+        change(limits);
+        CHECK_THROWS_AS(checkTimeLimits(limits), Error);
+    };
+    refuses([](TimeLimits& limits) { limits.switchGrace = seconds(6); });
+    refuses([](TimeLimits& limits) { limits.proposeTimeout = seconds(5); });
+    refuses([](TimeLimits& limits) { limits.tableTimeout = milliseconds(1100); });
+    refuses([](TimeLimits& limits) { limits.gossipPeriod = milliseconds(700); });
+    refuses([](TimeLimits& limits) { limits.resendInterval = milliseconds(1500); });
+    refuses([](TimeLimits& limits) { limits.switchGrace = milliseconds(900); });
+    refuses([](TimeLimits& limits) { limits.suspicionTimeout = seconds(1); });
+    refuses([](TimeLimits& limits) { limits.headPollInterval = Duration::zero(); });
+}
+
+}
