Entry, Agent: Move calls away from stalled engines and their groups

Cause: an engine that a lost rank of its group holds up still reports load, so calls were sent to it and each waited 5 s for the stall limit before it tried the next one, often in the same group. The silence rule of the selector did not apply, because load reports count as signs of life.

Change: an agent whose engine has calls and no progress for 1 s, or does not answer, says so at once. Entries then suspect the whole group, because its ranks advance in lock-step, and resume its streams elsewhere.

Ruled out: a lost answer (the engines had not stepped).

--- a/Source/Agent/AgentProcess.cpp
+++ b/Source/Agent/AgentProcess.cpp
@@ -20,6 +20,9 @@
 constexpr std::uint32_t maxEngineMisses = 3;
 // An entry that misses older events sees a gap and discards what it knows of the engine.
 constexpr std::size_t maxCacheEvents = 1024;
+// An engine with calls and no progress for this long counts as stalled. It is above the time of the
+// longest prompt and below the time in which a caller waits for a first token in vain.
+constexpr std::chrono::milliseconds stallLimit { 1000 };
 // Calls that may queue at the engine beyond those it runs, as a share of its capacity.
 constexpr double queueShare = 0.25;
 
@@ -167,9 +170,15 @@
             return;
         }
         *nextOffset += text.size();
+        lastProgress_ = clock_.now();
         calls_.engineText(run, std::string(text));
     };
-    handlers.onEnd = [this, run](std::uint64_t) { calls_.engineEnd(run, ResultCode::Ok, ""); };
+    handlers.onEnd = [this, run](std::uint64_t) {
+        lastProgress_ = clock_.now();
+        calls_.engineEnd(run, ResultCode::Ok, "");
+    };
+    if (calls_.runningCalls() <= 1)
+        lastProgress_ = clock_.now();
     handlers.onFailure = [this, run](const EngineFailure& failure) {
         calls_.engineEnd(run, ResultCode::BackendServerFailed, failure.detail);
     };
@@ -222,6 +231,7 @@
 void AgentProcess::fillReport(TicketsMessage& message) const
 {
     message.load = load_;
+    message.health = engineHealth();
     message.load.age += std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - loadReceivedAt_);
 }
 
@@ -246,9 +256,32 @@
     peer.lastCacheEvent = lastCacheEvent_;
 }
 
+EngineHealth AgentProcess::engineHealth() const
+{
+    if (!isEngineAvailable_)
+        return EngineHealth::Unavailable;
+    bool isStalled = calls_.runningCalls() > 0 && clock_.now() - lastProgress_ > stallLimit;
+    return isStalled ? EngineHealth::Stalled : EngineHealth::Good;
+}
+
+// Tells the entries at once when the health changes, so that they move their calls elsewhere.
+void AgentProcess::recordHealth()
+{
+    EngineHealth health = engineHealth();
+    if (health == lastHealth_)
+        return;
+    lastHealth_ = health;
+    reportLoad();
+    if (health == EngineHealth::Stalled) {
+        events_.record(EventKind::BackendServerEjected, settings_.name, "the engine makes no progress");
+        LOG(WARNING) << "engine makes no progress with " << calls_.runningCalls() << " calls";
+    }
+}
+
 void AgentProcess::tick()
 {
     calls_.tick();
+    recordHealth();
     if (!isDraining_)
         return;
     DrainState state = calls_.drainState();
--- a/Source/Agent/AgentProcess.h
+++ b/Source/Agent/AgentProcess.h
@@ -53,6 +53,8 @@
     void takeCacheEvents(const std::vector<CacheEvent>& events);
     void beginDrain();
     void serveHttp(const std::shared_ptr<HttpExchange>& exchange);
+    EngineHealth engineHealth() const;
+    void recordHealth();
     std::string metricsText() const;
 
     EventLoop& loop_;
@@ -74,6 +76,9 @@
     // The newest cache events, in order.
     std::deque<CacheEvent> cacheEvents_;
     std::uint64_t lastCacheEvent_ { 0 };
+    // When a call last started, progressed or ended.
+    TimePoint lastProgress_;
+    EngineHealth lastHealth_ { EngineHealth::Unavailable };
     std::uint32_t engineMisses_ { 0 };
     bool isEngineAvailable_ { false };
     bool isDraining_ { false };
--- a/Source/Calls/CallDriver.cpp
+++ b/Source/Calls/CallDriver.cpp
@@ -151,6 +151,19 @@
     }
 }
 
+void CallDriver::engineStalled(const std::string& agent)
+{
+    if (phase_ != Phase::Sent || !request_.isIdempotent)
+        return;
+    for (auto attempt = attempts_.begin(); attempt != attempts_.end(); ++attempt) {
+        if (attempt->second.ticket.agent != agent)
+            continue;
+        hooks_.send(agent, CancelMessage { request_.callId, attempt->first });
+        attemptLost(attempt, ResultCode::Timeout);
+        return;
+    }
+}
+
 void CallDriver::ticketsAvailable()
 {
     if (phase_ == Phase::Waiting)
--- a/Source/Calls/CallDriver.h
+++ b/Source/Calls/CallDriver.h
@@ -101,6 +101,9 @@
 
     // The link to an agent closed. Messages sent on it may have been lost.
     void linkClosed(const std::string& agent);
+    // An agent reports that its engine, or the group of its engine, makes no progress.
+    // An idempotent call goes on elsewhere.
+    void engineStalled(const std::string& agent);
     // An agent issued tickets.
     void ticketsAvailable();
     // The caller went away. An idempotent call is cancelled; a call that must not be repeated goes on,
--- a/Source/Calls/CallMessages.cpp
+++ b/Source/Calls/CallMessages.cpp
@@ -118,7 +118,8 @@
 {
     return makeFrame(TicketsMessage::type, time,
         { { "session", message.session }, { "first", message.firstSequence }, { "count", message.count },
-            { "load", loadToJson(message.load) }, { "cacheEvents", cacheEventsToJson(message.cacheEvents) }, { "draining", message.isDraining } });
+            { "load", loadToJson(message.load) }, { "cacheEvents", cacheEventsToJson(message.cacheEvents) }, { "draining", message.isDraining },
+            { "health", static_cast<int>(message.health) } });
 }
 
 TicketsMessage decodeTickets(ByteView body)
@@ -131,6 +132,7 @@
         message.load = loadFromJson(json.at("load"));
         message.cacheEvents = cacheEventsFromJson(json.at("cacheEvents"));
         message.isDraining = json.at("draining").get<bool>();
+        message.health = enumerationFromJson(json.at("health"), EngineHealth::Unavailable);
         return message;
     });
 }
--- a/Source/Calls/CallMessages.h
+++ b/Source/Calls/CallMessages.h
@@ -60,6 +60,14 @@
     std::uint64_t prefixHash { 0 };
 };
 
+enum class EngineHealth {
+    Good,
+    // The engine has calls and has made no progress with any of them for a while.
+    Stalled,
+    // The engine does not answer.
+    Unavailable,
+};
+
 // Issues tickets to an entry, or only reports load if the count is zero.
 struct TicketsMessage {
     static constexpr const char* type = "tickets";
@@ -69,6 +77,7 @@
     LoadReport load;
     std::vector<CacheEvent> cacheEvents;
     bool isDraining { false };
+    EngineHealth health { EngineHealth::Good };
 };
 
 enum class CallKind {
--- a/Source/Entry/CallService.cpp
+++ b/Source/Entry/CallService.cpp
@@ -43,6 +43,7 @@
 void CallService::agentDisconnected(const std::string& agent)
 {
     tickets_.clear(agent);
+    takeHealth(agent, EngineHealth::Good);
     servers_.disconnected(agent);
     cache_.forget(agent);
     for (auto& [callId, call] : calls_) {
@@ -75,6 +76,7 @@
     if (server == nullptr)
         return;
     std::string serves = server->serves;
+    takeHealth(agent, message.health);
     tickets_.add(agent, server->incarnation, message);
     servers_.ticketsReceived(agent, message);
     cache_.apply(agent, message.cacheEvents);
@@ -86,6 +88,48 @@
     advance(serves);
 }
 
+void CallService::takeHealth(const std::string& agent, EngineHealth health)
+{
+    auto known = unhealthy_.find(agent);
+    EngineHealth last = known == unhealthy_.end() ? EngineHealth::Good : known->second;
+    if (health == last)
+        return;
+    if (health == EngineHealth::Good)
+        unhealthy_.erase(agent);
+    else
+        unhealthy_[agent] = health;
+    updateSuspicions();
+}
+
+// The ranks of a group advance in lock-step, so an engine that is stalled or lost stalls its whole group.
+void CallService::updateSuspicions()
+{
+    std::set<std::string> groups;
+    for (const auto& [agent, health] : unhealthy_) {
+        const BackendServer* server = servers_.find(agent);
+        if (server != nullptr && !server->group.empty())
+            groups.insert(server->group);
+    }
+    std::vector<std::string> names;
+    for (const auto& [name, server] : servers_.servers())
+        names.push_back(name);
+    for (const std::string& name : names) {
+        bool isSuspected = groups.count(servers_.find(name)->group) != 0 || unhealthy_.count(name) != 0;
+        bool wasSuspected = servers_.find(name)->isSuspected;
+        servers_.setSuspected(name, isSuspected);
+        if (isSuspected && !wasSuspected)
+            moveCalls(name);
+    }
+}
+
+void CallService::moveCalls(const std::string& agent)
+{
+    for (auto& [callId, call] : calls_) {
+        if (call.driver && !call.isFinished)
+            call.driver->engineStalled(agent);
+    }
+}
+
 void CallService::receivePart(const std::string& agent, const PartMessage& message)
 {
     servers_.callProgressed(agent);
--- a/Source/Entry/CallService.h
+++ b/Source/Entry/CallService.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -103,6 +104,9 @@
     void receivePart(const std::string& agent, const PartMessage& message);
     void receiveEnd(const std::string& agent, const EndMessage& message);
     void receiveRefused(const std::string& agent, const RefusedMessage& message);
+    void takeHealth(const std::string& agent, EngineHealth health);
+    void updateSuspicions();
+    void moveCalls(const std::string& agent);
     void updateTicketCount(const std::string& agent);
     void eraseFinished();
 
@@ -118,6 +122,8 @@
     ZoneLatencies latencies_;
     BackendServerSelector selector_;
     TicketPool tickets_;
+    // Agents that report an engine without good health.
+    std::map<std::string, EngineHealth> unhealthy_;
     std::map<std::string, double> weights_;
     std::map<std::string, AdmissionController> admissions_;
     std::map<std::string, ActiveCall> calls_;
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -234,7 +234,7 @@
     peers.run(seconds(1));
     CHECK(peers.at(0).status(peers.name(1)).isDraining);
     auto record = [&peers](std::size_t index, InstanceState state) {
-        return InstanceRecord { peers.name(index), InstanceRole::Entry, state, "zone", {}, {} };
+        return InstanceRecord { peers.name(index), InstanceRole::Entry, state, "zone", "", {}, {} };
     };
     Membership& observer = peers.at(0);
     observer.observeInstanceList({ record(0, InstanceState::Live), record(2, InstanceState::Live) });
