--- a/Source/Calls/ClaimStore.cpp
+++ b/Source/Calls/ClaimStore.cpp
@@ -65,7 +65,7 @@
     void takeVersions(Batch batch, const TableReadResult& rows);
     void writeBatch(Batch batch);
     void readBack(Batch batch, ResultCode writeStatus);
-    void compare(PendingWrite& write, ResultCode writeStatus, const TableReadResult& rows);
+    bool decide(const PendingWrite& write, ResultCode writeStatus, const TableReadResult& rows);
     void report(const Batch& batch, const ClaimResult& result);
 
     Table& table;
@@ -205,37 +205,37 @@
         if (rows.status != ResultCode::Ok)
             state->report(batch, ClaimResult());
         else {
-            Batch remaining = batch;
-            for (PendingWrite& write : remaining)
-                state->compare(write, writeStatus, rows);
+            Batch undecided;
+            for (const PendingWrite& write : batch) {
+                if (!state->decide(write, writeStatus, rows))
+                    undecided.push_back(write);
+            }
+            state->queue.insert(state->queue.begin(), undecided.begin(), undecided.end());
         }
         state->pump();
     });
 }
 
 // Decides one write of a batch that was not acknowledged, by the row that is there now.
-void ClaimStore::State::compare(PendingWrite& write, ResultCode writeStatus, const TableReadResult& rows)
+// Returns false if the write was not the cause of a conflict and can be tried again.
+bool ClaimStore::State::decide(const PendingWrite& write, ResultCode writeStatus, const TableReadResult& rows)
 {
     const TableRow* row = findRow(rows, write.rowKey);
     ClaimResult found = resultOf(ResultCode::TableConflict, row);
     if (found.record && *found.record == write.record) {
         found.status = ResultCode::Ok;
         write.done(found);
-        return;
+        return true;
     }
     RowVersion version = row ? row->version : absentVersion;
-    if (version != write.version) {
-        write.done(found);
-        return;
-    }
-    // The row is as expected. After a conflict another row of the batch was the cause, and the write is tried again.
-    if (writeStatus == ResultCode::TableConflict) {
-        queue.push_back(std::move(write));
-        return;
-    }
-    // After a lost acknowledgement the table may still apply the write.
-    found.status = ResultCode::TableUnavailable;
+    bool isAsExpected = version == write.version;
+    if (isAsExpected && writeStatus == ResultCode::TableConflict)
+        return false;
+    // After a lost acknowledgement the table may still apply the write to a row that is as expected.
+    if (isAsExpected)
+        found.status = ResultCode::TableUnavailable;
     write.done(found);
+    return true;
 }
 
 void ClaimStore::State::report(const Batch& batch, const ClaimResult& result)
--- /dev/null
+++ b/Tests/Calls/AgentCallsTest.cpp
@@ -0,0 +1,234 @@
+#include "Calls/AgentCalls.h"
+#include "Core/ManualClock.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+namespace Damaskgrade {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// An agent with two connected entries and an engine that only counts.
+struct AgentFixture {
+    explicit AgentFixture(AgentCallsSettings settings = {})
+    {
+        AgentCallsHooks hooks;
+        hooks.startCall = [this](RunId run, const CallMessage&) { started.push_back(run); };
+        hooks.cancelCall = [this](RunId run) { cancelled.push_back(run); };
+        hooks.send = [this](std::uint64_t session, const AgentMessage& message) {
+            const TicketsMessage* tickets = std::get_if<TicketsMessage>(&message);
+            if (tickets)
+                held[session] += tickets->count;
+            else
+                sent.push_back(message);
+        };
+        calls = std::make_unique<AgentCalls>("a", "1", clock, settings, hooks);
+        session = calls->openSession();
+        otherSession = calls->openSession();
+        calls->tick();
+    }
+
+    CallMessage message(std::uint64_t sequence)
+    {
+        CallMessage call;
+        call.callId = "call" + std::to_string(sequence);
+        call.attempt = 1;
+        call.ticket = { "a", "1", session, sequence };
+        call.timeLeft = milliseconds(100);
+        return call;
+    }
+
+    void receive(const CallMessage& call) { calls->receiveCall(session, call, clock.now()); }
+
+    template <typename Message>
+    Message last() const
+    {
+        return std::get<Message>(sent.back());
+    }
+
+    ResolutionMessage resolve(std::uint64_t sequence)
+    {
+        calls->receiveResolve(otherSession, { "query", message(sequence).ticket });
+        return last<ResolutionMessage>();
+    }
+
+    ManualClock clock;
+    std::unique_ptr<AgentCalls> calls;
+    std::uint64_t session { 0 };
+    std::uint64_t otherSession { 0 };
+    std::vector<RunId> started;
+    std::vector<RunId> cancelled;
+    std::vector<AgentMessage> sent;
+    std::map<std::uint64_t, std::uint64_t> held;
+};
+
+}
+
+// Guards against work that nobody waits for any more: time in the process counts against the deadline.
+TEST_CASE("an agent refuses a call whose deadline passed before it started")
+{
+    AgentFixture agent;
+    TimePoint receivedAt = agent.clock.now();
+    agent.clock.advance(milliseconds(100));
+    agent.calls->receiveCall(agent.session, agent.message(1), receivedAt);
+    CHECK(agent.last<RefusedMessage>().code == ResultCode::DeadlinePassed);
+    CHECK(agent.started.empty());
+}
+
+// Guards against a call under a configuration that is no longer in force anywhere.
+TEST_CASE("an agent refuses a configuration version below the highest seen")
+{
+    AgentFixture agent;
+    CallMessage call = agent.message(1);
+    call.configurationVersion = 5;
+    agent.receive(call);
+    agent.receive(agent.message(2));
+    CHECK(agent.last<RefusedMessage>().code == ResultCode::ConfigurationOutdated);
+    CHECK(agent.started.size() == 1);
+}
+
+// Guards against a start after "refused": the cause of the refusal may pass before a duplicate comes.
+TEST_CASE("a refused call does not start from a duplicate")
+{
+    AgentFixture agent;
+    agent.calls->engineFailed("lost");
+    agent.receive(agent.message(1));
+    CHECK(agent.last<RefusedMessage>().code == ResultCode::BackendServerRefused);
+    agent.calls->engineAvailable();
+    agent.receive(agent.message(1));
+    CHECK(agent.started.empty());
+}
+
+// Guards against "refused" for a call that runs.
+TEST_CASE("a duplicate of a started call is dropped in silence")
+{
+    AgentFixture agent;
+    agent.receive(agent.message(1));
+    agent.receive(agent.message(1));
+    CHECK(agent.started.size() == 1);
+    CHECK(agent.sent.empty());
+    CallMessage other = agent.message(1);
+    other.callId = "other";
+    agent.receive(other);
+    CHECK(agent.last<RefusedMessage>().callId == "other");
+}
+
+// Guards against an entry that spends the tickets of another one.
+TEST_CASE("a ticket is valid only on the link that it was issued to")
+{
+    AgentFixture agent;
+    agent.calls->receiveCall(agent.otherSession, agent.message(1), agent.clock.now());
+    CHECK(agent.last<RefusedMessage>().code == ResultCode::TicketInvalid);
+}
+
+// Guards against a silent end of the streams of a lost engine.
+TEST_CASE("calls of a lost engine end with an error")
+{
+    AgentFixture agent;
+    agent.receive(agent.message(1));
+    agent.calls->engineText(1, "text");
+    agent.calls->engineFailed("lost");
+    CHECK(agent.last<EndMessage>().code == ResultCode::StreamInterrupted);
+    CHECK(agent.last<EndMessage>().total == 4);
+    CHECK(agent.calls->runningCalls() == 0);
+}
+
+// Guards against an empty answer in place of one that was dropped, and against unbounded memory.
+TEST_CASE("answers are kept for a time and within a bound")
+{
+    AgentCallsSettings settings;
+    settings.maxAnswerBytes = 10;
+    AgentFixture agent(settings);
+    agent.receive(agent.message(1));
+    agent.calls->engineText(1, "123456");
+    agent.calls->engineEnd(1, ResultCode::Ok, {});
+    CHECK(agent.resolve(1).answer == "123456");
+    agent.receive(agent.message(2));
+    agent.calls->engineText(2, "1234");
+    CHECK(agent.resolve(1).state == CallState::Done);
+    agent.calls->engineText(2, "5678");
+    CHECK(agent.resolve(1).state == CallState::Unknown);
+    agent.calls->engineText(2, "abcd");
+    agent.calls->engineEnd(2, ResultCode::Ok, {});
+    CHECK(agent.calls->answerBytes() == 0);
+    CHECK(agent.resolve(2).state == CallState::Unknown);
+
+    agent.receive(agent.message(3));
+    agent.calls->engineEnd(3, ResultCode::Ok, {});
+    CHECK(agent.resolve(3).state == CallState::Done);
+    agent.clock.advance(seconds(61));
+    agent.calls->tick();
+    CHECK(agent.resolve(3).state == CallState::Unknown);
+}
+
+// Guards against a gap, a repeat or foreign text for a caller that comes back for the rest of a stream.
+TEST_CASE("a stream is fetched from an offset while it runs and after its end")
+{
+    AgentFixture agent;
+    agent.receive(agent.message(1));
+    agent.calls->engineText(1, "abcdef");
+    agent.calls->receiveFetch(agent.otherSession, { "fetch", "call1", 4 });
+    CHECK(agent.last<PartMessage>().text == "ef");
+    CHECK(agent.last<PartMessage>().callId == "fetch");
+    agent.calls->engineText(1, "gh");
+    CHECK(agent.last<PartMessage>().offset == 6);
+    agent.calls->engineEnd(1, ResultCode::Ok, {});
+    CHECK(agent.last<EndMessage>().callId == "fetch");
+    agent.calls->receiveFetch(agent.otherSession, { "again", "call1", 8 });
+    CHECK(agent.last<EndMessage>().total == 8);
+    agent.calls->receiveFetch(agent.otherSession, { "beyond", "call1", 9 });
+    CHECK(agent.last<EndMessage>().code == ResultCode::StreamNotFound);
+}
+
+// Guards against a late cancel that ends another attempt or the call of another entry.
+TEST_CASE("a cancel ends only the attempt of its own entry")
+{
+    AgentFixture agent;
+    agent.receive(agent.message(1));
+    agent.calls->receiveCancel(agent.otherSession, { "call1", 1 });
+    agent.calls->receiveCancel(agent.session, { "call1", 2 });
+    CHECK(agent.cancelled.empty());
+    agent.calls->receiveCancel(agent.session, { "call1", 1 });
+    CHECK(agent.cancelled.size() == 1);
+}
+
+// Guards against slots that idle entries hold back, and against refusals of entries that are at work.
+TEST_CASE("idle sessions give back tickets and busy ones keep them")
+{
+    AgentCallsSettings settings;
+    settings.slots = 16;
+    AgentFixture agent(settings);
+    CHECK(agent.held[agent.session] + agent.held[agent.otherSession] == 16);
+    agent.calls->setSlots(2);
+    agent.clock.advance(seconds(1));
+    agent.calls->tick();
+    CHECK(agent.calls->ledger().unspent(agent.session) == 8);
+    agent.clock.advance(milliseconds(1500));
+    agent.receive(agent.message(1));
+    agent.calls->tick();
+    CHECK(agent.calls->ledger().unspent(agent.session) == 7);
+    CHECK(agent.calls->ledger().unspent(agent.otherSession) == 1);
+}
+
+// Guards against a drain that interrupts calls or takes new ones (R13, R14).
+TEST_CASE("a drain refuses new calls, waits for running ones and reports when it takes long")
+{
+    AgentFixture agent;
+    agent.receive(agent.message(1));
+    agent.calls->beginDrain();
+    agent.receive(agent.message(2));
+    CHECK(agent.last<RefusedMessage>().code == ResultCode::InstanceDraining);
+    CHECK(agent.started.size() == 1);
+    CHECK(agent.cancelled.empty());
+    CHECK(agent.calls->drainState() == DrainState::Draining);
+    agent.clock.advance(seconds(30));
+    CHECK(agent.calls->drainState() == DrainState::OverTime);
+    agent.calls->engineEnd(1, ResultCode::Ok, {});
+    CHECK(agent.calls->drainState() == DrainState::Drained);
+}
+
+}
--- /dev/null
+++ b/Tests/Calls/AnswerAssemblerTest.cpp
@@ -0,0 +1,74 @@
+#include "Calls/AnswerAssembler.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace Damaskgrade {
+
+// Guards against a gap, a repeat or foreign text, for any order, overlap and duplication of parts.
+TEST_CASE("parts in any order give the answer and nothing else")
+{
+    CHECK(rc::check("parts in any order give the answer and nothing else", [] {
+        std::string answer = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+        AnswerAssembler assembler("call", 1000);
+        assembler.beginAttempt(2);
+        std::vector<PartMessage> parts;
+        for (std::size_t offset = 0; offset < answer.size(); offset += 3)
+            parts.push_back({ "call", 2, offset, answer.substr(offset, *rc::gen::inRange<std::size_t>(3, 8)) });
+        std::vector<PartMessage> arrivals = parts;
+        for (int extra = 0; extra < 4 && !parts.empty(); ++extra) {
+            PartMessage foreign = *rc::gen::elementOf(parts);
+            arrivals.push_back(foreign);
+            foreign.text = "FOREIGN";
+            foreign.attempt = *rc::gen::element(1u, 2u, 3u);
+            if (foreign.attempt == 2)
+                foreign.callId = "other";
+            arrivals.push_back(foreign);
+        }
+        std::string text;
+        while (!arrivals.empty()) {
+            std::size_t index = *rc::gen::inRange<std::size_t>(0, arrivals.size());
+            text += assembler.accept(arrivals[index]);
+            arrivals.erase(arrivals.begin() + static_cast<std::ptrdiff_t>(index));
+            RC_ASSERT(answer.compare(0, text.size(), text) == 0);
+            RC_ASSERT(!assembler.isComplete());
+        }
+        RC_ASSERT(text == answer);
+        assembler.acceptEnd({ "call", 1, answer.size(), ResultCode::Ok, {} });
+        RC_ASSERT(!assembler.isComplete());
+        assembler.acceptEnd({ "call", 2, answer.size(), ResultCode::Ok, {} });
+        RC_ASSERT(assembler.isComplete());
+    }));
+}
+
+// Guards against a short answer that passes for a whole one, and against a wait for text that never comes.
+TEST_CASE("an end is in order only at its total")
+{
+    AnswerAssembler assembler("call", 1000);
+    assembler.beginAttempt(1);
+    assembler.accept({ "call", 1, 0, "abc" });
+    assembler.acceptEnd({ "call", 1, 5, ResultCode::Ok, {} });
+    CHECK(!assembler.isComplete());
+    CHECK(assembler.accept({ "call", 1, 3, "de" }) == "de");
+    CHECK(assembler.isComplete());
+    assembler.beginAttempt(2);
+    assembler.acceptEnd({ "call", 2, 4, ResultCode::Ok, {} });
+    CHECK(assembler.isBroken());
+}
+
+// Guards against unbounded memory for parts that come early.
+TEST_CASE("early parts beyond the bound break the attempt")
+{
+    AnswerAssembler assembler("call", 4);
+    assembler.beginAttempt(1);
+    assembler.accept({ "call", 1, 2, "cd" });
+    CHECK(!assembler.isBroken());
+    assembler.accept({ "call", 1, 8, "ijk" });
+    CHECK(assembler.isBroken());
+    assembler.beginAttempt(2);
+    CHECK(!assembler.isBroken());
+}
+
+}
