Calls: Add benchmarks, decisions and lossless claim rows

Keys and answers come from outside and may hold bytes that are no UTF-8; row keys are now escaped and such answers are stored as bytes.

--- /dev/null
+++ b/Benchmarks/Calls/Main.cpp
@@ -0,0 +1,225 @@
+#include "Calls/CallDriver.h"
+#include "Core/Random.h"
+#include "Simulation.h"
+
+#include <cstdio>
+#include <memory>
+#include <vector>
+
+using namespace Damaskgrade;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t seed = 20261204;
+
+struct ClaimFigures {
+    double writesPerBooking { 0 };
+    // Share of claims in force within 250 ms.
+    double inTime { 0 };
+};
+
+// Claims and finishes bookings at a rate for ten seconds. A transaction takes 5 ms.
+ClaimFigures runClaims(int bookingsPerSecond, std::size_t maxBatch)
+{
+    Simulation simulation;
+    DelayedTable table(simulation, milliseconds(5));
+    ClaimStoreSettings settings;
+    settings.maxBatch = maxBatch;
+    settings.maxQueued = 1000000;
+    ClaimStore store(table, settings);
+    int bookings = bookingsPerSecond * 10;
+    int inTime = 0;
+    for (int number = 0; number < bookings; ++number) {
+        simulation.at(microseconds(1000000LL * number / bookingsPerSecond), [&, number] {
+            ClaimRecord record;
+            record.owner = "call" + std::to_string(number);
+            std::string row = "claim/" + std::to_string(number);
+            TimePoint start = simulation.clock().now();
+            store.write(row, std::nullopt, record, [&, row, record, start](const ClaimResult&) {
+                inTime += simulation.clock().now() - start <= milliseconds(250);
+                ClaimRecord finished = record;
+                finished.state = ClaimState::Done;
+                simulation.at(milliseconds(30), [&, row, record, finished] { store.write(row, record, finished, [](const ClaimResult&) {}); });
+            });
+        });
+    }
+    simulation.run(seconds(2000));
+    ClaimFigures figures;
+    figures.writesPerBooking = static_cast<double>(store.counters().writes) / bookings;
+    figures.inTime = 100.0 * inTime / bookings;
+    return figures;
+}
+
+// The calls of one entry to agents that the caller of the class plays.
+class Calls {
+public:
+    // Returns what the agent does with a call: nothing means a refusal, otherwise the time to the answer.
+    using AgentModel = std::function<std::optional<Duration>()>;
+
+    Calls(AgentModel model, RetryBudgetSettings budget, bool isHedging)
+        : table_(simulation_, milliseconds(5))
+        , claims_(table_)
+        , budget_(simulation_.clock(), budget)
+        , model_(std::move(model))
+        , isHedging_(isHedging)
+    {
+    }
+
+    // Receives calls at a rate, with 250 ms to the deadline.
+    void run(int callsPerSecond, int lengthSeconds)
+    {
+        received = callsPerSecond * lengthSeconds;
+        for (int number = 0; number < received; ++number)
+            simulation_.at(microseconds(1000000LL * number / callsPerSecond), [this] { start(); });
+        for (int step = 0; step < lengthSeconds * 1000 / tickMs + 100; ++step)
+            simulation_.at(milliseconds(step * tickMs), [this] { tick(); });
+        simulation_.run(seconds(lengthSeconds + 1));
+    }
+
+    int received { 0 };
+    std::uint64_t sends { 0 };
+    int onTime { 0 };
+
+private:
+    static constexpr int tickMs = 5;
+
+    void start()
+    {
+        CallRequest request;
+        request.kind = CallKind::Service;
+        std::size_t index = drivers_.size();
+        request.callId = std::to_string(index);
+        request.deadline = simulation_.clock().now() + milliseconds(250);
+        CallDriverHooks hooks;
+        hooks.takeTicket = [this](const CallRequest&, const std::set<std::string>& tried) {
+            std::uint64_t sequence = ++tickets_;
+            std::string agent = "agent" + std::to_string(sequence % 3);
+            if (tried.count(agent))
+                agent = "agent" + std::to_string((sequence + 1) % 3);
+            return std::optional<Ticket>(Ticket { agent, "1", 1, sequence });
+        };
+        hooks.returnTicket = [](const Ticket&) {};
+        hooks.send = [this, index](const std::string&, const EntryMessage& message) {
+            if (const CallMessage* call = std::get_if<CallMessage>(&message))
+                deliver(index, call->callId, call->attempt);
+            return true;
+        };
+        hooks.configurationVersion = [] { return 1; };
+        hooks.onOutcome = [this](const CallOutcome& outcome) { onTime += outcome.code == ResultCode::Ok; };
+        HedgePolicy& policy = isHedging_ ? hedges_ : unused_;
+        drivers_.push_back(std::make_unique<CallDriver>(request, simulation_.clock(), claims_, budget_, policy, CallDriverSettings(), hooks));
+        drivers_.back()->start();
+    }
+
+    void deliver(std::size_t index, const std::string& callId, std::uint32_t attempt)
+    {
+        ++sends;
+        std::optional<Duration> time = model_();
+        if (!time) {
+            simulation_.at(milliseconds(2), [this, index, callId, attempt] {
+                drivers_[index]->receiveRefused({ callId, attempt, ResultCode::BackendServerRefused, {} });
+            });
+            return;
+        }
+        simulation_.at(*time, [this, index, callId, attempt] {
+            drivers_[index]->receivePart({ callId, attempt, 0, "found" });
+            drivers_[index]->receiveEnd({ callId, attempt, 5, ResultCode::Ok, {} });
+        });
+    }
+
+    void tick()
+    {
+        // The policy that is not in use never gets enough samples to hedge.
+        unused_ = HedgePolicy();
+        for (; firstActive_ < drivers_.size() && drivers_[firstActive_]->isFinished(); ++firstActive_)
+            continue;
+        for (std::size_t index = firstActive_; index < drivers_.size(); ++index)
+            drivers_[index]->tick();
+    }
+
+    Simulation simulation_;
+    DelayedTable table_;
+    ClaimStore claims_;
+    RetryBudget budget_;
+    HedgePolicy hedges_;
+    HedgePolicy unused_;
+    AgentModel model_;
+    bool isHedging_;
+    std::uint64_t tickets_ { 0 };
+    std::size_t firstActive_ { 0 };
+    std::vector<std::unique_ptr<CallDriver>> drivers_;
+};
+
+RetryBudgetSettings unlimitedBudget()
+{
+    RetryBudgetSettings settings;
+    settings.share = 1e9;
+    settings.maxSaved = 1e12;
+    return settings;
+}
+
+void compareClaims()
+{
+    std::printf("Table writes per booking (claim and stored answer), 5 ms per transaction\n");
+    std::printf("%12s %12s %12s %22s %22s\n", "bookings/s", "single", "batched", "in 250 ms, single", "in 250 ms, batched");
+    for (int rate : { 10, 50, 100, 500, 2000 }) {
+        ClaimFigures single = runClaims(rate, 1);
+        ClaimFigures batched = runClaims(rate, 128);
+        std::printf("%12d %12.3f %12.3f %21.1f%% %21.1f%%\n", rate, single.writesPerBooking, batched.writesPerBooking, single.inTime, batched.inTime);
+    }
+}
+
+void compareBudgets()
+{
+    std::printf("\nSends per received call while a share of agents refuses, 200 calls/s for 20 s\n");
+    std::printf("%12s %16s %16s %20s %20s\n", "refused", "no budget", "budget 20%", "on time, no budget", "on time, budget");
+    for (double refused : { 0.05, 0.3, 0.9, 1.0 }) {
+        std::vector<std::unique_ptr<Calls>> variants;
+        for (const RetryBudgetSettings& settings : { unlimitedBudget(), RetryBudgetSettings() }) {
+            std::shared_ptr<Random> random = std::make_shared<Random>(seed);
+            Calls::AgentModel model = [random, refused]() -> std::optional<Duration> {
+                if (random->fraction() < refused)
+                    return std::nullopt;
+                return Duration(milliseconds(20 + random->index(20)));
+            };
+            variants.push_back(std::make_unique<Calls>(model, settings, false));
+            variants.back()->run(200, 20);
+        }
+        std::printf("%11.0f%% %16.2f %16.2f %19.1f%% %19.1f%%\n", refused * 100,
+            static_cast<double>(variants[0]->sends) / variants[0]->received, static_cast<double>(variants[1]->sends) / variants[1]->received,
+            100.0 * variants[0]->onTime / variants[0]->received, 100.0 * variants[1]->onTime / variants[1]->received);
+    }
+}
+
+void compareHedges()
+{
+    std::printf("\nLookups answered within 250 ms, 100 calls/s for 30 s, slow lookups take 300 to 1500 ms\n");
+    std::printf("%12s %16s %16s %24s\n", "slow", "no hedge", "hedge at p95", "sends per call (hedge)");
+    for (double slow : { 0.01, 0.03, 0.06, 0.15 }) {
+        std::vector<std::unique_ptr<Calls>> variants;
+        for (bool isHedging : { false, true }) {
+            std::shared_ptr<Random> random = std::make_shared<Random>(seed);
+            Calls::AgentModel model = [random, slow]() -> std::optional<Duration> {
+                bool isSlow = random->fraction() < slow;
+                return Duration(milliseconds(isSlow ? 300 + random->index(1200) : 20 + random->index(30)));
+            };
+            variants.push_back(std::make_unique<Calls>(model, RetryBudgetSettings(), isHedging));
+            variants.back()->run(100, 30);
+        }
+        std::printf("%11.0f%% %15.2f%% %15.2f%% %24.3f\n", slow * 100, 100.0 * variants[0]->onTime / variants[0]->received,
+            100.0 * variants[1]->onTime / variants[1]->received, static_cast<double>(variants[1]->sends) / variants[1]->received);
+    }
+}
+
+}
+
+int main()
+{
+    compareClaims();
+    compareBudgets();
+    compareHedges();
+    return 0;
+}
--- a/Source/Calls/AgentCalls.cpp
+++ b/Source/Calls/AgentCalls.cpp
@@ -101,6 +101,7 @@
     run.ticket = message.ticket;
     run.callId = message.callId;
     run.attempt = message.attempt;
+    run.customer = message.customer;
     run.answer = message.resumeText;
     run.offset = message.resumeText.size();
     run.subscribers.push_back({ session, message.callId, message.attempt });
@@ -162,10 +163,15 @@
     return resolution;
 }
 
+bool AgentCalls::canFetch(const Run& run, const FetchMessage& message)
+{
+    return run.isKept && run.customer == message.customer && message.offset <= run.offset;
+}
+
 void AgentCalls::receiveFetch(std::uint64_t session, const FetchMessage& message)
 {
     auto found = runByCallId_.find(message.originalCallId);
-    if (found == runByCallId_.end() || !runs_.at(found->second).isKept || message.offset > runs_.at(found->second).offset) {
+    if (found == runByCallId_.end() || !canFetch(runs_.at(found->second), message)) {
         hooks_.send(session, EndMessage { message.callId, fetchAttempt, message.offset, ResultCode::StreamNotFound, "the stream is not kept here" });
         return;
     }
--- a/Source/Calls/AgentCalls.h
+++ b/Source/Calls/AgentCalls.h
@@ -111,6 +111,7 @@
         Ticket ticket;
         std::string callId;
         std::uint32_t attempt { 0 };
+        std::string customer;
         bool isRunning { true };
         // Whether answer holds the whole answer so far, the resumed text included.
         bool isKept { true };
@@ -136,6 +137,7 @@
     void dropOldAnswers();
     void dropOldestFinished();
     void keepWithinBound(Run& growing);
+    static bool canFetch(const Run& run, const FetchMessage& message);
     ResolutionMessage describe(const ResolveMessage& message);
     void allocate();
     void sendTickets(std::uint64_t session, TicketRange range);
--- a/Source/Calls/CallDriver.cpp
+++ b/Source/Calls/CallDriver.cpp
@@ -464,7 +464,7 @@
     }
     if (isFetchSent_)
         return;
-    isFetchSent_ = hooks_.send(request_.position->agent, FetchMessage { request_.callId, request_.position->originalCallId, stream_->offset() });
+    isFetchSent_ = hooks_.send(request_.position->agent, FetchMessage { request_.callId, request_.position->originalCallId, stream_->offset(), request_.customer });
 }
 
 void CallDriver::checkAttempt(Attempts::iterator attempt)
--- a/Source/Calls/CallDriver.h
+++ b/Source/Calls/CallDriver.h
@@ -69,8 +69,8 @@
 };
 
 struct CallDriverHooks {
-    // Chooses an agent and takes one of its tickets. Agents in the set were tried already and should
-    // be chosen only if there is no other.
+    // Chooses an agent and takes its ticket with the lowest sequence, because the agent reclaims the
+    // highest first. Agents in the set were tried already and should be chosen only if there is no other.
     std::function<std::optional<Ticket>(const CallRequest&, const std::set<std::string>& tried)> takeTicket;
     // Gives back a ticket that no message and no claim row names.
     std::function<void(const Ticket&)> returnTicket;
--- a/Source/Calls/CallMessages.cpp
+++ b/Source/Calls/CallMessages.cpp
@@ -271,7 +271,7 @@
 Frame encodeMessage(const FetchMessage& message, HybridTime time)
 {
     return makeFrame(FetchMessage::type, time,
-        { { "callId", message.callId }, { "originalCallId", message.originalCallId }, { "offset", message.offset } });
+        { { "callId", message.callId }, { "originalCallId", message.originalCallId }, { "offset", message.offset }, { "customer", message.customer } });
 }
 
 FetchMessage decodeFetch(ByteView body)
@@ -281,6 +281,7 @@
         message.callId = json.at("callId").get<std::string>();
         message.originalCallId = json.at("originalCallId").get<std::string>();
         message.offset = json.at("offset").get<std::uint64_t>();
+        message.customer = json.at("customer").get<std::string>();
         return message;
     });
 }
--- a/Source/Calls/CallMessages.h
+++ b/Source/Calls/CallMessages.h
@@ -158,6 +158,8 @@
     std::string callId;
     std::string originalCallId;
     std::uint64_t offset { 0 };
+    // The stream is sent only if it belongs to this customer.
+    std::string customer;
 };
 
 // Each decode function throws Error(BadFrame) if the body does not fit the type.
--- a/Source/Calls/ClaimRecord.cpp
+++ b/Source/Calls/ClaimRecord.cpp
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include <tuple>
+#include <vector>
 
 namespace Damaskgrade {
 
@@ -15,16 +16,27 @@
 
 namespace {
 
+bool isPlain(char character)
+{
+    bool isLetter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+    bool isDigit = character >= '0' && character <= '9';
+    return isLetter || isDigit || character == '-' || character == '_' || character == '.';
+}
+
+// Callers choose the keys, so any byte may come, the separator and bytes that are no UTF-8 too.
 std::string escape(std::string_view part)
 {
+    static constexpr char digits[] = "0123456789ABCDEF";
     std::string text;
     for (char character : part) {
-        if (character == '/')
-            text += "%2F";
-        else if (character == '%')
-            text += "%25";
-        else
+        if (isPlain(character)) {
             text += character;
+            continue;
+        }
+        unsigned char byte = static_cast<unsigned char>(character);
+        text += '%';
+        text += digits[byte >> 4];
+        text += digits[byte & 15];
     }
     return text;
 }
@@ -43,8 +55,13 @@
         { "agent", record.ticket.agent }, { "incarnation", record.ticket.incarnation },
         { "session", record.ticket.session }, { "sequence", record.ticket.sequence },
         { "state", static_cast<int>(record.state) }, { "code", resultNumber(record.code) }, { "answer", record.answer } };
-    // An answer that is not UTF-8 must not make the claim impossible to store.
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    try {
+        return json.dump();
+    } catch (const Json::type_error&) {
+        // The answer is not UTF-8. As a list of bytes it is stored without loss.
+        json["answer"] = std::vector<std::uint8_t>(record.answer.begin(), record.answer.end());
+        return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    }
 }
 
 ClaimRecord decodeClaim(std::string_view text)
@@ -64,7 +81,12 @@
             throw Error(ResultCode::BadFrame, "claim row has the unknown state " + std::to_string(state));
         record.state = static_cast<ClaimState>(state);
         record.code = static_cast<ResultCode>(json.at("code").get<std::uint16_t>());
-        record.answer = json.at("answer").get<std::string>();
+        const Json& answer = json.at("answer");
+        if (answer.is_array()) {
+            std::vector<std::uint8_t> bytes = answer.get<std::vector<std::uint8_t>>();
+            record.answer.assign(bytes.begin(), bytes.end());
+        } else
+            record.answer = answer.get<std::string>();
         return record;
     } catch (const Json::exception& failure) {
         throw Error(ResultCode::BadFrame, std::string("claim row can't be decoded: ") + failure.what());
--- a/Tests/Calls/AgentCallsTest.cpp
+++ b/Tests/Calls/AgentCallsTest.cpp
@@ -37,6 +37,7 @@
         CallMessage call;
         call.callId = "call" + std::to_string(sequence);
         call.attempt = 1;
+        call.customer = "customer";
         call.ticket = { "a", "1", session, sequence };
         call.timeLeft = milliseconds(100);
         return call;
@@ -47,6 +48,7 @@
     template <typename Message>
     Message last() const
     {
+        REQUIRE(!sent.empty());
         return std::get<Message>(sent.back());
     }
 
@@ -171,16 +173,19 @@
     AgentFixture agent;
     agent.receive(agent.message(1));
     agent.calls->engineText(1, "abcdef");
-    agent.calls->receiveFetch(agent.otherSession, { "fetch", "call1", 4 });
+    agent.calls->receiveFetch(agent.otherSession, { "fetch", "call1", 4, "customer" });
     CHECK(agent.last<PartMessage>().text == "ef");
     CHECK(agent.last<PartMessage>().callId == "fetch");
     agent.calls->engineText(1, "gh");
     CHECK(agent.last<PartMessage>().offset == 6);
     agent.calls->engineEnd(1, ResultCode::Ok, {});
     CHECK(agent.last<EndMessage>().callId == "fetch");
-    agent.calls->receiveFetch(agent.otherSession, { "again", "call1", 8 });
+    agent.calls->receiveFetch(agent.otherSession, { "again", "call1", 8, "customer" });
     CHECK(agent.last<EndMessage>().total == 8);
-    agent.calls->receiveFetch(agent.otherSession, { "beyond", "call1", 9 });
+    agent.calls->receiveFetch(agent.otherSession, { "beyond", "call1", 9, "customer" });
+    CHECK(agent.last<EndMessage>().code == ResultCode::StreamNotFound);
+    agent.calls->receiveFetch(agent.otherSession, { "foreign", "call1", 0, "other" });
+    CHECK(agent.last<EndMessage>().callId == "foreign");
     CHECK(agent.last<EndMessage>().code == ResultCode::StreamNotFound);
 }
 
--- a/Tests/Calls/CallDriverTest.cpp
+++ b/Tests/Calls/CallDriverTest.cpp
@@ -33,6 +33,14 @@
         done(isUp ? table.write(writes) : TableWriteResult());
     }
 
+    // Lets the first held write through.
+    void release()
+    {
+        isHeld = false;
+        REQUIRE(!held.empty());
+        held.front()();
+    }
+
     MemoryTable table;
     bool isUp { true };
     bool isHeld { false };
@@ -137,8 +145,7 @@
     fixture.table.isHeld = true;
     fixture.start();
     CHECK(fixture.sent.empty());
-    fixture.table.isHeld = false;
-    fixture.table.held.front()();
+    fixture.table.release();
     CHECK(fixture.sentOf<CallMessage>().size() == 1);
     CHECK(fixture.row().state == ClaimState::Claimed);
     fixture.answer(1, "booked");
@@ -218,8 +225,7 @@
     waiting.table.isHeld = true;
     waiting.start();
     waiting.driver->cancel();
-    waiting.table.isHeld = false;
-    waiting.table.held.front()();
+    waiting.table.release();
     CHECK(waiting.sentOf<CallMessage>().empty());
     CHECK(waiting.outcomes.at(0).code == ResultCode::Cancelled);
     CHECK(waiting.outcomes.at(0).executed == Executed::No);
--- a/Tests/Calls/ClaimStoreTest.cpp
+++ b/Tests/Calls/ClaimStoreTest.cpp
@@ -160,6 +160,17 @@
     CHECK(results.byName["c"].status == ResultCode::TableUnavailable);
 }
 
+// Guards against an answer that is changed in the table, and against a claim that can't be stored.
+TEST_CASE("an answer that is not UTF-8 is stored without loss")
+{
+    ClaimRecord record = claimOf("owner");
+    record.answer = "\xff text";
+    record.answer += '\0';
+    CHECK(decodeClaim(encodeClaim(record)) == record);
+    record.answer = "заявка";
+    CHECK(decodeClaim(encodeClaim(record)) == record);
+}
+
 // Guards against two keys that share a row.
 TEST_CASE("row keys keep their parts apart")
 {
