Calls: Batch the writes that a batch causes

A callback of a finished batch could start a transaction with one row while the other callbacks had still to come.

--- a/Source/Calls/CallDriver.cpp
+++ b/Source/Calls/CallDriver.cpp
@@ -378,6 +378,7 @@
     if (record.state == ClaimState::Done) {
         // The row is stored already.
         claim_.reset();
+        queryTicket_ = record.ticket;
         if (record.code == ResultCode::Ok)
             succeed(record.answer);
         else
@@ -541,7 +542,7 @@
         passOn(answer.substr(text_.size()), queryTicket_.agent);
     if (!request_.isIdempotent)
         closeClaim(ClaimState::Done, ResultCode::Ok, answer);
-    else if (!isCompletion()) {
+    else if (!isCompletion() && !attempts_.empty()) {
         hedges_.observe(clock_.now() - attempts_.begin()->second.sentAt);
         // The loser of a hedge stops using its engine.
         for (const auto& entry : attempts_) {
--- a/Source/Calls/ClaimStore.cpp
+++ b/Source/Calls/ClaimStore.cpp
@@ -60,6 +60,7 @@
     }
 
     void pump();
+    void finishBatch();
     Batch takeBatch();
     void readVersions(Batch batch);
     void takeVersions(Batch batch, const TableReadResult& rows);
@@ -116,6 +117,13 @@
     readVersions(takeBatch());
 }
 
+// Called after the results of a batch are reported, so that the writes which they cause share the next one.
+void ClaimStore::State::finishBatch()
+{
+    isBusy = false;
+    pump();
+}
+
 Batch ClaimStore::State::takeBatch()
 {
     Batch batch;
@@ -166,13 +174,12 @@
         } else
             refused.emplace_back(std::move(write.done), found);
     }
+    for (const auto& entry : refused)
+        entry.first(entry.second);
     if (ready.empty())
-        isBusy = false;
+        finishBatch();
     else
         writeBatch(std::move(ready));
-    for (const auto& entry : refused)
-        entry.first(entry.second);
-    pump();
 }
 
 void ClaimStore::State::writeBatch(Batch batch)
@@ -185,10 +192,9 @@
     counters.rowsWritten += writes.size();
     table.write(writes, [state = shared_from_this(), batch](const TableWriteResult& result) {
         if (result.status == ResultCode::Ok) {
-            state->isBusy = false;
             for (const PendingWrite& write : batch)
                 write.done({ ResultCode::Ok, write.record });
-            state->pump();
+            state->finishBatch();
             return;
         }
         if (result.status != ResultCode::TableConflict)
@@ -201,7 +207,6 @@
 {
     ++counters.reads;
     table.read(rowKeys(batch), [state = shared_from_this(), batch, writeStatus](const TableReadResult& rows) {
-        state->isBusy = false;
         if (rows.status != ResultCode::Ok)
             state->report(batch, ClaimResult());
         else {
@@ -212,7 +217,7 @@
             }
             state->queue.insert(state->queue.begin(), undecided.begin(), undecided.end());
         }
-        state->pump();
+        state->finishBatch();
     });
 }
 
