--- a/Tests/Calls/CallDriverTest.cpp
+++ b/Tests/Calls/CallDriverTest.cpp
@@ -323,6 +323,39 @@
     CHECK(repeated.outcomes.at(0).executed == Executed::Unknown);
 }
 
+// Guards against "not executed" for a key that another entry may have executed, against a takeover of a
+// ticket that may still start, and against a second caller that waits for an owner that crashed.
+TEST_CASE("the claim of another owner is resolved at its agent before it is taken over")
+{
+    ClaimRecord foreign;
+    foreign.fingerprint = requestFingerprint("", "");
+    foreign.attempt = 1;
+    foreign.owner = "other";
+    foreign.ticket = { "b", "1", 7, 9 };
+
+    DriverFixture fixture(false);
+    fixture.table.table.write({ { claimRowKey("", "", "", "key"), encodeClaim(foreign), std::nullopt } });
+    fixture.start();
+    fixture.advance(milliseconds(300));
+    // An owner that is only slow has time to send.
+    CHECK(fixture.sent.empty());
+    fixture.advance(milliseconds(300));
+    CHECK(fixture.sentOf<ResolveMessage>().at(0).ticket == foreign.ticket);
+    fixture.driver->receiveResolution({ "call/1", CallState::Running, ResultCode::Ok, {} });
+    CHECK(fixture.sentOf<CallMessage>().empty());
+    fixture.driver->receiveResolution({ "call/1", CallState::NotStarted, ResultCode::Ok, {} });
+    CHECK(fixture.sentOf<CallMessage>().size() == 1);
+    CHECK(fixture.row().owner == "call");
+    CHECK(fixture.row().attempt == 2);
+
+    DriverFixture waiting(false);
+    waiting.table.table.write({ { claimRowKey("", "", "", "key"), encodeClaim(foreign), std::nullopt } });
+    waiting.start();
+    waiting.advance(seconds(21));
+    CHECK(waiting.outcomes.at(0).code == ResultCode::DeadlinePassed);
+    CHECK(waiting.outcomes.at(0).executed == Executed::Unknown);
+}
+
 // Guards against a flood of sends during an outage.
 TEST_CASE("retries end when the budget is spent, and saved retries are bounded")
 {
