MapSwitch: Add the controller, the agent and the state test

A group must use one expert map in every step. The controller arms an epoch on all engines; the votes stay in the engines and unanimity decides without the table. Recovery epochs bring restarted engines back.

--- /dev/null
+++ b/Source/MapSwitch/MapAgent.cpp
@@ -0,0 +1,233 @@
+#include "MapSwitch/MapAgent.h"
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::size_t maxTasks = 64;
+
+Vote voteOf(const MapEngineState& state, const VoteQuestionMessage& question)
+{
+    if (state.mapVersion == noMap)
+        return Vote::None;
+    if (state.armed)
+        return *state.armed == question.epoch ? Vote::Armed : Vote::None;
+    if (state.settled < question.epoch)
+        return Vote::None;
+    if (state.mapVersion == question.version)
+        return Vote::Switched;
+    return state.mapVersion < question.version ? Vote::Refused : Vote::None;
+}
+
+}
+
+MapAgent::MapAgent(const MapAgentSettings& settings, const Clock& clock, Table& table, MapEngine& engine, const MapAgentHooks& hooks)
+    : settings_(settings)
+    , clock_(clock)
+    , table_(table)
+    , engine_(engine)
+    , hooks_(hooks)
+{
+}
+
+void MapAgent::tick()
+{
+    if (!highest_)
+        readEpoch();
+    if (!tasks_.empty())
+        return;
+    enqueue([this] {
+        engine_.state([this, alive = std::weak_ptr<bool>(alive_)](ResultCode code, const MapEngineState& state) {
+            if (alive.expired())
+                return;
+            if (code == ResultCode::Ok)
+                observe(state);
+            finishTask();
+        });
+    });
+}
+
+void MapAgent::receive(const MapOrderMessage& order)
+{
+    enqueue([this, order] { execute(order); });
+}
+
+void MapAgent::receive(const VoteQuestionMessage& question)
+{
+    enqueue([this, question] {
+        refuse(question.epoch, [this, question](ResultCode code, const MapEngineState& state) {
+            if (code == ResultCode::Ok)
+                hooks_.sendAnswer(question.agent, { settings_.group, settings_.name, question.epoch, voteOf(state, question) });
+            finishTask();
+        });
+    });
+}
+
+void MapAgent::receive(const VoteAnswerMessage& answer)
+{
+    if (!blockedEpoch_ || *blockedEpoch_ != answer.epoch || answer.vote == Vote::None)
+        return;
+    votes_[answer.agent] = answer.vote;
+    decide();
+}
+
+void MapAgent::enqueue(const std::function<void()>& task)
+{
+    // The senders repeat what they need, so work for an engine that hangs may be dropped.
+    if (tasks_.size() >= maxTasks)
+        return;
+    tasks_.push_back(task);
+    if (isBusy_)
+        return;
+    isBusy_ = true;
+    std::function<void()> first = tasks_.front();
+    first();
+}
+
+void MapAgent::finishTask()
+{
+    tasks_.pop_front();
+    isBusy_ = !tasks_.empty();
+    if (!isBusy_)
+        return;
+    std::function<void()> next = tasks_.front();
+    next();
+}
+
+void MapAgent::readEpoch()
+{
+    if (isReading_)
+        return;
+    isReading_ = true;
+    table_.read({ groupRowKey(settings_.group) }, [this, alive = std::weak_ptr<bool>(alive_)](const TableReadResult& result) {
+        if (alive.expired())
+            return;
+        isReading_ = false;
+        if (result.status != ResultCode::Ok)
+            return;
+        highest_ = result.rows.empty() ? Epoch() : decodeGroupRow(result.rows.front().value).lastEpoch;
+    });
+}
+
+void MapAgent::execute(const MapOrderMessage& order)
+{
+    // An engine that ignores fencing tokens has only this check. Without the epoch from the table,
+    // a restarted agent would carry out orders that were overtaken while it was down.
+    if (!highest_) {
+        reply(order, ResultCode::FencingTokenUnknown);
+        return;
+    }
+    if (order.epoch < *highest_) {
+        reply(order, ResultCode::FencingTokenStale);
+        return;
+    }
+    highest_ = order.epoch;
+    forward(order);
+}
+
+void MapAgent::forward(const MapOrderMessage& order)
+{
+    std::function<void(ResultCode)> done = [this, order, alive = std::weak_ptr<bool>(alive_)](ResultCode code) {
+        if (!alive.expired())
+            reply(order, code);
+    };
+    switch (order.kind) {
+    case MapOrderKind::Query:
+        done(ResultCode::Ok);
+        return;
+    case MapOrderKind::Prepare:
+        engine_.prepare(order.epoch, order.version, order.payload, done);
+        return;
+    case MapOrderKind::Arm:
+        engine_.arm(order.epoch, order.step, order.version, done);
+        return;
+    case MapOrderKind::Release:
+        engine_.release(order.epoch, order.version, done);
+        return;
+    case MapOrderKind::Refuse:
+        refuse(order.epoch, [done](ResultCode code, const MapEngineState&) { done(code); });
+        return;
+    }
+}
+
+// Reads the state. If the engine has neither armed nor settled the epoch, it refuses it and the state
+// is read again, so that an answer never says more than the engine remembers.
+void MapAgent::refuse(const Epoch& epoch, const std::function<void(ResultCode, const MapEngineState&)>& done)
+{
+    std::weak_ptr<bool> alive = alive_;
+    engine_.state([this, epoch, done, alive](ResultCode code, const MapEngineState& state) {
+        if (alive.expired())
+            return;
+        if (code != ResultCode::Ok || state.mapVersion == noMap || state.armed || !(state.settled < epoch)) {
+            done(code, state);
+            return;
+        }
+        engine_.refuse(epoch, [this, done, alive](ResultCode) {
+            if (alive.expired())
+                return;
+            engine_.state([done, alive](ResultCode code, const MapEngineState& state) {
+                if (!alive.expired())
+                    done(code, state);
+            });
+        });
+    });
+}
+
+void MapAgent::reply(const MapOrderMessage& order, ResultCode code)
+{
+    engine_.state([this, order, code, alive = std::weak_ptr<bool>(alive_)](ResultCode stateCode, const MapEngineState& state) {
+        if (alive.expired())
+            return;
+        if (stateCode == ResultCode::Ok)
+            hooks_.sendResult(order.controller, { settings_.group, settings_.name, order.epoch, order.kind, code, state });
+        finishTask();
+    });
+}
+
+void MapAgent::observe(const MapEngineState& state)
+{
+    // A recovery has no target version. Its outcome is the choice of the controller and not of the votes.
+    if (!state.armed || !state.isBlocked || state.armedVersion == noMap) {
+        blockedEpoch_.reset();
+        return;
+    }
+    currentVersion_ = state.mapVersion;
+    if (!blockedEpoch_ || *blockedEpoch_ != *state.armed) {
+        blockedEpoch_ = state.armed;
+        blockedVersion_ = state.armedVersion;
+        blockedSince_ = clock_.now();
+        votes_.clear();
+        votes_[settings_.name] = Vote::Armed;
+    }
+    if (clock_.now() - blockedSince_ < voteTimeout)
+        return;
+    for (const std::string& member : settings_.members) {
+        if (votes_.count(member) == 0)
+            hooks_.sendQuestion(member, { settings_.group, settings_.name, *blockedEpoch_, blockedVersion_ });
+    }
+    decide();
+}
+
+void MapAgent::decide()
+{
+    bool isRefused = false;
+    bool isSwitched = false;
+    for (const std::pair<const std::string, Vote>& vote : votes_) {
+        isRefused = isRefused || vote.second == Vote::Refused;
+        isSwitched = isSwitched || vote.second == Vote::Switched;
+    }
+    bool areAllArmed = votes_.size() == settings_.members.size() && !isRefused;
+    if (!isRefused && !isSwitched && !areAllArmed)
+        return;
+    Epoch epoch = *blockedEpoch_;
+    MapVersion version = isRefused ? currentVersion_ : blockedVersion_;
+    // The engine refuses this if a recovery has replaced the epoch in the meantime.
+    enqueue([this, epoch, version] {
+        engine_.release(epoch, version, [this, alive = std::weak_ptr<bool>(alive_)](ResultCode) {
+            if (!alive.expired())
+                finishTask();
+        });
+    });
+}
+
+}
--- /dev/null
+++ b/Source/MapSwitch/MapController.cpp
@@ -0,0 +1,442 @@
+#include "MapSwitch/MapController.h"
+
+#include <algorithm>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::uint64_t maxMarginFactor = 64;
+
+}
+
+MapController::MapController(const MapControllerSettings& settings, const Clock& clock, Table& table, Random& random,
+    std::function<void(const std::string& agent, const MapOrderMessage&)> sendOrder)
+    : settings_(settings)
+    , clock_(clock)
+    , table_(table)
+    , random_(random)
+    , sendOrder_(std::move(sendOrder))
+    , nextRead_(clock.now())
+    , stepMargin_(settings.stepMargin)
+{
+}
+
+void MapController::request(const std::string& map)
+{
+    requested_ = map;
+}
+
+bool MapController::holdsLease() const
+{
+    return token_ != 0 && clock_.now() < leaseUntil_;
+}
+
+bool MapController::isIdle() const
+{
+    return phase_ == Phase::Observing && row_.target == noMap && !requested_;
+}
+
+void MapController::tick()
+{
+    if (token_ != 0 && !holdsLease())
+        loseLease();
+    if (token_ == 0) {
+        if (!isTableBusy_ && clock_.now() >= nextRead_)
+            readRow();
+        return;
+    }
+    if (!isTableBusy_ && clock_.now() >= renewAt_) {
+        GroupRow row = row_;
+        ++row.renewals;
+        writeRow(row, {}, nullptr);
+    }
+    if (clock_.now() < nextOrder_)
+        return;
+    nextOrder_ = clock_.now() + settings_.orderInterval;
+    runPhase();
+}
+
+void MapController::receive(const MapOrderResultMessage& result)
+{
+    if (token_ == 0 || result.epoch != row_.lastEpoch || result.code == ResultCode::FencingTokenUnknown || result.code == ResultCode::FencingTokenStale)
+        return;
+    states_[result.agent] = result.state;
+}
+
+// The table has no clock. A lease has expired when its row has not changed for the
+// whole duration, as measured by the one who wants it.
+void MapController::readRow()
+{
+    isTableBusy_ = true;
+    nextRead_ = clock_.now() + settings_.leaseDuration / 5;
+    table_.read({ groupRowKey(settings_.group) }, [this, alive = std::weak_ptr<bool>(alive_)](const TableReadResult& result) {
+        if (alive.expired())
+            return;
+        isTableBusy_ = false;
+        rowRead(result);
+    });
+}
+
+void MapController::rowRead(const TableReadResult& result)
+{
+    if (result.status != ResultCode::Ok)
+        return;
+    TableRow row = result.rows.empty() ? TableRow() : result.rows.front();
+    bool isChanged = !hasRead_ || row.version != rowVersion_;
+    adoptRow(row);
+    if (isChanged)
+        rowSince_ = clock_.now();
+    if (row.version == absentVersion || clock_.now() - rowSince_ > settings_.leaseDuration)
+        tryAcquire();
+}
+
+void MapController::adoptRow(const TableRow& row)
+{
+    hasRead_ = true;
+    rowVersion_ = row.version;
+    row_ = row.version == absentVersion ? GroupRow() : decodeGroupRow(row.value);
+}
+
+void MapController::tryAcquire()
+{
+    GroupRow row = row_;
+    row.holder = settings_.name;
+    row.lastEpoch = { row_.lastEpoch.token + 1, 0 };
+    std::uint64_t token = row.lastEpoch.token;
+    writeRow(row, {}, [this, token] {
+        token_ = token;
+        ++counters_.leases;
+        enter(Phase::Observing);
+    });
+}
+
+// Writes the row on the condition that it hasn't changed since it was read, then reads it
+// to get its new version and to see whether a write without acknowledgement was applied.
+void MapController::writeRow(const GroupRow& row, const std::vector<TableWrite>& others, const std::function<void()>& applied)
+{
+    GroupRow next = row;
+    next.writeId = random_.identifier();
+    pendingWriteId_ = next.writeId;
+    pendingWriteStart_ = clock_.now();
+    pendingApplied_ = applied;
+    renewAt_ = clock_.now() + settings_.leaseDuration / 4;
+    isTableBusy_ = true;
+    std::vector<TableWrite> writes = others;
+    writes.push_back({ groupRowKey(settings_.group), encodeGroupRow(next), rowVersion_ });
+    std::weak_ptr<bool> alive = alive_;
+    table_.write(writes, [this, alive](const TableWriteResult&) {
+        if (alive.expired())
+            return;
+        table_.read({ groupRowKey(settings_.group) }, [this, alive](const TableReadResult& result) {
+            if (alive.expired())
+                return;
+            isTableBusy_ = false;
+            if (result.status != ResultCode::Ok || result.rows.empty())
+                return;
+            bool isChanged = result.rows.front().version != rowVersion_;
+            adoptRow(result.rows.front());
+            if (isChanged)
+                rowSince_ = clock_.now();
+            if (token_ != 0 && row_.lastEpoch.token != token_) {
+                loseLease();
+                return;
+            }
+            if (row_.writeId != pendingWriteId_)
+                return;
+            // Counted from before the write, because others count from after it.
+            leaseUntil_ = pendingWriteStart_ + settings_.leaseDuration;
+            if (pendingApplied_)
+                pendingApplied_();
+        });
+    });
+}
+
+void MapController::loseLease()
+{
+    token_ = 0;
+    enter(Phase::Observing);
+}
+
+void MapController::enter(Phase phase)
+{
+    phase_ = phase;
+    phaseSince_ = clock_.now();
+    nextOrder_ = clock_.now();
+    unhealthySince_.reset();
+    states_.clear();
+}
+
+bool MapController::hasTimedOut(std::chrono::milliseconds limit) const
+{
+    return clock_.now() - phaseSince_ > limit;
+}
+
+bool MapController::all(const StateCheck& check) const
+{
+    return std::all_of(settings_.members.begin(), settings_.members.end(), [this, &check](const std::string& member) {
+        std::map<std::string, MapEngineState>::const_iterator found = states_.find(member);
+        return found != states_.end() && check(found->second);
+    });
+}
+
+bool MapController::any(const StateCheck& check) const
+{
+    return std::any_of(states_.begin(), states_.end(), [&check](const std::pair<const std::string, MapEngineState>& entry) { return check(entry.second); });
+}
+
+void MapController::order(MapOrderKind kind, std::uint64_t step, MapVersion version, const StateCheck& isDone)
+{
+    for (const std::string& member : settings_.members) {
+        std::map<std::string, MapEngineState>::const_iterator found = states_.find(member);
+        if (found != states_.end() && isDone(found->second))
+            continue;
+        MapOrderMessage message;
+        message.group = settings_.group;
+        message.controller = settings_.name;
+        message.epoch = row_.lastEpoch;
+        message.kind = kind;
+        message.step = step;
+        message.version = version;
+        if (kind == MapOrderKind::Prepare)
+            message.payload = payload_;
+        sendOrder_(member, message);
+    }
+}
+
+void MapController::runPhase()
+{
+    switch (phase_) {
+    case Phase::Observing:
+        observe();
+        return;
+    case Phase::Preparing:
+        prepare();
+        return;
+    case Phase::Arming:
+        arm();
+        return;
+    case Phase::Releasing:
+    case Phase::RecoveryReleasing:
+        release();
+        return;
+    case Phase::RecoveryArming:
+        armRecovery();
+        return;
+    case Phase::RecoveryReading:
+        readRecoveryMap();
+        return;
+    case Phase::RecoveryPreparing:
+        prepareRecovery();
+        return;
+    }
+}
+
+void MapController::observe()
+{
+    bool isComplete = all([](const MapEngineState&) { return true; });
+    bool isRestarted = any([](const MapEngineState& state) { return state.mapVersion == noMap; });
+    MapVersion version = isComplete ? states_.begin()->second.mapVersion : noMap;
+    bool isHealthy = isComplete && !isRestarted
+        && all([version](const MapEngineState& state) { return !state.armed && state.mapVersion == version; });
+    if (isHealthy) {
+        unhealthySince_.reset();
+        recordOutcome(version);
+    } else if (isComplete) {
+        if (!unhealthySince_)
+            unhealthySince_ = clock_.now();
+        // Agents that are blocked find the outcome by votes. Only a restarted engine needs the controller at once.
+        if (!isTableBusy_ && (isRestarted || clock_.now() - *unhealthySince_ > settings_.voteTimeout))
+            startRecovery();
+    }
+    if (phase_ != Phase::Observing)
+        return;
+    // What decides here never changes back, so the states need not be of the same moment.
+    if (isComplete)
+        states_.clear();
+    order(MapOrderKind::Query, 0, noMap, [](const MapEngineState&) { return true; });
+}
+
+void MapController::recordOutcome(MapVersion version)
+{
+    if (isTableBusy_)
+        return;
+    if (row_.target == noMap && row_.inForce == version) {
+        if (requested_)
+            startChange();
+        return;
+    }
+    // Before an abort is recorded, no engine may still arm the epoch.
+    Epoch epoch = row_.lastEpoch;
+    if (version != row_.target && !all([epoch](const MapEngineState& state) { return !(state.settled < epoch); })) {
+        order(MapOrderKind::Refuse, 0, noMap, [](const MapEngineState&) { return false; });
+        return;
+    }
+    GroupRow row = row_;
+    bool isSwitch = version == row.target;
+    bool isAbort = row.target != noMap && !isSwitch;
+    std::vector<TableWrite> others;
+    for (MapVersion old : { row.inForce, row.target }) {
+        if (old != noMap && old != version)
+            others.push_back({ groupMapKey(settings_.group, old), std::nullopt, std::nullopt });
+    }
+    row.inForce = version;
+    row.target = noMap;
+    writeRow(row, others, [this, isSwitch, isAbort] {
+        counters_.switches += isSwitch ? 1 : 0;
+        counters_.aborts += isAbort ? 1 : 0;
+    });
+}
+
+void MapController::startChange()
+{
+    GroupRow row = row_;
+    ++row.lastEpoch.sequence;
+    row.target = ++row.lastVersion;
+    std::string map = *requested_;
+    writeRow(row, { { groupMapKey(settings_.group, row.target), map, std::nullopt } }, [this, map] {
+        requested_.reset();
+        payload_ = map;
+        version_ = row_.target;
+        enter(Phase::Preparing);
+    });
+}
+
+void MapController::prepare()
+{
+    MapVersion version = version_;
+    if (any([](const MapEngineState& state) { return state.mapVersion == noMap; }) || hasTimedOut(settings_.prepareTimeout)) {
+        enter(Phase::Observing);
+        return;
+    }
+    StateCheck isPrepared = [version](const MapEngineState& state) { return state.preparedVersion == version; };
+    if (!all(isPrepared)) {
+        order(MapOrderKind::Prepare, 0, version, isPrepared);
+        return;
+    }
+    std::uint64_t last = 0;
+    for (const std::pair<const std::string, MapEngineState>& entry : states_)
+        last = std::max(last, entry.second.step);
+    step_ = last + stepMargin_;
+    enter(Phase::Arming);
+}
+
+void MapController::arm()
+{
+    MapVersion version = version_;
+    Epoch epoch = row_.lastEpoch;
+    StateCheck hasVoted = [epoch, version](const MapEngineState& state) {
+        return (state.armed && *state.armed == epoch) || state.mapVersion == version;
+    };
+    if (all(hasVoted)) {
+        stepMargin_ = std::max(settings_.stepMargin, stepMargin_ / 2);
+        enter(Phase::Releasing);
+        return;
+    }
+    // A refusal or a restarted engine ends the change; the agents and observe() settle it.
+    bool isOver = any([epoch, version](const MapEngineState& state) {
+        return state.mapVersion == noMap || (!state.armed && !(state.settled < epoch) && state.mapVersion != version);
+    });
+    if (isOver || hasTimedOut(settings_.voteTimeout)) {
+        // The step may have come before the order did.
+        stepMargin_ = std::min(settings_.stepMargin * maxMarginFactor, stepMargin_ * 2);
+        enter(Phase::Observing);
+        return;
+    }
+    order(MapOrderKind::Arm, step_, version, hasVoted);
+}
+
+void MapController::release()
+{
+    MapVersion version = version_;
+    StateCheck isReleased = [version](const MapEngineState& state) { return !state.armed && state.mapVersion == version; };
+    if (all(isReleased) || hasTimedOut(settings_.voteTimeout)) {
+        enter(Phase::Observing);
+        return;
+    }
+    order(MapOrderKind::Release, 0, version, isReleased);
+}
+
+// A recovery replaces every older epoch. It chooses the map only after all engines have promised not
+// to take part in an older one, so the choice can't contradict an outcome that an agent has found.
+void MapController::startRecovery()
+{
+    GroupRow row = row_;
+    ++row.lastEpoch.sequence;
+    std::vector<TableWrite> others;
+    if (row.lastVersion == noMap) {
+        // The first map of a new group needs no votes.
+        if (!requested_)
+            return;
+        row.lastVersion = 1;
+        row.inForce = 1;
+        others.push_back({ groupMapKey(settings_.group, row.inForce), *requested_, std::nullopt });
+    }
+    bool isFirst = !others.empty();
+    writeRow(row, others, [this, isFirst] {
+        if (isFirst)
+            requested_.reset();
+        ++counters_.recoveries;
+        enter(Phase::RecoveryArming);
+    });
+}
+
+void MapController::armRecovery()
+{
+    Epoch epoch = row_.lastEpoch;
+    StateCheck hasArmed = [epoch](const MapEngineState& state) { return state.armed && *state.armed == epoch; };
+    if (all(hasArmed)) {
+        version_ = noMap;
+        for (const std::pair<const std::string, MapEngineState>& entry : states_)
+            version_ = std::max(version_, entry.second.mapVersion);
+        // If all engines were restarted, an undecided target may have been in use.
+        if (version_ == noMap)
+            version_ = row_.target != noMap ? row_.target : row_.inForce;
+        MapVersion version = version_;
+        // Without an engine that needs the weights, the table isn't needed to end the recovery.
+        bool hasMap = all([version](const MapEngineState& state) { return state.mapVersion == version; });
+        enter(hasMap ? Phase::RecoveryReleasing : Phase::RecoveryReading);
+        return;
+    }
+    if (hasTimedOut(settings_.voteTimeout)) {
+        enter(Phase::Observing);
+        return;
+    }
+    order(MapOrderKind::Arm, 0, noMap, hasArmed);
+}
+
+void MapController::readRecoveryMap()
+{
+    if (isTableBusy_)
+        return;
+    isTableBusy_ = true;
+    Epoch epoch = row_.lastEpoch;
+    table_.read({ groupMapKey(settings_.group, version_) }, [this, epoch, alive = std::weak_ptr<bool>(alive_)](const TableReadResult& result) {
+        if (alive.expired())
+            return;
+        isTableBusy_ = false;
+        if (result.status != ResultCode::Ok || result.rows.empty() || phase_ != Phase::RecoveryReading || epoch != row_.lastEpoch)
+            return;
+        payload_ = result.rows.front().value;
+        enter(Phase::RecoveryPreparing);
+    });
+}
+
+void MapController::prepareRecovery()
+{
+    MapVersion version = version_;
+    if (hasTimedOut(settings_.prepareTimeout)) {
+        enter(Phase::Observing);
+        return;
+    }
+    StateCheck isPrepared = [version](const MapEngineState& state) {
+        return state.armed && (state.mapVersion == version || state.preparedVersion == version);
+    };
+    if (all(isPrepared)) {
+        enter(Phase::RecoveryReleasing);
+        return;
+    }
+    order(MapOrderKind::Prepare, 0, version, isPrepared);
+}
+
+}
--- /dev/null
+++ b/Tests/MapSwitch/FakeEngine.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "MapSwitch/MapEngine.h"
+
+#include <chrono>
+
+namespace Damaskgrade {
+
+// The engine's side of the map switch, without delays or faults.
+class FakeEngine {
+public:
+    explicit FakeEngine(bool checksToken)
+        : checksToken_(checksToken)
+    {
+    }
+
+    void restart();
+    ResultCode prepare(const Epoch& epoch, MapVersion version);
+    void finishLoading() { state_.preparedVersion = loading_; }
+    ResultCode arm(const Epoch& epoch, std::uint64_t step, MapVersion version);
+    ResultCode release(const Epoch& epoch, MapVersion version);
+    ResultCode refuse(const Epoch& epoch);
+    MapEngineState state() const;
+
+    bool isReadyFor(std::uint64_t step) const;
+    // Returns the version that the ranks use in this step.
+    MapVersion execute(std::uint64_t step);
+    MapVersion loading() const { return loading_; }
+
+private:
+    bool isStale(const Epoch& epoch);
+
+    bool checksToken_;
+    std::uint64_t highestToken_ { 0 };
+    MapEngineState state_;
+    MapVersion loading_ { noMap };
+    std::uint64_t armedStep_ { 0 };
+    // The version that the ranks use until the step of a released switch.
+    MapVersion usedVersion_ { noMap };
+    std::uint64_t switchStep_ { 0 };
+};
+
+}
--- /dev/null
+++ b/Tests/MapSwitch/MapSwitchTest.cpp
@@ -0,0 +1,281 @@
+#include "Core/Error.h"
+#include "Core/ManualClock.h"
+#include "MapSwitch/FakeEngine.h"
+#include "MapSwitch/MapAgent.h"
+#include "MapSwitch/MapController.h"
+#include "Platform/MemoryTable.h"
+
+#include <doctest/doctest.h>
+
+namespace Damaskgrade {
+
+namespace {
+
+// A table that answers at once, or not at all while it is down.
+class ImmediateTable : public Table {
+public:
+    void read(const std::vector<std::string>& keys, std::function<void(const TableReadResult&)> done) override { done(isDown ? TableReadResult() : rows.read(keys)); }
+    void scan(const std::string& prefix, std::function<void(const TableReadResult&)> done) override { done(isDown ? TableReadResult() : rows.scan(prefix)); }
+    void write(const std::vector<TableWrite>& writes, std::function<void(const TableWriteResult&)> done) override { done(isDown ? TableWriteResult() : rows.write(writes)); }
+
+    void writeEpoch(const Epoch& epoch)
+    {
+        GroupRow row;
+        row.lastEpoch = epoch;
+        rows.write({ { groupRowKey("g"), encodeGroupRow(row), std::nullopt } });
+    }
+
+    MemoryTable rows;
+    bool isDown { false };
+};
+
+// An engine that ignores fencing tokens and answers at once. A refusal can be held back.
+class ImmediateEngine : public MapEngine {
+public:
+    void prepare(const Epoch& epoch, MapVersion version, const std::string&, std::function<void(ResultCode)> done) override
+    {
+        ++orders;
+        ResultCode code = engine.prepare(epoch, version);
+        engine.finishLoading();
+        done(code);
+    }
+
+    void arm(const Epoch& epoch, std::uint64_t step, MapVersion version, std::function<void(ResultCode)> done) override
+    {
+        ++orders;
+        done(engine.arm(epoch, step, version));
+    }
+
+    void release(const Epoch& epoch, MapVersion version, std::function<void(ResultCode)> done) override
+    {
+        ++orders;
+        done(engine.release(epoch, version));
+    }
+
+    void refuse(const Epoch& epoch, std::function<void(ResultCode)> done) override
+    {
+        if (!holdsRefusal) {
+            done(engine.refuse(epoch));
+            return;
+        }
+        heldRefusal = [this, epoch] { engine.refuse(epoch); };
+        done(ResultCode::ConnectionFailed);
+    }
+
+    void state(std::function<void(ResultCode, const MapEngineState&)> done) override { done(ResultCode::Ok, engine.state()); }
+
+    FakeEngine engine { false };
+    int orders { 0 };
+    bool holdsRefusal { false };
+    std::function<void()> heldRefusal;
+};
+
+struct AgentFixture {
+    MapAgent makeAgent()
+    {
+        MapAgentHooks hooks;
+        hooks.sendResult = [this](const std::string&, const MapOrderResultMessage& message) { results.push_back(message); };
+        hooks.sendQuestion = [this](const std::string& agent, const VoteQuestionMessage&) { asked.push_back(agent); };
+        hooks.sendAnswer = [this](const std::string&, const VoteAnswerMessage& message) { answers.push_back(message); };
+        return MapAgent({ "a", "g", { "a", "b", "c" } }, clock, table, engine, hooks);
+    }
+
+    void order(MapAgent& agent, const Epoch& epoch, MapOrderKind kind, MapVersion version = noMap, std::uint64_t step = 0)
+    {
+        MapOrderMessage message;
+        message.group = "g";
+        message.controller = "entry";
+        message.epoch = epoch;
+        message.kind = kind;
+        message.version = version;
+        message.step = step;
+        agent.receive(message);
+    }
+
+    // Brings the engine to map 1.
+    void join(MapAgent& agent)
+    {
+        agent.tick();
+        order(agent, { 1, 1 }, MapOrderKind::Arm);
+        order(agent, { 1, 1 }, MapOrderKind::Prepare, 1);
+        order(agent, { 1, 1 }, MapOrderKind::Release, 1);
+        REQUIRE(engine.engine.state().mapVersion == 1);
+    }
+
+    // Arms epoch 1.2 with map 2 before step 10 and blocks there.
+    void block(MapAgent& agent)
+    {
+        order(agent, { 1, 2 }, MapOrderKind::Prepare, 2);
+        order(agent, { 1, 2 }, MapOrderKind::Arm, 2, 10);
+        engine.engine.execute(9);
+        agent.tick();
+        clock.advance(voteTimeout);
+        agent.tick();
+        REQUIRE(engine.engine.state().isBlocked);
+    }
+
+    ManualClock clock;
+    ImmediateTable table;
+    ImmediateEngine engine;
+    std::vector<MapOrderResultMessage> results;
+    std::vector<std::string> asked;
+    std::vector<VoteAnswerMessage> answers;
+};
+
+}
+
+// Guards against a controller with an expired lease that gives orders to an engine which ignores tokens.
+TEST_CASE_FIXTURE(AgentFixture, "an agent refuses an order with a stale token")
+{
+    MapAgent agent = makeAgent();
+    agent.tick();
+    order(agent, { 2, 0 }, MapOrderKind::Query);
+    order(agent, { 1, 9 }, MapOrderKind::Prepare, 5);
+    CHECK(results.back().code == ResultCode::FencingTokenStale);
+    CHECK(engine.orders == 0);
+}
+
+// Guards against a restarted agent that carries out an order which was overtaken while it was down.
+TEST_CASE_FIXTURE(AgentFixture, "a restarted agent forwards nothing until it has read the token")
+{
+    table.writeEpoch({ 4, 0 });
+    table.isDown = true;
+    MapAgent agent = makeAgent();
+    agent.tick();
+    order(agent, { 3, 1 }, MapOrderKind::Prepare, 5);
+    CHECK(results.back().code == ResultCode::FencingTokenUnknown);
+    table.isDown = false;
+    agent.tick();
+    order(agent, { 3, 1 }, MapOrderKind::Prepare, 5);
+    CHECK(results.back().code == ResultCode::FencingTokenStale);
+    CHECK(engine.orders == 0);
+    order(agent, { 4, 1 }, MapOrderKind::Prepare, 5);
+    CHECK(engine.orders == 1);
+}
+
+// Found by the state test (seed=1, case 397, step 1630 with the maps 3 and 2). The agent used release
+// to refuse; carried out late, it ended a vote of armed that others had counted.
+TEST_CASE_FIXTURE(AgentFixture, "a refusal that is carried out late does not withdraw a vote")
+{
+    MapAgent agent = makeAgent();
+    join(agent);
+    engine.holdsRefusal = true;
+    agent.receive(VoteQuestionMessage { "g", "b", { 1, 2 }, 2 });
+    CHECK(answers.back().vote == Vote::None);
+    order(agent, { 1, 2 }, MapOrderKind::Prepare, 2);
+    order(agent, { 1, 2 }, MapOrderKind::Arm, 2, 10);
+    agent.receive(VoteQuestionMessage { "g", "b", { 1, 2 }, 2 });
+    REQUIRE(answers.back().vote == Vote::Armed);
+    engine.heldRefusal();
+    agent.receive(VoteQuestionMessage { "g", "b", { 1, 2 }, 2 });
+    CHECK(answers.back().vote == Vote::Armed);
+}
+
+// Guards against an agent that arms after others have counted its refusal, even after a restart.
+TEST_CASE_FIXTURE(AgentFixture, "a refusal outlives the agent")
+{
+    {
+        MapAgent agent = makeAgent();
+        join(agent);
+        agent.receive(VoteQuestionMessage { "g", "b", { 1, 2 }, 2 });
+        REQUIRE(answers.back().vote == Vote::Refused);
+    }
+    MapAgent agent = makeAgent();
+    agent.tick();
+    order(agent, { 1, 2 }, MapOrderKind::Prepare, 2);
+    order(agent, { 1, 2 }, MapOrderKind::Arm, 2, 10);
+    CHECK(results.back().code == ResultCode::MapRefused);
+    CHECK(!results.back().state.armed);
+}
+
+// Guards against a blocked rank that goes on before it knows all votes.
+TEST_CASE_FIXTURE(AgentFixture, "a blocked engine is released by all votes and by no fewer")
+{
+    MapAgent agent = makeAgent();
+    join(agent);
+    block(agent);
+    CHECK(asked == std::vector<std::string> { "b", "c" });
+    agent.receive(VoteAnswerMessage { "g", "b", { 1, 2 }, Vote::Armed });
+    agent.receive(VoteAnswerMessage { "g", "b", { 1, 2 }, Vote::Armed });
+    CHECK(engine.engine.state().armed);
+    agent.receive(VoteAnswerMessage { "g", "c", { 1, 2 }, Vote::Armed });
+    CHECK(!engine.engine.state().armed);
+    CHECK(engine.engine.state().mapVersion == 2);
+}
+
+// Guards against a group that waits for more votes after one refusal.
+TEST_CASE_FIXTURE(AgentFixture, "one refusal releases a blocked engine with the old map")
+{
+    MapAgent agent = makeAgent();
+    join(agent);
+    block(agent);
+    agent.receive(VoteAnswerMessage { "g", "c", { 1, 2 }, Vote::Refused });
+    CHECK(!engine.engine.state().armed);
+    CHECK(engine.engine.state().mapVersion == 1);
+}
+
+// Guards against a delayed arm and release of an older epoch that give a restarted engine an old map.
+TEST_CASE_FIXTURE(AgentFixture, "a restarted engine takes no orders of an older epoch")
+{
+    MapAgent agent = makeAgent();
+    join(agent);
+    order(agent, { 1, 2 }, MapOrderKind::Query);
+    engine.engine.restart();
+    order(agent, { 1, 1 }, MapOrderKind::Arm);
+    CHECK(results.back().code == ResultCode::FencingTokenStale);
+    CHECK(!engine.engine.state().armed);
+}
+
+// Guards against two holders of a lease, and against a holder that acts after its lease has expired.
+TEST_CASE("only the holder of an unexpired lease sends orders")
+{
+    ManualClock clock;
+    ImmediateTable table;
+    Random random(1);
+    int firstOrders = 0;
+    int secondOrders = 0;
+    MapControllerSettings settings;
+    settings.group = "g";
+    settings.members = { "a" };
+    settings.name = "first";
+    MapController first(settings, clock, table, random, [&firstOrders](const std::string&, const MapOrderMessage&) { ++firstOrders; });
+    settings.name = "second";
+    MapController second(settings, clock, table, random, [&secondOrders](const std::string&, const MapOrderMessage&) { ++secondOrders; });
+    for (int tick = 0; tick < 100; ++tick) {
+        first.tick();
+        second.tick();
+        clock.advance(std::chrono::milliseconds(100));
+    }
+    CHECK(first.holdsLease());
+    CHECK(!second.holdsLease());
+    CHECK(secondOrders == 0);
+
+    // The first one is paused for longer than its lease; the table is down when it resumes.
+    for (int tick = 0; tick < 120; ++tick) {
+        second.tick();
+        clock.advance(std::chrono::milliseconds(100));
+    }
+    CHECK(second.holdsLease());
+    table.isDown = true;
+    int before = firstOrders;
+    first.tick();
+    first.tick();
+    CHECK(firstOrders == before);
+    CHECK(!first.holdsLease());
+}
+
+TEST_CASE("map messages keep their fields")
+{
+    MapOrderMessage order;
+    order.epoch = { 3, 4 };
+    order.kind = MapOrderKind::Refuse;
+    order.payload = "map";
+    MapOrderMessage decoded = decodeMapOrder(encodeMessage(order, 0).body);
+    CHECK(decoded.epoch == order.epoch);
+    CHECK(decoded.kind == order.kind);
+    CHECK(decoded.payload == order.payload);
+    Bytes wrong { 1 };
+    CHECK_THROWS_AS(decodeVoteAnswer(wrong), Error);
+}
+
+}
--- /dev/null
+++ b/Tests/MapSwitch/World.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "Core/ManualClock.h"
+#include "Core/Random.h"
+#include "MapSwitch/FakeEngine.h"
+#include "MapSwitch/MapAgent.h"
+#include "MapSwitch/MapController.h"
+#include "Platform/MemoryTable.h"
+
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace Damaskgrade {
+
+// Faults and other events of a test. The two numbers of an action select the target and the extent.
+enum class ActionKind {
+    Wait,
+    RequestMap,
+    KillAgent,
+    StartAgent,
+    KillEngine,
+    StartEngine,
+    KillEngineAndAgent,
+    StallRank,
+    PauseController,
+    ResumeController,
+    RestartController,
+    TableDown,
+    TableUp,
+    LoseAcknowledgements,
+    LoseMessages,
+    DelayMessages,
+    DuplicateMessages,
+    LoadSlowly,
+    EngineAnswersLate,
+    RestartAll,
+    Heal,
+    TableOutageAlone,
+};
+constexpr int actionKindCount = static_cast<int>(ActionKind::TableOutageAlone) + 1;
+
+struct Action {
+    ActionKind kind { ActionKind::Wait };
+    unsigned first { 0 };
+    unsigned second { 0 };
+};
+
+std::string describe(const Action& action);
+
+struct WorldTotals {
+    std::uint64_t cases { 0 };
+    std::uint64_t steps { 0 };
+    std::uint64_t switches { 0 };
+    std::uint64_t aborts { 0 };
+    std::uint64_t recoveries { 0 };
+    std::uint64_t leases { 0 };
+    std::uint64_t actions { 0 };
+};
+
+// One model group with its agents, two competing controllers, a table and a network, all in
+// memory and on a manual clock. Knows the guarantees and nothing of the protocol: it throws
+// std::runtime_error if one is broken.
+class World : public Table {
+public:
+    explicit World(std::uint64_t seed, std::size_t engineCount = 4);
+    ~World() override;
+
+    void run(const Action& action);
+    void advance(std::chrono::milliseconds duration);
+
+    // Ends all faults and checks that the group steps, that no change is half done, and that a new change succeeds.
+    void healAndCheck();
+    void addTotals(WorldTotals& totals) const;
+
+    std::uint64_t step() const { return step_; }
+    MapVersion usedVersion() const { return usedVersion_; }
+    GroupRow row() const;
+
+private:
+    struct EngineProcess;
+    struct AgentProcess;
+    struct ControllerProcess;
+    class EngineLink;
+    struct Event {
+        TimePoint time;
+        std::uint64_t number;
+        std::function<void()> action;
+        bool operator<(const Event& other) const { return std::tie(other.time, other.number) < std::tie(time, number); }
+    };
+
+    void read(const std::vector<std::string>& keys, std::function<void(const TableReadResult&)> done) override;
+    void scan(const std::string& prefix, std::function<void(const TableReadResult&)> done) override;
+    void write(const std::vector<TableWrite>& writes, std::function<void(const TableWriteResult&)> done) override;
+
+    void later(std::chrono::milliseconds delay, std::function<void()> action);
+    std::chrono::milliseconds shortDelay();
+    bool chance(unsigned percent);
+    // Delivers over the faulty network.
+    void deliver(const std::function<void()>& action);
+    template <typename Message, typename Decode>
+    void sendToAgent(const std::string& name, const Message& message, Decode decode);
+    void sendToController(const std::string& name, const MapOrderResultMessage& message);
+    void startAgent(std::size_t index);
+    void startController(std::size_t index);
+    void killEngine(std::size_t index);
+    void resume(std::size_t index);
+    void healExceptTable();
+    void stepGroup();
+    void checkOutageAlone(std::chrono::milliseconds before);
+    void waitUntilSettled(const char* what);
+    bool isSettled();
+    void requestMap();
+    void countController(const ControllerProcess& controller);
+
+    ManualClock clock_;
+    Random random_;
+    // A small margin lets engines reach the step before all orders arrive.
+    std::uint64_t stepMargin_;
+    MemoryTable rows_;
+    std::priority_queue<Event> events_;
+    std::uint64_t eventNumber_ { 0 };
+    std::vector<std::string> members_;
+    std::vector<std::unique_ptr<EngineProcess>> engines_;
+    std::vector<std::unique_ptr<AgentProcess>> agents_;
+    std::vector<std::unique_ptr<ControllerProcess>> controllers_;
+
+    bool isTableDown_ { false };
+    unsigned lostAcknowledgements_ { 0 };
+    unsigned lossPercent_ { 0 };
+    unsigned delayPercent_ { 0 };
+    unsigned duplicatePercent_ { 0 };
+    unsigned lateEnginePercent_ { 0 };
+    std::chrono::milliseconds loadTime_ { 30 };
+
+    std::uint64_t step_ { 0 };
+    MapVersion usedVersion_ { noMap };
+    TimePoint lastStep_;
+    Duration longestGap_ { 0 };
+    unsigned requests_ { 0 };
+    WorldTotals totals_;
+};
+
+}
