--- /dev/null
+++ b/Source/Placement/PlacementBaselines.cpp
@@ -0,0 +1,69 @@
+#include "Placement/PlacementBaselines.h"
+
+#include "Placement/MapSearch.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::size_t maxChanges = 1000;
+
+}
+
+ExpertMap improveGreedily(const ExpertMap& current, const std::vector<double>& expertLoads, const std::vector<double>& slowness, std::size_t slotsPerRank)
+{
+    MapSearch search(current, expertLoads, slowness, slotsPerRank);
+    for (std::size_t change = 0; change < maxChanges; ++change) {
+        if (search.improve() == 0)
+            break;
+    }
+    return search.map(current.version() + 1);
+}
+
+ExpertMap packFromScratch(std::uint64_t version, std::size_t rankCount, const std::vector<double>& expertLoads, const std::vector<double>& slowness, std::size_t slotsPerRank)
+{
+    std::size_t expertCount = expertLoads.size();
+    std::vector<std::size_t> counts(expertCount, 1);
+    for (std::size_t slot = expertCount; slot < rankCount * slotsPerRank; ++slot) {
+        std::size_t hottest = expertCount;
+        for (std::size_t expert = 0; expert < expertCount; ++expert) {
+            if (counts[expert] < rankCount && (hottest == expertCount || expertLoads[expert] / static_cast<double>(counts[expert]) > expertLoads[hottest] / static_cast<double>(counts[hottest])))
+                hottest = expert;
+        }
+        if (hottest == expertCount)
+            break;
+        ++counts[hottest];
+    }
+    std::vector<ExpertIndex> order(expertCount);
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(), [&expertLoads, &counts](ExpertIndex left, ExpertIndex right) {
+        return expertLoads[left] / static_cast<double>(counts[left]) > expertLoads[right] / static_cast<double>(counts[right]);
+    });
+    std::vector<std::vector<RankIndex>> replicas(expertCount);
+    std::vector<double> times(rankCount, 0);
+    std::vector<std::size_t> used(rankCount, 0);
+    for (ExpertIndex expert : order) {
+        double share = expertLoads[expert] / static_cast<double>(counts[expert]);
+        for (std::size_t copy = 0; copy < counts[expert]; ++copy) {
+            std::size_t best = rankCount;
+            for (std::size_t rank = 0; rank < rankCount; ++rank) {
+                bool isTaken = std::find(replicas[expert].begin(), replicas[expert].end(), rank) != replicas[expert].end();
+                if (used[rank] < slotsPerRank && !isTaken && (best == rankCount || times[rank] + share * slowness[rank] < times[best] + share * slowness[best]))
+                    best = rank;
+            }
+            // The last replicas of a full map may find no rank that lacks them. One replica always fits,
+            // because a rank with a free slot can't hold an expert that has no replica yet.
+            if (best == rankCount)
+                break;
+            replicas[expert].push_back(static_cast<RankIndex>(best));
+            times[best] += share * slowness[best];
+            ++used[best];
+        }
+    }
+    return ExpertMap(version, rankCount, replicas);
+}
+
+}
--- /dev/null
+++ b/Source/Placement/PlacementPolicy.cpp
@@ -0,0 +1,65 @@
+#include "Placement/PlacementPolicy.h"
+
+#include "Placement/MapSearch.h"
+
+#include <algorithm>
+
+namespace Damaskgrade {
+
+namespace {
+
+double secondsOf(std::chrono::duration<double> duration)
+{
+    return duration.count();
+}
+
+}
+
+PlacementPolicy::PlacementPolicy(const PlacementSettings& settings)
+    : settings_(settings)
+{
+}
+
+// Load that swings to and fro would otherwise move the same experts again and again.
+double PlacementPolicy::requiredRatio(TimePoint now) const
+{
+    if (!lastChange_)
+        return 1;
+    double passed = secondsOf(now - *lastChange_) / secondsOf(settings_.cooldown);
+    return std::max(1.0, settings_.cooldownFactor - (settings_.cooldownFactor - 1) * passed);
+}
+
+std::optional<PlacementDecision> PlacementPolicy::decide(TimePoint now, const ExpertMap& current, const ExpertLoadEstimate& estimate)
+{
+    if (!estimate.hasData())
+        return std::nullopt;
+    MapSearch search(current, estimate.forecast(), estimate.slowness(), settings_.slotsPerRank);
+    PlacementDecision best;
+    best.skewBefore = search.skew();
+    double secondsPerExpert = static_cast<double>(settings_.bytesPerExpert) / settings_.weightStoreBytesPerSecond;
+    double ratio = requiredRatio(now);
+    double bestNet = 0;
+    std::size_t loads = 0;
+    for (std::size_t change = 0; change < settings_.maxChanges; ++change) {
+        std::size_t added = search.improve();
+        if (added == 0)
+            break;
+        loads += added;
+        double benefit = settings_.skewWeight * secondsOf(settings_.horizon) * (best.skewBefore - search.skew());
+        double cost = settings_.costWeight * (static_cast<double>(loads) * secondsPerExpert + secondsOf(settings_.switchStall));
+        if (benefit - ratio * cost <= bestNet)
+            continue;
+        bestNet = benefit - ratio * cost;
+        best.map = search.map(current.version() + 1);
+        best.skewAfter = search.skew();
+        best.benefit = benefit;
+        best.cost = cost;
+    }
+    if (bestNet <= 0)
+        return std::nullopt;
+    best.bytes = bytesToLoad(current, best.map, settings_.bytesPerExpert);
+    lastChange_ = now;
+    return best;
+}
+
+}
--- /dev/null
+++ b/Tests/Placement/PlacementTest.cpp
@@ -0,0 +1,171 @@
+#include "Core/Error.h"
+#include "Core/ManualClock.h"
+#include "Core/Random.h"
+#include "Placement/MapSearch.h"
+#include "Placement/PlacementBaselines.h"
+#include "Placement/PlacementPolicy.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <numeric>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::size_t rankCount = 4;
+constexpr std::size_t expertCount = 12;
+constexpr std::size_t slots = 4;
+
+struct PlacementFixture {
+    void observe(const std::vector<double>& tokens, const std::vector<double>& slowness = std::vector<double>(rankCount, 1))
+    {
+        clock.advance(std::chrono::seconds(10));
+        ExpertLoadSample sample { clock.now(), tokens, current.rankLoads(tokens), current };
+        for (std::size_t rank = 0; rank < rankCount; ++rank)
+            sample.rankSeconds[rank] *= slowness[rank];
+        estimate.observe(sample);
+    }
+
+    std::vector<double> hotExperts(std::size_t first, double factor) const
+    {
+        std::vector<double> tokens(expertCount, 10);
+        tokens[first] *= factor;
+        tokens[first + 1] *= factor;
+        return tokens;
+    }
+
+    PlacementSettings settings() const
+    {
+        PlacementSettings result;
+        result.slotsPerRank = slots;
+        return result;
+    }
+
+    ManualClock clock;
+    ExpertMap current { ExpertMap::contiguous(rankCount, expertCount) };
+    ExpertLoadEstimate estimate { rankCount, expertCount, ExpertLoadSettings() };
+};
+
+}
+
+// Guards against a change that costs more than it saves.
+TEST_CASE_FIXTURE(PlacementFixture, "an even load changes nothing")
+{
+    observe(std::vector<double>(expertCount, 10));
+    PlacementPolicy policy(settings());
+    CHECK(!policy.decide(clock.now(), current, estimate));
+}
+
+TEST_CASE_FIXTURE(PlacementFixture, "a hot expert is replicated within the memory limit and with few moves")
+{
+    observe(hotExperts(0, 8));
+    PlacementPolicy policy(settings());
+    std::optional<PlacementDecision> decision = policy.decide(clock.now(), current, estimate);
+    REQUIRE(decision);
+    CHECK(decision->skewAfter < 0.6 * decision->skewBefore);
+    CHECK(decision->map.largestRank() <= slots);
+    CHECK(decision->map.replicas(0).size() + decision->map.replicas(1).size() > 2);
+    CHECK(decision->map.version() == current.version() + 1);
+}
+
+// Guards against two users who weigh differently and get the same choice.
+TEST_CASE_FIXTURE(PlacementFixture, "the weights change the choice")
+{
+    observe(hotExperts(0, 2));
+    PlacementSettings costly = settings();
+    costly.horizon = std::chrono::seconds(60);
+    costly.costWeight = 16;
+    PlacementSettings impatient = costly;
+    impatient.costWeight = 1;
+    impatient.skewWeight = 16;
+    CHECK(!PlacementPolicy(costly).decide(clock.now(), current, estimate));
+    CHECK(PlacementPolicy(impatient).decide(clock.now(), current, estimate));
+}
+
+TEST_CASE_FIXTURE(PlacementFixture, "a straggler rank is detected and gets less")
+{
+    observe(std::vector<double>(expertCount, 10), { 1, 1, 2, 1 });
+    CHECK(estimate.isStraggler(2));
+    CHECK(!estimate.isStraggler(1));
+    PlacementPolicy policy(settings());
+    std::optional<PlacementDecision> decision = policy.decide(clock.now(), current, estimate);
+    REQUIRE(decision);
+    std::vector<double> loads = decision->map.rankLoads(std::vector<double>(expertCount, 1));
+    CHECK(loads[2] < loads[0]);
+    CHECK(loads[2] < 2.5);
+}
+
+// Guards against experts that are moved to and fro when the load oscillates.
+TEST_CASE_FIXTURE(PlacementFixture, "an oscillating load causes fewer changes than swings")
+{
+    PlacementSettings limits = settings();
+    limits.costWeight = 8;
+    limits.horizon = std::chrono::seconds(120);
+    PlacementPolicy policy(limits);
+    int changes = 0;
+    for (int swing = 0; swing < 20; ++swing) {
+        for (int sample = 0; sample < 6; ++sample) {
+            observe(hotExperts(swing % 2 == 0 ? 0 : 6, 4));
+            std::optional<PlacementDecision> decision = policy.decide(clock.now(), current, estimate);
+            if (!decision)
+                continue;
+            current = decision->map;
+            ++changes;
+        }
+    }
+    CHECK(changes >= 1);
+    CHECK(changes <= 10);
+}
+
+// Guards against an estimate that goes back when reports arrive out of order.
+TEST_CASE_FIXTURE(PlacementFixture, "an older sample is ignored")
+{
+    observe(hotExperts(0, 8));
+    std::vector<double> before = estimate.forecast();
+    estimate.observe({ clock.now() - std::chrono::seconds(5), std::vector<double>(expertCount, 1), std::vector<double>(rankCount, 1), current });
+    CHECK(estimate.forecast() == before);
+}
+
+TEST_CASE("maps keep their form and report their difference")
+{
+    ExpertMap from = ExpertMap::contiguous(2, 4);
+    ExpertMap to(2, 2, { { 0 }, { 0, 1 }, { 1 }, { 0 } });
+    CHECK(replicasToLoad(from, to) == 2);
+    CHECK(bytesToLoad(from, to, 100) == 200);
+    ExpertMap decoded = decodeExpertMap(encodeExpertMap(to));
+    CHECK(replicasToLoad(to, decoded) == 0);
+    CHECK(decoded.version() == 2);
+    CHECK_THROWS_AS(decodeExpertMap("{}"), Error);
+    CHECK_THROWS_AS(ExpertMap(1, 2, { { 2 } }), Error);
+    CHECK_THROWS_AS(ExpertMap(1, 2, { {} }), Error);
+}
+
+// Guards against maps that lose an expert, exceed the memory of a rank, or make the skew worse.
+TEST_CASE("any load gives a valid map that is no worse")
+{
+    CHECK(rc::check("valid maps", [] {
+        Random random(*rc::gen::arbitrary<std::uint64_t>());
+        std::vector<double> loads;
+        for (std::size_t expert = 0; expert < expertCount; ++expert)
+            loads.push_back(random.fraction() < 0.2 ? 0 : 1 / (0.01 + random.fraction()));
+        loads[0] += 1;
+        std::vector<double> slowness(rankCount, 1);
+        slowness[random.index(rankCount)] = 1 + random.fraction();
+        ExpertMap from = ExpertMap::contiguous(rankCount, expertCount);
+        for (const ExpertMap& map : { improveGreedily(from, loads, slowness, slots), packFromScratch(2, rankCount, loads, slowness, slots) }) {
+            RC_ASSERT(map.expertCount() == expertCount);
+            RC_ASSERT(map.largestRank() <= slots);
+            std::vector<double> rankLoads = map.rankLoads(loads);
+            double sum = std::accumulate(rankLoads.begin(), rankLoads.end(), 0.0);
+            RC_ASSERT(sum > 0.999 * std::accumulate(loads.begin(), loads.end(), 0.0));
+        }
+        MapSearch search(from, loads, slowness, slots);
+        double before = search.skew();
+        while (search.improve() != 0) { }
+        RC_ASSERT(search.skew() <= before + 1e-9);
+    }));
+}
+
+}
