--- a/Benchmarks/Placement/Main.cpp
+++ b/Benchmarks/Placement/Main.cpp
@@ -67,9 +67,9 @@
 
 Loads mix(const Loads& from, const Loads& to, double share)
 {
-    Loads result;
+    Loads result(from.size(), 0);
     for (std::size_t expert = 0; expert < from.size(); ++expert)
-        result.push_back((1 - share) * from[expert] + share * to[expert]);
+        result[expert] = (1 - share) * from[expert] + share * to[expert];
     return result;
 }
 
@@ -77,6 +77,7 @@
 {
     Random random(seed);
     std::vector<Loads> topics;
+    topics.reserve(5);
     for (int topic = 0; topic < 5; ++topic)
         topics.push_back(makeTopic(scale.experts, random));
     Trace trace;
