Placement: Make large changes in parts

A change of 200 s of loading froze the map of a large group meanwhile. Changes now load for at most 30 s.

--- a/Source/Placement/PlacementPolicy.cpp
+++ b/Source/Placement/PlacementPolicy.cpp
@@ -40,7 +40,8 @@
     double ratio = requiredRatio(now);
     double bestNet = 0;
     std::size_t loads = 0;
-    for (std::size_t change = 0; change < settings_.maxChanges; ++change) {
+    std::size_t maxLoads = static_cast<std::size_t>(std::max(2.0, secondsOf(settings_.maxLoadTime) / secondsPerExpert));
+    while (loads < maxLoads) {
         std::size_t added = search.improve();
         if (added == 0)
             break;
--- a/Source/Placement/PlacementPolicy.h
+++ b/Source/Placement/PlacementPolicy.h
@@ -21,7 +21,9 @@
     // After a change, the gain that the next one needs is higher and falls back over this time.
     std::chrono::seconds cooldown { 300 };
     double cooldownFactor { 4 };
-    std::size_t maxChanges { 96 };
+    // A change that takes longer to load is made in parts, so that the first part helps earlier
+    // and the rest is decided with newer load.
+    std::chrono::seconds maxLoadTime { 30 };
 };
 
 struct PlacementDecision {
