--- a/Source/Placement/ExpertLoadEstimate.h
+++ b/Source/Placement/ExpertLoadEstimate.h
@@ -20,7 +20,7 @@
 
 struct ExpertLoadSettings {
     // Samples older than this count for less than 1/e.
-    std::chrono::seconds memory { 60 };
+    std::chrono::seconds memory { 25 };
     // A rank that needs this much more time per token than the median is a straggler.
     double stragglerSlowness { 1.25 };
 };
