Limits: Add two deviations to the expected service time

Calls were started that missed their deadline, because half of the calls take longer than the mean. Admission now adds two mean deviations; the assumed service time before the first call has none, so that nothing is refused on a guess.

--- a/Source/Limits/AdmissionController.h
+++ b/Source/Limits/AdmissionController.h
@@ -24,7 +24,7 @@
     // opened again. Calls with a later deadline are queued instead of refused.
     Duration assumedRecovery { std::chrono::seconds(1) };
     // How many deviations are added to the mean service time before it is compared with the deadline.
-    double deviationMargin { 0 };
+    double deviationMargin { 2 };
 };
 
 struct AdmissionRequest {
--- a/Source/Limits/ServiceTimeEstimate.cpp
+++ b/Source/Limits/ServiceTimeEstimate.cpp
@@ -22,7 +22,7 @@
 
 ServiceTimeEstimate::ServiceTimeEstimate(Duration assumed)
     : mean_(std::chrono::duration<double>(assumed).count())
-    , deviation_(mean_ / 2)
+    , deviation_(0)
 {
 }
 
