Routing: Count the growth of the batch in the decoding time

Below the capacity of the batch two candidates had the same score, so the first one drawn won whatever its load. The reported step time is now scaled with the calls expected since the report.

--- a/Source/Routing/BackendServerSelector.cpp
+++ b/Source/Routing/BackendServerSelector.cpp
@@ -11,6 +11,14 @@
     return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
+// Steps get longer with the batch. About half of the time of a step with a full batch is independent of it.
+double batchGrowth(const BackendServer& server)
+{
+    double capacity = std::max(1.0, static_cast<double>(server.load.capacity));
+    double calls = std::min(capacity, static_cast<double>(expectedCalls(server)));
+    return (capacity + calls) / (capacity + server.load.running);
+}
+
 }
 
 BackendServerSelector::BackendServerSelector(const BackendServerTable& table, const PrefixCacheIndex& cache,
@@ -111,7 +119,7 @@
 {
     Duration stepTime = settings_.assumedStepTime;
     if (server.hasLoad && server.load.stepTime > std::chrono::microseconds::zero())
-        stepTime = server.load.stepTime;
+        stepTime = scaled(server.load.stepTime, batchGrowth(server));
     Duration decoding = stepTime * request.expectedTokens;
     double skew = server.group.empty() || !groupSkew_ ? 1 : groupSkew_(server.group);
     return scaled(decoding, 1 + (skew - 1) * settings_.skewWeight);
