Routing: Add the longest prefix holder as third candidate

Two random candidates out of 16 seldom include an engine that has the prompt's prefix, so most of the prompt was processed again and slowed all calls of the batch.

--- a/Source/Routing/BackendServerSelector.cpp
+++ b/Source/Routing/BackendServerSelector.cpp
@@ -41,7 +41,7 @@
         selection.code = eligibility.count == 0 ? ResultCode::NoBackendServer : ResultCode::Overloaded;
         return selection;
     }
-    Score best = betterOfTwo(admissible(eligibility.withTicket), request);
+    Score best = bestCandidate(admissible(eligibility.withTicket), request);
     selection.code = ResultCode::Ok;
     selection.server = best.server->name;
     selection.expectedFirstToken = best.firstToken;
@@ -71,7 +71,7 @@
     return !server.callsInFlight.empty() && table_.now() - server.lastHeardAt > settings_.silenceLimit;
 }
 
-BackendServerSelector::Score BackendServerSelector::betterOfTwo(
+BackendServerSelector::Score BackendServerSelector::bestCandidate(
     const std::vector<const BackendServer*>& servers, const SelectionRequest& request)
 {
     std::size_t first = random_.index(servers.size());
@@ -83,7 +83,29 @@
     if (second >= first)
         ++second;
     Score other = score(*servers[second], request);
-    return other.total < best.total ? other : best;
+    if (other.total < best.total)
+        best = other;
+    const BackendServer* holder = longestPrefixHolder(servers, request);
+    if (!holder)
+        return best;
+    Score third = score(*holder, request);
+    return third.total < best.total ? third : best;
+}
+
+const BackendServer* BackendServerSelector::longestPrefixHolder(
+    const std::vector<const BackendServer*>& servers, const SelectionRequest& request) const
+{
+    const BackendServer* holder = nullptr;
+    std::size_t longest = 0;
+    for (const BackendServer* server : servers) {
+        std::size_t hits = cache_.hitBlocks(server->name, request.prefix);
+        bool isBetter = hits > longest || (hits == longest && hits > 0 && expectedCalls(*server) < expectedCalls(*holder));
+        if (!isBetter)
+            continue;
+        longest = hits;
+        holder = server;
+    }
+    return holder;
 }
 
 BackendServerSelector::Score BackendServerSelector::score(const BackendServer& server, const SelectionRequest& request) const
--- a/Source/Routing/BackendServerSelector.h
+++ b/Source/Routing/BackendServerSelector.h
@@ -29,7 +29,7 @@
     Duration assumedStepTime { std::chrono::milliseconds(20) };
 };
 
-// Selects the better of two random candidates by expected time: waiting for a place in the batch,
+// Selects the best of two random candidates and the server with the longest cached prefix by expected time: waiting for a place in the batch,
 // prompt blocks that are not cached, zone latency, adapter, decoding and skew of the group.
 // Ejected servers get nothing, returning ones a rising share.
 class BackendServerSelector : public Selector {
@@ -52,7 +52,9 @@
 
     std::vector<const BackendServer*> admissible(const std::vector<const BackendServer*>& servers);
     bool isSilent(const BackendServer& server) const;
-    Score betterOfTwo(const std::vector<const BackendServer*>& servers, const SelectionRequest& request);
+    Score bestCandidate(const std::vector<const BackendServer*>& servers, const SelectionRequest& request);
+    // Returns null if no server is expected to have a block of the prefix.
+    const BackendServer* longestPrefixHolder(const std::vector<const BackendServer*>& servers, const SelectionRequest& request) const;
     Score score(const BackendServer& server, const SelectionRequest& request) const;
     Duration expectedWait(const BackendServer& server, const SelectionRequest& request) const;
     Duration expectedDecoding(const BackendServer& server, const SelectionRequest& request) const;
