Routing: Raise the cost of an uncached prompt block

Processing a block also delays the other calls of the batch, which the cost of 2 ms did not cover (the engine model needs 1 ms for each block).

--- a/Source/Routing/BackendServerSelector.h
+++ b/Source/Routing/BackendServerSelector.h
@@ -12,8 +12,9 @@
 
 struct SelectorSettings {
     std::string ownZone;
-    // Time to process one prompt block that is not in the cache.
-    Duration prefillPerBlock { std::chrono::milliseconds(2) };
+    // Cost of one prompt block that is not in the cache. Above the time to process it, because that time
+    // also delays all other calls of the batch.
+    Duration prefillPerBlock { std::chrono::milliseconds(4) };
     // Time to load an adapter that the server does not have.
     Duration adapterLoad { std::chrono::milliseconds(500) };
     // Weight of the decoding time against the time to first token.
