Routing: Let old reports of other entries' calls decay to the mean

With a lag longer than a call, a report says little about the present, but all entries went to the servers that looked free then. Calls of other entries now decay with the call time towards the mean of all servers; own calls are known exactly.

--- a/Source/Routing/BackendServerSelector.cpp
+++ b/Source/Routing/BackendServerSelector.cpp
@@ -1,21 +1,30 @@
 #include "Routing/BackendServerSelector.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Damaskgrade {
 
 namespace {
 
+double meanOtherCalls(const std::vector<const BackendServer*>& servers)
+{
+    double total = 0;
+    for (const BackendServer* server : servers)
+        total += static_cast<double>(otherCalls(*server));
+    return total / static_cast<double>(servers.size());
+}
+
 Duration scaled(Duration duration, double factor)
 {
     return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
 // Steps get longer with the batch. About half of the time of a step with a full batch is independent of it.
-double batchGrowth(const BackendServer& server)
+double batchGrowth(const BackendServer& server, double expected)
 {
     double capacity = std::max(1.0, static_cast<double>(server.load.capacity));
-    double calls = std::min(capacity, static_cast<double>(expectedCalls(server)));
+    double calls = std::min(capacity, expected);
     return (capacity + calls) / (capacity + server.load.running);
 }
 
@@ -41,6 +50,7 @@
         selection.code = eligibility.count == 0 ? ResultCode::NoBackendServer : ResultCode::Overloaded;
         return selection;
     }
+    meanOtherCalls_ = meanOtherCalls(eligibility.withTicket);
     Score best = bestCandidate(admissible(eligibility.withTicket), request);
     selection.code = ResultCode::Ok;
     selection.server = best.server->name;
@@ -126,22 +136,36 @@
 Duration BackendServerSelector::expectedWait(const BackendServer& server, const SelectionRequest& request) const
 {
     std::size_t capacity = server.hasLoad && server.load.capacity > 0 ? server.load.capacity : settings_.assumedCapacity;
-    std::size_t calls = expectedCalls(server);
-    if (calls < capacity)
+    double calls = callsNow(server);
+    if (calls < static_cast<double>(capacity))
         return Duration::zero();
-    std::size_t ahead = calls - capacity + 1;
+    double ahead = calls - static_cast<double>(capacity) + 1;
     // The engine takes a call with priority before those that wait.
     if (request.priority > 0)
         ahead = 1;
-    Duration callTime = server.meanCallTime > Duration::zero() ? server.meanCallTime : settings_.assumedCallTime;
-    return callTime * static_cast<std::int64_t>(ahead) / static_cast<std::int64_t>(capacity);
+    return scaled(callTime(server), ahead / static_cast<double>(capacity));
+}
+
+Duration BackendServerSelector::callTime(const BackendServer& server) const
+{
+    return server.meanCallTime > Duration::zero() ? server.meanCallTime : settings_.assumedCallTime;
+}
+
+double BackendServerSelector::callsNow(const BackendServer& server) const
+{
+    double own = static_cast<double>(server.callsInFlight.size());
+    if (!server.hasLoad)
+        return own + meanOtherCalls_;
+    double age = std::chrono::duration<double>(table_.now() - server.loadTakenAt).count();
+    double kept = std::exp(-age / std::chrono::duration<double>(callTime(server)).count());
+    return own + kept * static_cast<double>(otherCalls(server)) + (1 - kept) * meanOtherCalls_;
 }
 
 Duration BackendServerSelector::expectedDecoding(const BackendServer& server, const SelectionRequest& request) const
 {
     Duration stepTime = settings_.assumedStepTime;
     if (server.hasLoad && server.load.stepTime > std::chrono::microseconds::zero())
-        stepTime = scaled(server.load.stepTime, batchGrowth(server));
+        stepTime = scaled(server.load.stepTime, batchGrowth(server, callsNow(server)));
     Duration decoding = stepTime * request.expectedTokens;
     double skew = server.group.empty() || !groupSkew_ ? 1 : groupSkew_(server.group);
     return scaled(decoding, 1 + (skew - 1) * settings_.skewWeight);
--- a/Source/Routing/BackendServerSelector.h
+++ b/Source/Routing/BackendServerSelector.h
@@ -58,6 +58,10 @@
     const BackendServer* longestPrefixHolder(const std::vector<const BackendServer*>& servers, const SelectionRequest& request) const;
     Score score(const BackendServer& server, const SelectionRequest& request) const;
     Duration expectedWait(const BackendServer& server, const SelectionRequest& request) const;
+    Duration callTime(const BackendServer& server) const;
+    // Own calls in flight are known. Those of other entries at the time of the report end with the call time
+    // and are replaced by the mean of all servers, so that an old report does not attract or repel all calls.
+    double callsNow(const BackendServer& server) const;
     Duration expectedDecoding(const BackendServer& server, const SelectionRequest& request) const;
 
     const BackendServerTable& table_;
@@ -67,6 +71,7 @@
     Random& random_;
     SelectorSettings settings_;
     GroupSkew groupSkew_;
+    double meanOtherCalls_ { 0 };
 };
 
 }
--- a/Source/Routing/BackendServerTable.cpp
+++ b/Source/Routing/BackendServerTable.cpp
@@ -167,23 +167,26 @@
     return found == servers_.end() ? nullptr : &found->second;
 }
 
-std::size_t expectedCalls(const BackendServer& server)
+std::size_t otherCalls(const BackendServer& server)
 {
-    std::size_t inFlight = server.callsInFlight.size();
     if (!server.hasLoad)
-        return inFlight;
-    std::size_t startedSince = 0;
+        return 0;
+    std::size_t ownAtReport = 0;
     for (const auto& [callId, startedAt] : server.callsInFlight) {
-        if (startedAt > server.loadTakenAt)
-            ++startedSince;
+        if (startedAt <= server.loadTakenAt)
+            ++ownAtReport;
     }
-    std::size_t endedSince = 0;
     for (const EndedCall& call : server.endedSinceReport) {
         if (call.startedAt <= server.loadTakenAt && call.endedAt > server.loadTakenAt)
-            ++endedSince;
+            ++ownAtReport;
     }
-    std::size_t known = std::size_t { server.load.running } + server.load.queued + startedSince;
-    return std::max(inFlight, known - std::min(known, endedSince));
+    std::size_t reported = std::size_t { server.load.running } + server.load.queued;
+    return reported - std::min(reported, ownAtReport);
+}
+
+std::size_t expectedCalls(const BackendServer& server)
+{
+    return server.callsInFlight.size() + otherCalls(server);
 }
 
 }
--- a/Source/Routing/BackendServerTable.h
+++ b/Source/Routing/BackendServerTable.h
@@ -48,6 +48,9 @@
     std::map<std::string, BackendServer, std::less<>> servers_;
 };
 
+// Returns the calls of other entries in the last report.
+std::size_t otherCalls(const BackendServer& server);
+
 // Returns the calls that a server is expected to have now: those of its last report, plus own calls
 // started since, minus own calls ended since; never below the own calls in flight.
 std::size_t expectedCalls(const BackendServer& server);
