--- a/Source/Routing/BackendServerSelector.cpp
+++ b/Source/Routing/BackendServerSelector.cpp
@@ -1,16 +1,33 @@
 #include "Routing/BackendServerSelector.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Damaskgrade {
 
 namespace {
 
+double meanOtherCalls(const std::vector<const BackendServer*>& servers)
+{
+    double total = 0;
+    for (const BackendServer* server : servers)
+        total += static_cast<double>(otherCalls(*server));
+    return total / static_cast<double>(servers.size());
+}
+
 Duration scaled(Duration duration, double factor)
 {
     return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
+// Steps get longer with the batch. About half of the time of a step with a full batch is independent of it.
+double batchGrowth(const BackendServer& server, double expected)
+{
+    double capacity = std::max(1.0, static_cast<double>(server.load.capacity));
+    double calls = std::min(capacity, expected);
+    return (capacity + calls) / (capacity + server.load.running);
+}
+
 }
 
 BackendServerSelector::BackendServerSelector(const BackendServerTable& table, const PrefixCacheIndex& cache,
@@ -33,7 +50,8 @@
         selection.code = eligibility.count == 0 ? ResultCode::NoBackendServer : ResultCode::Overloaded;
         return selection;
     }
-    Score best = betterOfTwo(admissible(eligibility.withTicket), request);
+    meanOtherCalls_ = meanOtherCalls(eligibility.withTicket);
+    Score best = bestCandidate(admissible(eligibility.withTicket), request);
     selection.code = ResultCode::Ok;
     selection.server = best.server->name;
     selection.expectedFirstToken = best.firstToken;
@@ -63,7 +81,7 @@
     return !server.callsInFlight.empty() && table_.now() - server.lastHeardAt > settings_.silenceLimit;
 }
 
-BackendServerSelector::Score BackendServerSelector::betterOfTwo(
+BackendServerSelector::Score BackendServerSelector::bestCandidate(
     const std::vector<const BackendServer*>& servers, const SelectionRequest& request)
 {
     std::size_t first = random_.index(servers.size());
@@ -75,7 +93,29 @@
     if (second >= first)
         ++second;
     Score other = score(*servers[second], request);
-    return other.total < best.total ? other : best;
+    if (other.total < best.total)
+        best = other;
+    const BackendServer* holder = longestPrefixHolder(servers, request);
+    if (!holder)
+        return best;
+    Score third = score(*holder, request);
+    return third.total < best.total ? third : best;
+}
+
+const BackendServer* BackendServerSelector::longestPrefixHolder(
+    const std::vector<const BackendServer*>& servers, const SelectionRequest& request) const
+{
+    const BackendServer* holder = nullptr;
+    std::size_t longest = 0;
+    for (const BackendServer* server : servers) {
+        std::size_t hits = cache_.hitBlocks(server->name, request.prefix);
+        bool isBetter = hits > longest || (hits == longest && hits > 0 && expectedCalls(*server) < expectedCalls(*holder));
+        if (!isBetter)
+            continue;
+        longest = hits;
+        holder = server;
+    }
+    return holder;
 }
 
 BackendServerSelector::Score BackendServerSelector::score(const BackendServer& server, const SelectionRequest& request) const
@@ -96,22 +136,36 @@
 Duration BackendServerSelector::expectedWait(const BackendServer& server, const SelectionRequest& request) const
 {
     std::size_t capacity = server.hasLoad && server.load.capacity > 0 ? server.load.capacity : settings_.assumedCapacity;
-    std::size_t calls = expectedCalls(server);
-    if (calls < capacity)
+    double calls = callsNow(server);
+    if (calls < static_cast<double>(capacity))
         return Duration::zero();
-    std::size_t ahead = calls - capacity + 1;
+    double ahead = calls - static_cast<double>(capacity) + 1;
     // The engine takes a call with priority before those that wait.
     if (request.priority > 0)
         ahead = 1;
-    Duration callTime = server.meanCallTime > Duration::zero() ? server.meanCallTime : settings_.assumedCallTime;
-    return callTime * static_cast<std::int64_t>(ahead) / static_cast<std::int64_t>(capacity);
+    return scaled(callTime(server), ahead / static_cast<double>(capacity));
+}
+
+Duration BackendServerSelector::callTime(const BackendServer& server) const
+{
+    return server.meanCallTime > Duration::zero() ? server.meanCallTime : settings_.assumedCallTime;
+}
+
+double BackendServerSelector::callsNow(const BackendServer& server) const
+{
+    double own = static_cast<double>(server.callsInFlight.size());
+    if (!server.hasLoad)
+        return own + meanOtherCalls_;
+    double age = std::chrono::duration<double>(table_.now() - server.loadTakenAt).count();
+    double kept = std::exp(-age / std::chrono::duration<double>(callTime(server)).count());
+    return own + kept * static_cast<double>(otherCalls(server)) + (1 - kept) * meanOtherCalls_;
 }
 
 Duration BackendServerSelector::expectedDecoding(const BackendServer& server, const SelectionRequest& request) const
 {
     Duration stepTime = settings_.assumedStepTime;
     if (server.hasLoad && server.load.stepTime > std::chrono::microseconds::zero())
-        stepTime = server.load.stepTime;
+        stepTime = scaled(server.load.stepTime, batchGrowth(server, callsNow(server)));
     Duration decoding = stepTime * request.expectedTokens;
     double skew = server.group.empty() || !groupSkew_ ? 1 : groupSkew_(server.group);
     return scaled(decoding, 1 + (skew - 1) * settings_.skewWeight);
--- a/Source/Routing/BackendServerSelector.h
+++ b/Source/Routing/BackendServerSelector.h
@@ -12,8 +12,9 @@
 
 struct SelectorSettings {
     std::string ownZone;
-    // Time to process one prompt block that is not in the cache.
-    Duration prefillPerBlock { std::chrono::milliseconds(2) };
+    // Cost of one prompt block that is not in the cache. Above the time to process it, because that time
+    // also delays all other calls of the batch.
+    Duration prefillPerBlock { std::chrono::milliseconds(4) };
     // Time to load an adapter that the server does not have.
     Duration adapterLoad { std::chrono::milliseconds(500) };
     // Weight of the decoding time against the time to first token.
@@ -29,7 +30,7 @@
     Duration assumedStepTime { std::chrono::milliseconds(20) };
 };
 
-// Selects the better of two random candidates by expected time: waiting for a place in the batch,
+// Selects the best of two random candidates and the server with the longest cached prefix by expected time: waiting for a place in the batch,
 // prompt blocks that are not cached, zone latency, adapter, decoding and skew of the group.
 // Ejected servers get nothing, returning ones a rising share.
 class BackendServerSelector : public Selector {
@@ -52,9 +53,15 @@
 
     std::vector<const BackendServer*> admissible(const std::vector<const BackendServer*>& servers);
     bool isSilent(const BackendServer& server) const;
-    Score betterOfTwo(const std::vector<const BackendServer*>& servers, const SelectionRequest& request);
+    Score bestCandidate(const std::vector<const BackendServer*>& servers, const SelectionRequest& request);
+    // Returns null if no server is expected to have a block of the prefix.
+    const BackendServer* longestPrefixHolder(const std::vector<const BackendServer*>& servers, const SelectionRequest& request) const;
     Score score(const BackendServer& server, const SelectionRequest& request) const;
     Duration expectedWait(const BackendServer& server, const SelectionRequest& request) const;
+    Duration callTime(const BackendServer& server) const;
+    // Own calls in flight are known. Those of other entries at the time of the report end with the call time
+    // and are replaced by the mean of all servers, so that an old report does not attract or repel all calls.
+    double callsNow(const BackendServer& server) const;
     Duration expectedDecoding(const BackendServer& server, const SelectionRequest& request) const;
 
     const BackendServerTable& table_;
@@ -64,6 +71,7 @@
     Random& random_;
     SelectorSettings settings_;
     GroupSkew groupSkew_;
+    double meanOtherCalls_ { 0 };
 };
 
 }
