Load: Add the open-loop load generator

Cause: Policies are compared under load, and a closed loop would hide the delays that it causes itself. Change: LoadGenerator starts calls on a seeded Poisson schedule and counts latency from the intended start. It checks each answer, sends a call again to another entry when its connection is lost (streams by Last-Event-ID, bookings with their key), and reports outcomes, times, on-time share and fairness. EventStreamParser in Transport splits server-sent events.

--- /dev/null
+++ b/Source/Load/LoadGenerator.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Load/LoadCall.h"
+#include "Load/LoadReport.h"
+
+#include <map>
+
+namespace Damaskgrade {
+
+// An open-loop load generator: calls start at their scheduled times, however slow the answers are,
+// and each latency counts from the scheduled time.
+class LoadGenerator {
+public:
+    using Done = std::function<void(const LoadReport&)>;
+
+    // Throws Error(SettingsInvalid) if an option is out of range.
+    LoadGenerator(EventLoop& loop, const Clock& clock, const LoadOptions& options);
+
+    // Starts the run. Done is called once, after the last answer or the drain limit.
+    void start(Done done);
+
+private:
+    void startDueCalls();
+    void scheduleNext();
+    void startCall(const Arrival& arrival);
+    void finishCall(std::uint64_t number, const LoadResult& result);
+    void refuseCall(const Arrival& arrival);
+    void record(const LoadResult& result);
+    void startDraining();
+    void endDraining();
+    void endIfDone();
+
+    EventLoop& loop_;
+    const Clock& clock_;
+    LoadOptions options_;
+    HttpClient client_;
+    ArrivalSchedule schedule_;
+    Random random_;
+    // Part of all call ids, so that runs with equal seeds do not share idempotency keys.
+    std::string runId_;
+    TimePoint start_ {};
+    std::optional<Arrival> next_;
+    std::map<std::uint64_t, std::unique_ptr<LoadCall>> calls_;
+    LoadReport report_;
+    Done done_;
+    std::unique_ptr<Timer> timer_;
+    std::unique_ptr<Timer> drainTimer_;
+};
+
+}
--- /dev/null
+++ b/Source/Load/LoadOptions.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Core/ResultCode.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Damaskgrade {
+
+enum class LoadKind {
+    Completion,
+    Lookup,
+    Booking,
+};
+
+struct LoadCustomer {
+    std::string name;
+    // Share of the calls, relative to the other customers.
+    double weight { 1 };
+};
+
+// What became of one call, as its caller saw it.
+struct LoadResult {
+    LoadKind kind { LoadKind::Completion };
+    std::string customer;
+    std::string idempotencyKey;
+    ResultCode code { ResultCode::Ok };
+    Executed executed { Executed::Unknown };
+    // All times count from the intended start of the call.
+    std::chrono::microseconds total { 0 };
+    // Zero if there was no text.
+    std::chrono::microseconds firstToken { 0 };
+    std::vector<std::chrono::microseconds> tokenGaps;
+    bool isOnTime { false };
+    // The stream ended in good order without its end mark and without an error.
+    bool endedSilently { false };
+    // The text differs from what the model answers, or parts do not join.
+    bool isWrong { false };
+    // Further sends after a lost connection.
+    std::uint32_t repeats { 0 };
+};
+
+// The load and its bounds.
+struct LoadOptions {
+    std::vector<Endpoint> entries;
+    double callsPerSecond { 10 };
+    std::chrono::milliseconds duration { 10000 };
+    std::uint64_t maxCalls { 100000 };
+    // Calls beyond this are not sent and are reported as Overloaded.
+    std::size_t maxInFlight { 5000 };
+    // How long answers are awaited after the last arrival.
+    std::chrono::milliseconds drainLimit { 30000 };
+    std::uint64_t seed { 1 };
+    // Relative shares of the kinds of calls.
+    double completions { 1 };
+    double lookups { 0 };
+    double bookings { 0 };
+    std::vector<LoadCustomer> customers { { "default", 1 } };
+    std::string model;
+    std::uint64_t minTokens { 16 };
+    std::uint64_t maxTokens { 64 };
+    // Prompts of one topic share their first bytes. The popular topics shift by one each drift period.
+    std::size_t topics { 16 };
+    std::size_t topicBytes { 512 };
+    std::chrono::milliseconds driftPeriod { 60000 };
+    std::string service;
+    std::string lookupOperation { "lookup" };
+    std::string bookingOperation { "book" };
+    std::chrono::milliseconds deadline { 10000 };
+    // Sends of one call: a call is sent again, to another entry, if its connection was lost.
+    // A stream goes on by Last-Event-ID, a booking keeps its key.
+    std::uint32_t maxSends { 3 };
+    // Returns the text that the model answers. Without it the text is not compared.
+    std::function<std::string(const std::string& prompt, std::uint64_t maxTokens)> expectedAnswer;
+    // Called with each result, for example to compare bookings with the executions of the service.
+    std::function<void(const LoadResult&)> onResult;
+};
+
+// Throws Error(SettingsInvalid) with the name of the first option that is out of range.
+void checkLoadOptions(const LoadOptions& options);
+
+std::string_view loadKindName(LoadKind kind);
+
+}
--- /dev/null
+++ b/Tests/Load/LoadGeneratorTest.cpp
@@ -0,0 +1,196 @@
+#include "Load/LoadGenerator.h"
+#include "Core/ManualClock.h"
+#include "Core/SystemClock.h"
+#include "FreeEndpoint.h"
+#include "Transport/HttpServer.h"
+
+#include <doctest/doctest.h>
+
+namespace Damaskgrade {
+
+namespace {
+
+using Exchange = std::shared_ptr<HttpExchange>;
+
+constexpr std::chrono::seconds generousLimit { 30 };
+
+LoadOptions makeOptions(std::uint64_t calls)
+{
+    LoadOptions options;
+    options.model = "m";
+    options.service = "s";
+    options.callsPerSecond = 1000;
+    options.duration = generousLimit;
+    options.deadline = generousLimit;
+    options.drainLimit = generousLimit;
+    options.maxCalls = calls;
+    options.topicBytes = 0;
+    options.expectedAnswer = [](const std::string&, std::uint64_t) { return "one two"; };
+    return options;
+}
+
+// Runs the load against entries that use one handler each.
+LoadReport runLoad(EventLoop& loop, LoadOptions options, const std::vector<HttpServer::Handler>& handlers)
+{
+    SystemClock clock;
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    for (const HttpServer::Handler& handler : handlers) {
+        options.entries.push_back(freeEndpoint());
+        servers.push_back(std::make_unique<HttpServer>(loop, options.entries.back(), HttpServerLimits(), handler));
+    }
+    LoadGenerator generator(loop, clock, options);
+    LoadReport report;
+    generator.start([&](const LoadReport& result) {
+        report = result;
+        loop.stop();
+    });
+    loop.run();
+    return report;
+}
+
+void writeStream(const Exchange& exchange, std::string_view events)
+{
+    exchange->beginStream({ 200, {}, "" });
+    exchange->write(events);
+    exchange->endStream();
+}
+
+void abortWhenWritten(EventLoop& loop, const Exchange& exchange)
+{
+    if (exchange->pendingBytes() == 0)
+        exchange->abort();
+    else
+        loop.post([&loop, exchange] { abortWhenWritten(loop, exchange); });
+}
+
+constexpr std::string_view wholeAnswer = "data: {\"text\":\"one \"}\n\ndata: {\"text\":\"two\"}\n\ndata: [DONE]\n\n";
+
+}
+
+// Guards against a closed loop: a slow answer must not hold up the calls after it.
+TEST_CASE("calls start although no earlier call is answered")
+{
+    EventLoop loop;
+    std::vector<Exchange> held;
+    LoadReport report = runLoad(loop, makeOptions(20), { [&](const Exchange& exchange) {
+        held.push_back(exchange);
+        if (held.size() < 20)
+            return;
+        for (const Exchange& waiting : held)
+            writeStream(waiting, wholeAnswer);
+        held.clear();
+    } });
+    CHECK(report.outcomes(ResultCode::Ok, Executed::Yes) == 20);
+    CHECK_FALSE(report.hasViolations());
+    CHECK(report.firstToken().count == 20);
+    CHECK(report.tokenGap().count == 20);
+}
+
+// Guards against coordinated omission.
+TEST_CASE("latency counts from the intended start")
+{
+    EventLoop loop;
+    ManualClock clock;
+    LoadOptions options = makeOptions(1);
+    options.entries = { freeEndpoint() };
+    HttpServer server(loop, options.entries[0], HttpServerLimits(), [](const Exchange& exchange) { writeStream(exchange, wholeAnswer); });
+    HttpClient client(loop, generousLimit);
+    LoadResult result;
+    std::chrono::seconds late { 5 };
+    LoadCall call(client, clock, options, Arrival(), clock.now() - late, "id", 0, [&](const LoadResult& finished) {
+        result = finished;
+        loop.stop();
+    });
+    call.send();
+    loop.run();
+    CHECK(result.code == ResultCode::Ok);
+    CHECK(result.total == late);
+    CHECK(result.firstToken == late);
+}
+
+TEST_CASE("silent ends and wrong texts are violations")
+{
+    EventLoop loop;
+    LoadReport silent = runLoad(loop, makeOptions(1), { [](const Exchange& exchange) { writeStream(exchange, "data: {\"text\":\"one two\"}\n\n"); } });
+    CHECK(silent.silentEnds() == 1);
+    CHECK(silent.outcomes(ResultCode::StreamInterrupted, Executed::Unknown) == 1);
+    EventLoop secondLoop;
+    LoadReport wrong = runLoad(secondLoop, makeOptions(1), { [](const Exchange& exchange) { writeStream(exchange, "data: {\"text\":\"one\"}\n\ndata: [DONE]\n\n"); } });
+    CHECK(wrong.wrongAnswers() == 1);
+    CHECK(wrong.onTime() == 0);
+}
+
+TEST_CASE("refusals keep their code and executed state")
+{
+    EventLoop loop;
+    LoadReport report = runLoad(loop, makeOptions(3), { [](const Exchange& exchange) { exchange->respond({ 503, {}, R"({"code":2006,"executed":"no"})" }); } });
+    CHECK(report.outcomes(ResultCode::Overloaded, Executed::No) == 3);
+}
+
+// Guards against a lost stream that is counted as failed although another entry has the rest.
+TEST_CASE("a cut stream goes on at another entry after the last event")
+{
+    EventLoop loop;
+    std::vector<std::string> lastIds;
+    HttpServer::Handler handler = [&](const Exchange& exchange) {
+        std::optional<std::string> lastId = findHeader(exchange->request().headers, "Last-Event-ID");
+        if (lastId) {
+            lastIds.push_back(*lastId);
+            writeStream(exchange, "id: r/a/7\ndata: {\"offset\":4,\"text\":\"two\"}\n\ndata: [DONE]\n\n");
+            return;
+        }
+        exchange->beginStream({ 200, {}, "" });
+        exchange->write("id: r/a/4\ndata: {\"offset\":0,\"text\":\"one \"}\n\n");
+        abortWhenWritten(loop, exchange);
+    };
+    LoadReport report = runLoad(loop, makeOptions(1), { handler, handler });
+    CHECK(report.outcomes(ResultCode::Ok, Executed::Yes) == 1);
+    CHECK_FALSE(report.hasViolations());
+    CHECK(lastIds == std::vector<std::string> { "r/a/4" });
+}
+
+// Guards against a booking that is repeated under another key.
+TEST_CASE("a booking whose connection is lost is sent again with its key")
+{
+    EventLoop loop;
+    std::vector<std::string> keys;
+    LoadOptions options = makeOptions(1);
+    options.completions = 0;
+    options.bookings = 1;
+    HttpServer::Handler handler = [&](const Exchange& exchange) {
+        keys.push_back(findHeader(exchange->request().headers, "Idempotency-Key").value_or(""));
+        if (keys.size() == 1)
+            exchange->abort();
+        else
+            exchange->respond({ 200, {}, "{}" });
+    };
+    LoadReport report = runLoad(loop, options, { handler, handler });
+    CHECK(report.outcomes(ResultCode::Ok, Executed::Yes) == 1);
+    REQUIRE(keys.size() == 2);
+    CHECK_FALSE(keys[0].empty());
+    CHECK(keys[0] == keys[1]);
+}
+
+// Guards against calls without an answer that keep a run from its end.
+TEST_CASE("the run ends at the drain limit")
+{
+    EventLoop loop;
+    std::vector<Exchange> held;
+    LoadOptions options = makeOptions(2);
+    options.drainLimit = std::chrono::milliseconds(50);
+    options.deadline = std::chrono::hours(1);
+    LoadReport report = runLoad(loop, options, { [&](const Exchange& exchange) { held.push_back(exchange); } });
+    CHECK(report.outcomes(ResultCode::Timeout, Executed::Unknown) == 2);
+}
+
+// Guards against a claim of "not executed" for a call that may have been.
+TEST_CASE("a call that reached no entry was not executed")
+{
+    EventLoop loop;
+    LoadOptions options = makeOptions(1);
+    options.entries = { freeEndpoint() };
+    LoadReport report = runLoad(loop, options, {});
+    CHECK(report.outcomes(ResultCode::ConnectionFailed, Executed::No) == 1);
+}
+
+}
