--- a/StandIns/PrefixCache.cpp
+++ b/StandIns/PrefixCache.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/PrefixCache.h"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace Damaskgrade {
@@ -34,9 +35,12 @@
     std::size_t cached = 0;
     while (cached < hashes.size() && positions_.count(hashes[cached]) > 0)
         ++cached;
-    // The first block is used last: without it the blocks behind it are of no use.
-    for (auto hash = hashes.rbegin(); hash != hashes.rend(); ++hash)
-        store(now, *hash);
+    hashes.resize(std::min(hashes.size(), options_.maxBlocks));
+    // Blocks that are cached already are marked as used first, so that the new ones do not evict them.
+    touchAll(hashes);
+    for (std::uint64_t hash : hashes)
+        store(now, hash);
+    touchAll(hashes);
     return cached;
 }
 
@@ -52,13 +56,20 @@
     return delivered;
 }
 
+// Marks the first block as used last: without it the blocks behind it are of no use.
+void PrefixCache::touchAll(const std::vector<std::uint64_t>& prefixes)
+{
+    for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix) {
+        auto position = positions_.find(*prefix);
+        if (position != positions_.end())
+            order_.splice(order_.begin(), order_, position->second);
+    }
+}
+
 void PrefixCache::store(TimePoint now, std::uint64_t prefix)
 {
-    auto position = positions_.find(prefix);
-    if (position != positions_.end()) {
-        order_.splice(order_.begin(), order_, position->second);
+    if (positions_.count(prefix) > 0)
         return;
-    }
     order_.push_front(prefix);
     positions_[prefix] = order_.begin();
     record(now, true, prefix);
--- a/StandIns/PrefixCache.h
+++ b/StandIns/PrefixCache.h
@@ -47,6 +47,7 @@
         PrefixCacheEvent event;
     };
 
+    void touchAll(const std::vector<std::uint64_t>& prefixes);
     void store(TimePoint now, std::uint64_t prefix);
     void evictOldest(TimePoint now);
     void record(TimePoint now, bool isStored, std::uint64_t prefix);
--- a/Tests/Load/LoadReportTest.cpp
+++ b/Tests/Load/LoadReportTest.cpp
@@ -76,7 +76,7 @@
     LoadReport report;
     for (int time = 1; time <= 100; ++time)
         report.add(makeResult("a", time, true));
-    LoadResult refused = makeResult("b", 0, false);
+    LoadResult refused = makeResult("b", 1000, false);
     refused.code = ResultCode::Overloaded;
     refused.executed = Executed::No;
     report.add(refused);
--- /dev/null
+++ b/Tests/Process/ChildProcess.cpp
@@ -0,0 +1,106 @@
+#include "Process/ChildProcess.h"
+
+#include "Process/SyncHttp.h"
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds pollPeriod { 20 };
+// Tests wait for a condition; the limit only ends a test whose condition never holds.
+constexpr std::chrono::seconds waitLimit { 60 };
+constexpr int startFailed = 127;
+
+}
+
+ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments)
+    : program_(program)
+{
+    // All memory is allocated before the fork: the child may only use async-signal-safe calls.
+    std::vector<std::string> words { program };
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<char*> pointers;
+    pointers.reserve(words.size() + 1);
+    for (std::string& word : words)
+        pointers.push_back(word.data());
+    pointers.push_back(nullptr);
+    pid_t parent = getpid();
+    id_ = fork();
+    if (id_ < 0)
+        throw std::runtime_error("can't start " + program);
+    if (id_ > 0)
+        return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // The parent may have ended before the call above.
+    if (getppid() == parent)
+        execv(program.c_str(), pointers.data());
+    _exit(startFailed);
+}
+
+ChildProcess::~ChildProcess()
+{
+    if (!isRunning())
+        return;
+    kill(id_, SIGKILL);
+    waitpid(id_, nullptr, 0);
+}
+
+void ChildProcess::waitUntilHealthy(const Endpoint& health)
+{
+    HttpRequest request;
+    request.target = "/healthz";
+    std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + waitLimit;
+    while (std::chrono::steady_clock::now() < limit) {
+        if (!isRunning())
+            throw std::runtime_error(program_ + " ended with status " + std::to_string(exitStatus_));
+        if (exchangeHttp(health, request).status == 200)
+            return;
+        std::this_thread::sleep_for(pollPeriod);
+    }
+    throw std::runtime_error(program_ + " did not become healthy");
+}
+
+void ChildProcess::signal(int number)
+{
+    if (isRunning())
+        kill(id_, number);
+}
+
+int ChildProcess::waitForExit()
+{
+    std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + waitLimit;
+    while (isRunning()) {
+        if (std::chrono::steady_clock::now() >= limit)
+            throw std::runtime_error(program_ + " did not end");
+        std::this_thread::sleep_for(pollPeriod);
+    }
+    return exitStatus_;
+}
+
+int ChildProcess::terminate()
+{
+    signal(SIGTERM);
+    return waitForExit();
+}
+
+bool ChildProcess::isRunning()
+{
+    if (hasEnded_)
+        return false;
+    int status = 0;
+    if (waitpid(id_, &status, WNOHANG) != id_)
+        return true;
+    hasEnded_ = true;
+    exitStatus_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return false;
+}
+
+}
--- /dev/null
+++ b/Tests/Process/StandInsTest.cpp
@@ -0,0 +1,125 @@
+#include "FreeEndpoint.h"
+#include "Platform/HttpTable.h"
+#include "Process/ChildProcess.h"
+#include "Process/SyncHttp.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+
+namespace Damaskgrade {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::seconds tableLimit { 30 };
+
+// Starts one stand-in and waits until it is ready.
+struct StandIn {
+    explicit StandIn(std::vector<std::string> arguments)
+        : endpoint(freeEndpoint())
+        , process(DAMASKGRADE_STAND_INS, withListen(std::move(arguments), endpoint))
+    {
+        process.waitUntilHealthy(endpoint);
+    }
+
+    static std::vector<std::string> withListen(std::vector<std::string> arguments, const Endpoint& endpoint)
+    {
+        arguments.insert(arguments.end(), { "--listen", formatEndpoint(endpoint) });
+        return arguments;
+    }
+
+    Endpoint endpoint;
+    ChildProcess process;
+};
+
+ResultCode writeRow(const Endpoint& platform, const TableWrite& write)
+{
+    EventLoop loop;
+    HttpTable table(loop, platform, tableLimit);
+    ResultCode status = ResultCode::Internal;
+    table.write({ write }, [&](const TableWriteResult& result) {
+        status = result.status;
+        loop.stop();
+    });
+    loop.run();
+    return status;
+}
+
+TableReadResult readRow(const Endpoint& platform, const std::string& key)
+{
+    EventLoop loop;
+    HttpTable table(loop, platform, tableLimit);
+    TableReadResult found;
+    table.read({ key }, [&](const TableReadResult& result) {
+        found = result;
+        loop.stop();
+    });
+    loop.run();
+    return found;
+}
+
+std::uint64_t executions(const Endpoint& engine, const std::string& subject)
+{
+    return Json::parse(getHttp(engine, "/v1/executions").body).value(subject, std::uint64_t { 0 });
+}
+
+HttpResponse book(const Endpoint& engine, const std::string& key)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/operations/book";
+    request.headers.push_back({ "Idempotency-Key", key });
+    return exchangeHttp(engine, request);
+}
+
+}
+
+// Guards against a stand-in whose lost acknowledgements lose the write itself, which would hide faults of the callers.
+TEST_CASE("a table write whose acknowledgement is lost is applied")
+{
+    StandIn platform({ "platform" });
+    // The first of two answers is status 503, the second a closed connection.
+    postHttp(platform.endpoint, "/control", R"({"lose_acknowledgements":2})");
+    for (const char* key : { "refused", "closed" })
+        CHECK(writeRow(platform.endpoint, { key, "x", absentVersion }) == ResultCode::TableUnavailable);
+    for (const char* key : { "refused", "closed" }) {
+        TableReadResult found = readRow(platform.endpoint, key);
+        REQUIRE(found.rows.size() == 1);
+        CHECK(found.rows[0].value == "x");
+        CHECK(writeRow(platform.endpoint, { key, "y", absentVersion }) == ResultCode::TableConflict);
+    }
+    Json counters = Json::parse(getHttp(platform.endpoint, "/v1/counters").body);
+    CHECK(counters.at("table_writes") == 4);
+    CHECK(counters.at("table_conflicts") == 2);
+    CHECK(platform.process.terminate() == 0);
+}
+
+// Guards against a stand-in that removes duplicates itself, which would hide repeated executions.
+TEST_CASE("the application engine counts each execution of a booking")
+{
+    StandIn engine({ "application-engine", "--name", "a1", "--service", "s", "--service-ms", "0" });
+    CHECK(book(engine.endpoint, "k").status == 200);
+    CHECK(executions(engine.endpoint, "book/k") == 1);
+    postHttp(engine.endpoint, "/control", R"({"lose_acknowledgements":1,"duplicate":1})");
+    CHECK(book(engine.endpoint, "k").status == 0);
+    CHECK(executions(engine.endpoint, "book/k") == 3);
+    postHttp(engine.endpoint, "/control", R"({"down":true})");
+    CHECK(book(engine.endpoint, "k").status == 0);
+    postHttp(engine.endpoint, "/control", R"({"down":false})");
+    CHECK(executions(engine.endpoint, "book/k") == 3);
+    engine.process.signal(SIGKILL);
+    CHECK(engine.process.waitForExit() == -SIGKILL);
+}
+
+// Guards against a program that fails to start and leaves the test waiting.
+TEST_CASE("a process that ends early is reported")
+{
+    ChildProcess process(DAMASKGRADE_STAND_INS, { "platform", "--listen", "no address" });
+    CHECK_THROWS(process.waitUntilHealthy(freeEndpoint()));
+    CHECK(process.waitForExit() == 1);
+}
+
+}
--- /dev/null
+++ b/Tests/StandIns/ModelEngineTest.cpp
@@ -0,0 +1,186 @@
+#include "Core/Error.h"
+#include "Core/ManualClock.h"
+#include "StandIns/ContinuousBatch.h"
+#include "StandIns/EngineOrders.h"
+#include "StandIns/GeneratedText.h"
+#include "StandIns/PrefixCache.h"
+#include "StandIns/StepBarrier.h"
+
+#include <doctest/doctest.h>
+
+namespace Damaskgrade {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// A batch without prefill time and the texts that it has delivered by request.
+struct Batch {
+    explicit Batch(std::size_t capacity)
+        : batch(
+            capacity, [](const std::string&) { return Duration::zero(); }, [](const std::string&, std::uint64_t) {})
+    {
+    }
+
+    void add(const GenerationRequest& request)
+    {
+        GenerationSink sink;
+        sink.onToken = [this, id = request.requestId](std::uint64_t, const std::string& text) { texts[id] += text; };
+        sink.onFinish = [](std::uint64_t) {};
+        sink.onCancel = [](std::uint64_t) {};
+        batch.add(request, sink);
+    }
+
+    void step()
+    {
+        batch.fill(clock.now());
+        batch.step(clock.now());
+    }
+
+    ManualClock clock;
+    ContinuousBatch batch;
+    std::map<std::string, std::string> texts;
+};
+
+Json arm(std::uint64_t step)
+{
+    return { { "kind", "arm" }, { "epoch", "1.1" }, { "step", step }, { "fencing_token", 1 } };
+}
+
+Json prepare()
+{
+    return { { "kind", "prepare" }, { "epoch", "1.1" }, { "map_version", 2 }, { "fencing_token", 1 } };
+}
+
+Json release(bool switches)
+{
+    return { { "kind", "release" }, { "epoch", "1.1" }, { "switch", switches }, { "fencing_token", 1 } };
+}
+
+}
+
+// Guards against engines whose answers differ, which would make each resumed answer look wrong.
+TEST_CASE("a resume at any byte continues exactly")
+{
+    std::string whole = generatedAnswer("prompt", 5);
+    for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+        Batch batch(1);
+        batch.add({ "r", "prompt", 5, 0, whole.substr(0, cut) });
+        for (int step = 0; step < 6; ++step)
+            batch.step();
+        CHECK(whole.substr(0, cut) + batch.texts["r"] == whole);
+        CHECK(batch.batch.isEmpty());
+    }
+    CHECK_THROWS_AS(Batch(1).add({ "r", "prompt", 5, 0, "other " }), Error);
+}
+
+TEST_CASE("all running streams get one token each step, and others wait by priority")
+{
+    Batch batch(2);
+    batch.add({ "low", "p", 2, 0, "" });
+    batch.add({ "first", "p", 2, 5, "" });
+    batch.add({ "second", "p", 2, 5, "" });
+    batch.step();
+    CHECK(batch.texts["first"] == generatedAnswer("p", 1));
+    CHECK(batch.texts["second"] == generatedAnswer("p", 1));
+    CHECK(batch.texts.count("low") == 0);
+    CHECK(batch.batch.cancel("first") == 1);
+    batch.step();
+    CHECK(batch.texts["first"] == generatedAnswer("p", 1));
+    CHECK(batch.texts["low"] == generatedAnswer("p", 1));
+}
+
+TEST_CASE("the prefix cache evicts the least recently used blocks and reports with lag and gaps")
+{
+    ManualClock clock;
+    PrefixCache cache({ 2, std::chrono::seconds(1), 2 });
+    std::string first(64, 'a');
+    std::string second(64, 'b');
+    CHECK(cache.use(clock.now(), first + second) == 0);
+    CHECK(cache.use(clock.now(), first + second + "rest") == 2);
+    CHECK(cache.use(clock.now(), second) == 0);
+    // The block behind the first one was evicted; the first one is still there.
+    CHECK(cache.use(clock.now(), first + second) == 1);
+    CHECK(cache.eventsAfter(clock.now(), 0).empty());
+    clock.advance(std::chrono::seconds(1));
+    std::vector<PrefixCacheEvent> events = cache.eventsAfter(clock.now(), 0);
+    REQUIRE(events.size() == 3);
+    CHECK(events[0].sequence == 1);
+    CHECK(events[1].sequence == 3);
+    CHECK(cache.eventsAfter(clock.now(), 3).size() == 1);
+}
+
+// Guards against an engine that begins the armed step without knowing the outcome.
+TEST_CASE("an armed engine blocks before the step until it is released")
+{
+    for (bool switches : { false, true }) {
+        EngineOrders orders({});
+        orders.finish(1);
+        CHECK(orders.apply(arm(4)).status == 409);
+        CHECK(orders.apply(prepare()).status == 200);
+        CHECK(orders.tryBegin(2));
+        CHECK(orders.apply(arm(4)).status == 200);
+        CHECK(orders.apply({ { "kind", "refuse" }, { "epoch", "1.1" }, { "fencing_token", 1 } }).status == 409);
+        orders.finish(2);
+        CHECK(orders.tryBegin(3));
+        orders.finish(3);
+        CHECK_FALSE(orders.tryBegin(4));
+        CHECK(orders.apply(release(switches)).status == 200);
+        CHECK(orders.apply(release(!switches)).status == 409);
+        CHECK(orders.tryBegin(4));
+        CHECK(orders.mapVersionAt(4) == (switches ? 2 : 0));
+    }
+}
+
+// Guards against a promise that came too late, and a refusal that is taken back.
+TEST_CASE("an engine that has begun the step refuses the epoch for good")
+{
+    EngineOrders orders({});
+    orders.finish(1);
+    CHECK(orders.apply(prepare()).status == 200);
+    CHECK(orders.tryBegin(2));
+    CHECK(orders.apply(arm(2)).status == 409);
+    CHECK(orders.apply(arm(9)).status == 409);
+    CHECK(orders.apply(release(true)).status == 409);
+}
+
+TEST_CASE("only an engine that checks fencing refuses a stale token")
+{
+    EngineOrders::Options options;
+    for (bool checks : { false, true }) {
+        options.checksFencing = checks;
+        EngineOrders orders(options);
+        CHECK(orders.checkFencing({ { "fencing_token", 5 } }).status == 200);
+        CHECK(orders.checkFencing({ { "fencing_token", 4 } }).status == (checks ? 409 : 200));
+        CHECK(orders.state().at("highest_token") == 5);
+    }
+}
+
+// Guards against an engine that runs ahead of its group, and against mixed maps that go unnoticed.
+TEST_CASE("the barrier releases a step when all engines have arrived")
+{
+    StepBarrier barrier(2);
+    std::vector<BarrierAnswer> answers;
+    auto collect = [&](const BarrierAnswer& answer) { answers.push_back(answer); };
+    barrier.arrive({ "a", 6, 1, false }, collect);
+    barrier.withdraw(barrier.arrive({ "b", 6, 1, false }, collect) + 1);
+    REQUIRE(answers.size() == 2);
+    CHECK(answers[1].step == 7);
+    CHECK(barrier.mixedMapSteps() == 0);
+
+    answers.clear();
+    std::uint64_t gone = barrier.arrive({ "b", 7, 1, false }, collect);
+    barrier.withdraw(gone);
+    barrier.arrive({ "a", 7, 1, false }, collect);
+    CHECK(answers.empty());
+    barrier.arrive({ "b", 0, 0, true }, collect);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].adopts);
+    CHECK(answers[0].step == 7);
+    CHECK(answers[0].mapVersion == 1);
+    barrier.arrive({ "b", 7, 2, false }, collect);
+    REQUIRE(answers.size() == 3);
+    CHECK(barrier.mixedMapSteps() == 1);
+}
+
+}
