--- a/StandIns/FaultControl.cpp
+++ b/StandIns/FaultControl.cpp
@@ -19,6 +19,7 @@
 {
     return {
         { "delay_ms", settings.delay.count() },
+        { "step_delay_ms", settings.stepDelay.count() },
         { "down", settings.isDown },
         { "stall", settings.isStalled },
         { "reorder", settings.reorders },
@@ -60,6 +61,7 @@
     if (!exchange.request().body.empty()) {
         Json json = parseJsonObject(exchange.request().body);
         settings_.delay = std::chrono::milliseconds(json.value("delay_ms", settings_.delay.count()));
+        settings_.stepDelay = std::chrono::milliseconds(json.value("step_delay_ms", settings_.stepDelay.count()));
         settings_.isDown = json.value("down", settings_.isDown);
         settings_.isStalled = json.value("stall", settings_.isStalled);
         settings_.reorders = json.value("reorder", settings_.reorders);
--- a/StandIns/FaultControl.h
+++ b/StandIns/FaultControl.h
@@ -11,6 +11,8 @@
 struct FaultSettings {
     // Each request is handled after this delay.
     std::chrono::milliseconds delay { 0 };
+    // Each step of a model engine takes this much longer, as on a slow rank.
+    std::chrono::milliseconds stepDelay { 0 };
     // Connections are closed without an answer.
     bool isDown { false };
     // Requests are held until this is cleared.
--- a/StandIns/ModelEngineRole.cpp
+++ b/StandIns/ModelEngineRole.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds retryDelay { 5 };
-// Bounds the wait at the barrier; an engine that reaches it arrives again.
-constexpr std::chrono::minutes barrierTimeout { 10 };
+// Bounds the wait at the barrier and for weights; an engine that reaches it at the barrier arrives again.
+constexpr std::chrono::minutes clientTimeout { 10 };
 constexpr std::size_t maxStepRecords = 10000;
 // A step with one more stream takes this share longer.
 constexpr double stepTimePerStream = 0.005;
@@ -44,7 +44,7 @@
     : loop_(loop)
     , clock_(clock)
     , options_(options)
-    , client_(loop, barrierTimeout)
+    , client_(loop, clientTimeout)
     , cache_(options.cache)
     , batch_(std::make_shared<ContinuousBatch>(
           options.capacity, [this](const std::string& prompt) { return prefillTime(prompt); },
@@ -204,11 +204,21 @@
                 respondError(*exchange, 503, "the weights can't be loaded");
                 return;
             }
-            handleSafely(exchange, [this, &order](const Exchange& loaded) { applyOrder(*loaded, order); });
+            handleSafely(exchange, [this, &order](const Exchange& loaded) { applyLoadedOrder(*loaded, order); });
         },
         [exchange](const HttpFailure&) { respondError(*exchange, 503, "the weight store can't be reached"); });
 }
 
+// Another controller may have taken over while the weights were loaded.
+void ModelEngineRole::applyLoadedOrder(HttpExchange& exchange, const Json& order)
+{
+    OrderResult result = orders_.checkFencing(order);
+    if (result.status == 200)
+        applyOrder(exchange, order);
+    else
+        respondError(exchange, result.status, result.error);
+}
+
 void ModelEngineRole::applyOrder(HttpExchange& exchange, const Json& order)
 {
     OrderResult result = orders_.apply(order);
@@ -342,7 +352,7 @@
 Duration ModelEngineRole::currentStepTime() const
 {
     double factor = 1 + stepTimePerStream * static_cast<double>(batch_->running());
-    return std::chrono::duration_cast<Duration>(options_.stepTime * factor);
+    return std::chrono::duration_cast<Duration>(options_.stepTime * factor) + faults_.settings().stepDelay;
 }
 
 void ModelEngineRole::takeLoadSnapshot()
--- a/StandIns/ModelEngineRole.h
+++ b/StandIns/ModelEngineRole.h
@@ -64,6 +64,7 @@
     void reportSteps(HttpExchange& exchange);
     void handleKeyValueCache(HttpExchange& exchange, const std::string& requestId);
     void handleOrder(const Exchange& exchange);
+    void applyLoadedOrder(HttpExchange& exchange, const nlohmann::json& order);
     void applyOrder(HttpExchange& exchange, const nlohmann::json& order);
     void handleArrival(const Exchange& exchange);
 
