--- a/Source/Agent/EngineClient.cpp
+++ b/Source/Agent/EngineClient.cpp
@@ -1,6 +1,7 @@
 #include "Agent/EngineClient.h"
 
-#include "Transport/ServerSentEventParser.h"
+#include "Core/Error.h"
+#include "Transport/EventStreamParser.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -42,12 +43,24 @@
 // A call at the engine. The parser collects the text; the HTTP call ends with the object.
 struct EngineClient::RunningCall {
     EngineCallHandlers handlers;
-    std::unique_ptr<ServerSentEventParser> parser;
+    std::unique_ptr<EventStreamParser> parser;
     std::unique_ptr<HttpCall> call;
     int status { 0 };
     std::string body;
     bool ended { false };
 
+    void readStream(std::string_view part)
+    {
+        try {
+            parser->feed(part);
+        } catch (const Error& error) {
+            if (ended)
+                return;
+            ended = true;
+            handlers.onFailure({ true, error.what() });
+        }
+    }
+
     void readEvent(const ServerSentEvent& event)
     {
         Json json = Json::parse(event.data, nullptr, false);
@@ -85,12 +98,12 @@
     auto running = std::make_shared<RunningCall>();
     running->handlers = std::move(handlers);
     RunningCall* raw = running.get();
-    running->parser = std::make_unique<ServerSentEventParser>([raw](const ServerSentEvent& event) { raw->readEvent(event); });
+    running->parser = std::make_unique<EventStreamParser>([raw](const ServerSentEvent& event) { raw->readEvent(event); });
     HttpResponseHandlers responseHandlers;
     responseHandlers.onHead = [running](const HttpResponse& head) { running->status = head.status; };
     responseHandlers.onBody = [running](std::string_view part) {
         if (running->status == 200)
-            running->parser->feed(part);
+            running->readStream(part);
         else
             running->body += part;
     };
--- a/Source/Entry/AnswerWriter.cpp
+++ b/Source/Entry/AnswerWriter.cpp
@@ -1,7 +1,7 @@
 #include "Entry/AnswerWriter.h"
 
 #include "Entry/ProblemDetails.h"
-#include "Transport/ServerSentEventParser.h"
+#include "Transport/EventStreamParser.h"
 
 #include <nlohmann/json.hpp>
 
@@ -75,7 +75,7 @@
         exchange_->write(formatServerSentEvent(done));
     } else {
         ServerSentEvent error;
-        error.type = "error";
+        error.event = "error";
         error.data = problemBody(outcome.code, outcome.executed, "the answer is not whole");
         exchange_->write(formatServerSentEvent(error));
     }
--- a/StandIns/Main.cpp
+++ b/StandIns/Main.cpp
@@ -59,7 +59,7 @@
     role->add_option("--experts", options.experts)->check(CLI::PositiveNumber);
     role->add_option("--map-version", options.orders.mapVersion, "Expert map at the start");
     role->add_option("--load-lag-ms", settings.loadLagMs, "Period of the load report")->check(CLI::PositiveNumber);
-    role->add_option("--cache-blocks", options.cache.maxBlocks, "Prompt blocks of 64 bytes in the prefix cache");
+    role->add_option("--cache-blocks", options.cache.maxBlocks, "Prompt blocks of 256 bytes in the prefix cache");
     role->add_option("--cache-event-lag-ms", settings.cacheEventLagMs);
     role->add_option("--cache-event-gap-every", options.cache.eventGapEvery, "Leaves out each event of a multiple of this number");
     role->add_option("--barrier", settings.barrier, "Address of the first engine of the group");
