Calls: Keep finished drivers in the state test

The world destroyed a driver as soon as it had finished, so late table answers never reached it and the mutants LateClaim and OneOutcome passed. Drivers now stay for 2 s.

--- a/Source/Calls/CallDriver.cpp
+++ b/Source/Calls/CallDriver.cpp
@@ -555,8 +555,6 @@
 
 void CallDriver::finish(ResultCode code, Executed executed, const std::string& answer)
 {
-    if (phase_ == Phase::Finished)
-        return;
     // A row that names a proven unused ticket is released, so that the next caller need not ask the agent.
     if (executed == Executed::No && claim_ && claim_->owner == request_.callId)
         closeClaim(ClaimState::Released, ResultCode::Ok, {});
--- a/Tests/Calls/CallDriverTest.cpp
+++ b/Tests/Calls/CallDriverTest.cpp
@@ -167,6 +167,31 @@
     CHECK(fixture.tickets.size() == 2);
 }
 
+// Guards against a send, a second outcome or a blocked key when the claim write ends after the deadline.
+TEST_CASE("a claim that is written after the deadline is released and not used")
+{
+    DriverFixture fixture(false);
+    fixture.table.isHeld = true;
+    fixture.start();
+    fixture.advance(seconds(21));
+    CHECK(fixture.outcomes.at(0).executed == Executed::No);
+    fixture.table.release();
+    CHECK(fixture.sentOf<CallMessage>().empty());
+    CHECK(fixture.sentOf<ResolveMessage>().size() == 1);
+    CHECK(fixture.row().state == ClaimState::Released);
+
+    DriverFixture late(false);
+    late.table.isHeld = true;
+    late.start();
+    late.advance(seconds(21));
+    ClaimRecord foreign;
+    foreign.owner = "other";
+    late.table.table.write({ { claimRowKey("", "", "", "key"), encodeClaim(foreign), std::nullopt } });
+    late.table.release();
+    late.advance(seconds(1));
+    CHECK(late.outcomes.size() == 1);
+}
+
 // Guards against a claim that keeps its key although no attempt was started.
 TEST_CASE("a booking that was not executed releases its claim")
 {
--- a/Tests/Calls/CallsWorld.cpp
+++ b/Tests/Calls/CallsWorld.cpp
@@ -10,7 +10,8 @@
 
 constexpr milliseconds tickInterval(10);
 // The longest time that the world runs after the faults ended. Above all deadlines.
-constexpr milliseconds healTime(15000);
+constexpr milliseconds healTime(12000);
+constexpr milliseconds lingerTime(2000);
 // The guarantee allows a draining agent a few seconds before nothing new starts.
 constexpr milliseconds drainGrace(2000);
 
@@ -156,11 +157,11 @@
         }
         for (auto& driver : entry.drivers)
             driver.second->tick();
+        // Finished drivers stay for a while, so that late messages and table answers reach them.
         for (auto driver = entry.drivers.begin(); driver != entry.drivers.end();) {
-            if (driver->second->isFinished()) {
-                counters().sends += driver->second->sends();
+            if (driver->second->isFinished() && clock_.now() > driver->second->request().deadline + lingerTime)
                 driver = entry.drivers.erase(driver);
-            } else
+            else
                 ++driver;
         }
     }
@@ -513,6 +514,8 @@
         LinkPointer link = entries_[entryNumber].links[agentIndex(agent)];
         if (!link)
             return false;
+        if (std::holds_alternative<CallMessage>(message))
+            ++counters().sends;
         toAgent(link, message);
         return true;
     };
