Calls: Leave the refusal while draining to the ledger

The mutant DrainRevoke passed: the ledger revokes all unspent tickets when the agent drains, so the check before it changed nothing.

--- a/Source/Calls/AgentCalls.cpp
+++ b/Source/Calls/AgentCalls.cpp
@@ -64,8 +64,6 @@
 
 ResultCode AgentCalls::check(std::uint64_t session, const CallMessage& message, TimePoint receivedAt) const
 {
-    if (ledger_.isDraining())
-        return ResultCode::InstanceDraining;
     if (message.ticket.session != session)
         return ResultCode::TicketInvalid;
     if (!isEngineAvailable_)
