StandIns: Release delayed tasks when a role ends

Cause: A trial build with the address sanitizer reported that timers that were still pending at SIGTERM were leaked, since each owned itself. Change: DelayedTasks owns the timers and replaces runLater.

--- a/StandIns/ApplicationEngineRole.cpp
+++ b/StandIns/ApplicationEngineRole.cpp
@@ -1,7 +1,6 @@
 #include "StandIns/ApplicationEngineRole.h"
 
 #include "StandIns/JsonHttp.h"
-#include "StandIns/RunLater.h"
 
 #include <xxhash.h>
 
@@ -10,7 +9,7 @@
 using Json = nlohmann::json;
 
 ApplicationEngineRole::ApplicationEngineRole(EventLoop& loop, const ApplicationEngineOptions& options)
-    : loop_(loop)
+    : delayed_(loop)
     , options_(options)
     , faults_(
           loop, [this](const Exchange& exchange) { handle(exchange); },
@@ -42,7 +41,7 @@
     } else {
         answer["booking"] = options_.name + "-" + std::to_string(++bookings_);
     }
-    runLater(loop_, options_.serviceTime, [exchange, answer] { respondJson(*exchange, 200, answer); });
+    delayed_.run(options_.serviceTime, [exchange, answer] { respondJson(*exchange, 200, answer); });
 }
 
 void ApplicationEngineRole::reportExecutions(HttpExchange& exchange)
--- a/StandIns/ApplicationEngineRole.h
+++ b/StandIns/ApplicationEngineRole.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Endpoint.h"
+#include "StandIns/DelayedTasks.h"
 #include "StandIns/FaultControl.h"
 
 #include <map>
@@ -28,7 +29,7 @@
     void execute(const Exchange& exchange, const std::string& operation);
     void reportExecutions(HttpExchange& exchange);
 
-    EventLoop& loop_;
+    DelayedTasks delayed_;
     ApplicationEngineOptions options_;
     std::map<std::string, std::uint64_t> executions_;
     std::uint64_t bookings_ { 0 };
--- a/StandIns/FaultControl.cpp
+++ b/StandIns/FaultControl.cpp
@@ -2,7 +2,6 @@
 
 #include "StandIns/FaultExchanges.h"
 #include "StandIns/JsonHttp.h"
-#include "StandIns/RunLater.h"
 
 #include <utility>
 
@@ -31,7 +30,7 @@
 }
 
 FaultControl::FaultControl(EventLoop& loop, HttpServer::Handler handler, WriteTest isWrite)
-    : loop_(loop)
+    : delayed_(loop)
     , handler_(std::move(handler))
     , isWrite_(std::move(isWrite))
 {
@@ -77,7 +76,7 @@
 {
     collected_.push_back(exchange);
     if (collected_.size() == 1)
-        runLater(loop_, reorderingWindow, [this] { releaseReversed(); });
+        delayed_.run(reorderingWindow, [this] { releaseReversed(); });
 }
 
 void FaultControl::releaseReversed()
@@ -101,7 +100,7 @@
     if (settings_.delay.count() == 0)
         carryOut(exchange);
     else
-        runLater(loop_, settings_.delay, [this, exchange] { carryOut(exchange); });
+        delayed_.run(settings_.delay, [this, exchange] { carryOut(exchange); });
 }
 
 void FaultControl::carryOut(const std::shared_ptr<HttpExchange>& exchange)
--- a/StandIns/FaultControl.h
+++ b/StandIns/FaultControl.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Transport/EventLoop.h"
+#include "StandIns/DelayedTasks.h"
 #include "Transport/HttpServer.h"
 
 #include <vector>
@@ -44,7 +44,7 @@
     void scheduleHandling(const std::shared_ptr<HttpExchange>& exchange);
     void carryOut(const std::shared_ptr<HttpExchange>& exchange);
 
-    EventLoop& loop_;
+    DelayedTasks delayed_;
     HttpServer::Handler handler_;
     WriteTest isWrite_;
     FaultSettings settings_;
--- a/StandIns/ModelEngineRole.cpp
+++ b/StandIns/ModelEngineRole.cpp
@@ -1,7 +1,6 @@
 #include "StandIns/ModelEngineRole.h"
 
 #include "StandIns/JsonHttp.h"
-#include "StandIns/RunLater.h"
 
 #include <cmath>
 #include <xxhash.h>
@@ -45,6 +44,7 @@
     , clock_(clock)
     , options_(options)
     , client_(loop, clientTimeout)
+    , delayed_(loop)
     , cache_(options.cache)
     , batch_(std::make_shared<ContinuousBatch>(
           options.capacity, [this](const std::string& prompt) { return prefillTime(prompt); },
@@ -290,7 +290,7 @@
 
 void ModelEngineRole::retryStep()
 {
-    runLater(loop_, retryDelay, [this] { beginStep(); });
+    delayed_.run(retryDelay, [this] { beginStep(); });
 }
 
 void ModelEngineRole::arriveAtBarrier(std::uint64_t step)
@@ -331,14 +331,14 @@
 {
     batch_->fill(clock_.now());
     auto time = std::chrono::ceil<std::chrono::milliseconds>(currentStepTime());
-    runLater(loop_, time, [this, step] { finishStep(step); });
+    delayed_.run(time, [this, step] { finishStep(step); });
 }
 
 void ModelEngineRole::finishStep(std::uint64_t step)
 {
     // A stalled rank ends no step, which holds up its whole group.
     if (faults_.settings().isStalled) {
-        runLater(loop_, retryDelay, [this, step] { finishStep(step); });
+        delayed_.run(retryDelay, [this, step] { finishStep(step); });
         return;
     }
     steps_.push_back({ step, orders_.mapVersionAt(step) });
--- a/StandIns/ModelEngineRole.h
+++ b/StandIns/ModelEngineRole.h
@@ -3,6 +3,7 @@
 #include "Core/Clock.h"
 #include "Core/Endpoint.h"
 #include "StandIns/ContinuousBatch.h"
+#include "StandIns/DelayedTasks.h"
 #include "StandIns/EngineOrders.h"
 #include "StandIns/FaultControl.h"
 #include "StandIns/PrefixCache.h"
@@ -84,6 +85,7 @@
     const Clock& clock_;
     ModelEngineOptions options_;
     HttpClient client_;
+    DelayedTasks delayed_;
     PrefixCache cache_;
     // Shared with the close handlers of connections, which may run after the end of this object.
     std::shared_ptr<ContinuousBatch> batch_;
--- a/StandIns/PlatformRole.cpp
+++ b/StandIns/PlatformRole.cpp
@@ -2,7 +2,6 @@
 
 #include "Platform/TableJson.h"
 #include "StandIns/JsonHttp.h"
-#include "StandIns/RunLater.h"
 
 namespace Damaskgrade {
 
@@ -36,7 +35,7 @@
 }
 
 PlatformRole::PlatformRole(EventLoop& loop, const Clock& clock, const PlatformOptions& options)
-    : loop_(loop)
+    : delayed_(loop)
     , clock_(clock)
     , tableWriteRate_(options.tableWritesPerSecond, maxTableWait)
     , tableReadRate_(options.tableReadsPerSecond, maxTableWait)
@@ -79,7 +78,7 @@
         respondError(*exchange, 503, "the table is overloaded");
         return;
     }
-    runLater(loop_, roundUp(*wait), [this, exchange, isWrite, operation = std::string(operation)] {
+    delayed_.run(roundUp(*wait), [this, exchange, isWrite, operation = std::string(operation)] {
         handleSafely(exchange, [&](const Exchange& delayed) {
             if (isWrite)
                 writeTable(*delayed);
@@ -175,7 +174,7 @@
         respondError(*exchange, 503, "the weight store is overloaded");
         return;
     }
-    runLater(loop_, roundUp(*wait), [exchange, bytes] { respondJson(*exchange, 200, { { "bytes", bytes } }); });
+    delayed_.run(roundUp(*wait), [exchange, bytes] { respondJson(*exchange, 200, { { "bytes", bytes } }); });
 }
 
 void PlatformRole::reportCounters(HttpExchange& exchange)
--- a/StandIns/PlatformRole.h
+++ b/StandIns/PlatformRole.h
@@ -3,6 +3,7 @@
 #include "Core/Clock.h"
 #include "Core/Endpoint.h"
 #include "Platform/MemoryTable.h"
+#include "StandIns/DelayedTasks.h"
 #include "StandIns/FaultControl.h"
 #include "StandIns/LaggedInstances.h"
 #include "StandIns/ServiceRate.h"
@@ -48,7 +49,7 @@
     void serveWeights(const Exchange& exchange);
     void reportCounters(HttpExchange& exchange);
 
-    EventLoop& loop_;
+    DelayedTasks delayed_;
     const Clock& clock_;
     ServiceRate tableWriteRate_;
     ServiceRate tableReadRate_;
