CommandLine: Add the timeline and load commands

Cause: operators read events of all processes, and a load run should show wrong answers and silent ends.

--- a/Source/CommandLine/OperatorCommands.h
+++ b/Source/CommandLine/OperatorCommands.h
@@ -10,7 +10,7 @@
 
 namespace Damaskgrade {
 
-// The commands that an operator types: config, status and timeline.
+// The commands that an operator types at an entry instance: config and status.
 // Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 not decided yet.
 class OperatorCommands {
 public:
@@ -31,7 +31,6 @@
 
     int& exitCode_;
     Endpoint entry_;
-    std::vector<Endpoint> entries_;
     bool asJson_ { false };
     std::string section_;
     std::string file_;
--- a/Source/CommandLine/Program.cpp
+++ b/Source/CommandLine/Program.cpp
@@ -1,8 +1,10 @@
 #include "CommandLine/Program.h"
 
 #include "Agent/AgentProcess.h"
+#include "CommandLine/LoadCommand.h"
 #include "CommandLine/OperatorCommands.h"
 #include "CommandLine/SettingsOptions.h"
+#include "CommandLine/TimelineCommand.h"
 #include "Core/Error.h"
 #include "Core/SystemClock.h"
 #include "Entry/EntryProcess.h"
@@ -77,6 +79,8 @@
     addAgentOptions(*agent, agentSettings);
     agent->callback([&] { exitCode = runAgent(agentSettings); });
     OperatorCommands commands(app, exitCode);
+    TimelineCommand timeline(app);
+    LoadCommand load(app, exitCode);
     try {
         app.parse(argumentCount, arguments);
     } catch (const CLI::ParseError& error) {
--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -220,6 +220,22 @@
   return "$result"
 }
 
+checkLoad() {
+  local entries="${entryAddress[entry-1]},${entryAddress[entry-2]},${entryAddress[entry-3]},${entryAddress[entry-4]}"
+  "$program" load --entries "$entries" --rate 40 --seconds 4 --model "$model" --service "$service" \
+    --lookup-operation "$lookup" --booking-operation "$booking" --completions 3 --lookups 2 --bookings 1 \
+    --min-tokens 10 --max-tokens 40 --customers "$customer" >"$work/load"
+}
+
+timelineShows() {
+  "$program" timeline --platform "$platform" --processes "${entryAddress[entry-1]},${entryAddress[entry-2]}" >"$work/timeline"
+  grep -q "$1" "$work/timeline"
+}
+
+checkTimeline() {
+  waitFor 10 timelineShows 'InstanceSuspected entry-3' && timelineShows ConfigurationInForce
+}
+
 start="$SECONDS"
 echo "Deployment $deployment: 4 entries, 16 model engines, 3 application engines in ${zones[*]:1}"
 startDeployment
@@ -229,6 +245,7 @@
 check "a lookup is answered" checkLookup
 check "a booking sent twice over two entries is executed once" checkBooking
 check "bad requests get their numbers" checkErrors
+check "a small load of all kinds has no wrong answer and no silent end" checkLoad
 check "a configuration change is in force on all entries" checkChange
 check "of two operators racing on one section one succeeds" checkRace
 check "a bad section is refused with its line" checkBadDocument
@@ -236,5 +253,7 @@
 check "calls go on and bookings are refused during a platform outage" checkOutage
 check "a graceful shutdown of an entry finishes its stream" checkShutdown
 check "a caller resumes its stream after the kill of an entry" checkEntryKill
+check "the time line shows the changes and the lost entry" checkTimeline
+sed 's/^/    /' "$work/load"
 echo "$passed passed, $failed failed in $((SECONDS - start)) s"
 [ "$failed" -eq 0 ]
