Routing: Remove unmeasured figures from comments

The bytes for each block and the tokens in a block were not measured, and the growth of a step is an assumption.

--- a/Source/Routing/BackendServerSelector.cpp
+++ b/Source/Routing/BackendServerSelector.cpp
@@ -20,7 +20,7 @@
     return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
-// Steps get longer with the batch. About half of the time of a step with a full batch is independent of it.
+// Steps get longer with the batch. Assumes that half of the time of a step with a full batch is independent of it.
 double batchGrowth(const BackendServer& server, double expected)
 {
     double capacity = std::max(1.0, static_cast<double>(server.load.capacity));
--- a/Source/Routing/PrefixCacheIndex.h
+++ b/Source/Routing/PrefixCacheIndex.h
@@ -17,7 +17,7 @@
 // because an eviction may be among the missing events.
 class PrefixCacheIndex {
 public:
-    // Keeps the newest blocks of each engine up to the limit; one block takes about 64 bytes.
+    // Keeps the newest blocks of each engine up to the limit.
     explicit PrefixCacheIndex(std::size_t maximumBlocksPerServer);
 
     void apply(std::string_view server, gsl::span<const CacheEvent> events);
--- a/Source/Routing/PromptBlocks.h
+++ b/Source/Routing/PromptBlocks.h
@@ -6,7 +6,7 @@
 
 namespace Damaskgrade {
 
-// Bytes of prompt text in one block of the prefix cache, about 16 to 64 tokens.
+// Bytes of prompt text in one block of the prefix cache.
 constexpr std::size_t promptBlockBytes = 256;
 
 // Bounds the work for one selection; a longer prefix is judged by its first 512 blocks (128 KiB).
