Tests: Check that a late order is refused after its weights were loaded

Cause: The repeated check of the fencing token had no test. Change: A process test holds an order at the stalled weight store until the engine has seen a higher token.

--- a/Tests/Process/StandInsTest.cpp
+++ b/Tests/Process/StandInsTest.cpp
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <future>
+#include <thread>
 
 namespace Damaskgrade {
 
@@ -15,6 +17,8 @@
 using Json = nlohmann::json;
 
 constexpr std::chrono::seconds tableLimit { 30 };
+constexpr std::chrono::milliseconds pollPeriod { 10 };
+constexpr int maxPolls = 3000;
 
 // Starts one stand-in and waits until it is ready.
 struct StandIn {
@@ -66,6 +70,11 @@
     return Json::parse(getHttp(engine, "/v1/executions").body).value(subject, std::uint64_t { 0 });
 }
 
+Json orderState(const Endpoint& engine)
+{
+    return Json::parse(getHttp(engine, "/v1/orders/state").body);
+}
+
 HttpResponse book(const Endpoint& engine, const std::string& key)
 {
     HttpRequest request;
@@ -114,6 +123,25 @@
     CHECK(engine.process.waitForExit() == -SIGKILL);
 }
 
+// Guards against an order of a former controller that takes effect late, after its weights were loaded.
+TEST_CASE("an order that was waiting for weights is refused once a higher fencing token was seen")
+{
+    StandIn platform({ "platform" });
+    StandIn engine({ "model-engine", "--name", "e1", "--model", "m", "--check-fencing", "--weight-store", formatEndpoint(platform.endpoint) });
+    postHttp(platform.endpoint, "/control", R"({"stall":true})");
+    std::future<HttpResponse> prepare = std::async(std::launch::async, [&] {
+        return postHttp(engine.endpoint, "/v1/orders", R"({"fencing_token":1,"kind":"prepare","epoch":"1.1","map_version":2,"bytes":1})");
+    });
+    for (int polls = 0; polls < maxPolls && orderState(engine.endpoint).at("highest_token") != 1; ++polls)
+        std::this_thread::sleep_for(pollPeriod);
+    CHECK(orderState(engine.endpoint).at("highest_token") == 1);
+    CHECK(postHttp(engine.endpoint, "/v1/orders", R"({"fencing_token":2,"kind":"set_role","role":"decode"})").status == 200);
+    postHttp(platform.endpoint, "/control", R"({"stall":false})");
+    CHECK(prepare.get().status == 409);
+    CHECK(orderState(engine.endpoint).at("prepared_epoch").is_null());
+    CHECK(orderState(engine.endpoint).at("role") == "decode");
+}
+
 // Guards against a program that fails to start and leaves the test waiting.
 TEST_CASE("a process that ends early is reported")
 {
