--- a/Tests/MapSwitch/MapSwitchTest.cpp
+++ b/Tests/MapSwitch/MapSwitchTest.cpp
@@ -122,6 +122,161 @@
     std::vector<VoteAnswerMessage> answers;
 };
 
+// A controller that takes over the lease of a group whose change to map 5 has no recorded outcome.
+struct ControllerFixture {
+    ControllerFixture()
+    {
+        GroupRow row;
+        row.lastEpoch = { 1, 1 };
+        row.lastVersion = 5;
+        row.inForce = 4;
+        row.target = 5;
+        table.rows.write({ { groupRowKey("g"), encodeGroupRow(row), std::nullopt }, { groupMapKey("g", 4), "four", std::nullopt }, { groupMapKey("g", 5), "five", std::nullopt } });
+        MapControllerSettings settings;
+        settings.name = "entry";
+        settings.group = "g";
+        settings.members = { "a", "b" };
+        controller = std::make_unique<MapController>(settings, clock, table, random, [this](const std::string&, const MapOrderMessage& message) { orders.push_back(message); });
+        while (orders.empty())
+            tick();
+    }
+
+    void tick()
+    {
+        clock.advance(std::chrono::milliseconds(100));
+        controller->tick();
+    }
+
+    void respond(const std::string& agent, const Epoch& epoch, const MapEngineState& state)
+    {
+        MapOrderResultMessage message;
+        message.agent = agent;
+        message.epoch = epoch;
+        message.state = state;
+        controller->receive(message);
+    }
+
+    MapEngineState state(MapVersion version, const Epoch& settled, std::optional<Epoch> armed = std::nullopt) const
+    {
+        MapEngineState result;
+        result.mapVersion = version;
+        result.settled = settled;
+        result.armed = armed;
+        return result;
+    }
+
+    bool hasOrdered(MapOrderKind kind) const
+    {
+        for (const MapOrderMessage& order : orders) {
+            if (order.kind == kind)
+                return true;
+        }
+        return false;
+    }
+
+    GroupRow row() const { return decodeGroupRow(table.rows.read({ groupRowKey("g") }).rows.front().value); }
+    Epoch epoch() const { return orders.back().epoch; }
+
+    ManualClock clock;
+    ImmediateTable table;
+    Random random { 1 };
+    std::vector<MapOrderMessage> orders;
+    std::unique_ptr<MapController> controller;
+};
+
+}
+
+// Guards against an abort in the row while an engine may still arm the epoch.
+TEST_CASE_FIXTURE(ControllerFixture, "an abort is recorded only after all engines have refused")
+{
+    respond("a", epoch(), state(4, { 1, 0 }));
+    respond("b", epoch(), state(4, epoch()));
+    tick();
+    CHECK(hasOrdered(MapOrderKind::Refuse));
+    CHECK(row().target == 5);
+    respond("a", epoch(), state(4, epoch()));
+    respond("b", epoch(), state(4, epoch()));
+    tick();
+    CHECK(row().target == noMap);
+    CHECK(row().inForce == 4);
+}
+
+// Guards against a recovery that contradicts an outcome which an agent has found.
+TEST_CASE_FIXTURE(ControllerFixture, "a recovery waits for all promises and takes the highest map")
+{
+    respond("a", epoch(), state(noMap, {}));
+    respond("b", epoch(), state(4, { 1, 0 }));
+    tick();
+    tick();
+    REQUIRE(orders.back().kind == MapOrderKind::Arm);
+    respond("a", epoch(), state(5, { 1, 1 }, epoch()));
+    tick();
+    tick();
+    CHECK(!hasOrdered(MapOrderKind::Prepare));
+    CHECK(!hasOrdered(MapOrderKind::Release));
+    respond("b", epoch(), state(4, { 1, 0 }, epoch()));
+    for (int count = 0; count < 3; ++count)
+        tick();
+    CHECK(orders.back().kind == MapOrderKind::Prepare);
+    CHECK(orders.back().version == 5);
+}
+
+// Guards against a decision on states from before the lease.
+TEST_CASE_FIXTURE(ControllerFixture, "a result of an older epoch is ignored")
+{
+    respond("a", { 1, 1 }, state(5, { 1, 1 }));
+    respond("b", { 1, 1 }, state(5, { 1, 1 }));
+    tick();
+    CHECK(row().target == 5);
+}
+
+// Guards against engines that are armed while another one still loads, which could only refuse.
+TEST_CASE_FIXTURE(ControllerFixture, "engines are armed after all have loaded the map")
+{
+    controller->request("six");
+    for (int count = 0; count < 4; ++count) {
+        respond("a", epoch(), state(5, { 1, 1 }));
+        respond("b", epoch(), state(5, { 1, 1 }));
+        tick();
+    }
+    REQUIRE(hasOrdered(MapOrderKind::Prepare));
+    MapEngineState prepared = state(5, { 1, 1 });
+    prepared.preparedVersion = 6;
+    respond("a", epoch(), prepared);
+    tick();
+    tick();
+    CHECK(!hasOrdered(MapOrderKind::Arm));
+    respond("b", epoch(), prepared);
+    tick();
+    tick();
+    CHECK(hasOrdered(MapOrderKind::Arm));
+}
+
+// Guards against a refusal by an engine whose lost vote of armed may have been counted.
+TEST_CASE_FIXTURE(AgentFixture, "a restarted engine has no vote")
+{
+    MapAgent agent = makeAgent();
+    join(agent);
+    engine.engine.restart();
+    agent.receive(VoteQuestionMessage { "g", "b", { 1, 2 }, 2 });
+    CHECK(answers.back().vote == Vote::None);
+}
+
+// Guards against agents that decide a recovery, whose map only the controller knows.
+TEST_CASE_FIXTURE(AgentFixture, "a recovery replaces a vote without refusing and is not decided by votes")
+{
+    MapAgent agent = makeAgent();
+    join(agent);
+    order(agent, { 1, 2 }, MapOrderKind::Prepare, 2);
+    order(agent, { 1, 2 }, MapOrderKind::Arm, 2, 10);
+    order(agent, { 1, 3 }, MapOrderKind::Arm);
+    agent.receive(VoteQuestionMessage { "g", "b", { 1, 2 }, 2 });
+    CHECK(answers.back().vote == Vote::None);
+    agent.tick();
+    clock.advance(2 * voteTimeout);
+    agent.tick();
+    CHECK(asked.empty());
+    CHECK(engine.engine.state().armed);
 }
 
 // Guards against a controller with an expired lease that gives orders to an engine which ignores tokens.
--- a/Tests/MapSwitch/World.cpp
+++ b/Tests/MapSwitch/World.cpp
@@ -174,7 +174,7 @@
     settings.group = groupName;
     settings.members = members_;
     // Short, so that many leases fit into a case.
-    settings.leaseDuration = milliseconds(2000);
+    settings.leaseDuration = milliseconds(1000);
     settings.stepMargin = stepMargin_;
     process.controller = std::make_unique<MapController>(settings, clock_, *this, random_,
         [this](const std::string& agent, const MapOrderMessage& message) { sendToAgent(agent, message, decodeMapOrder); });
@@ -347,6 +347,8 @@
 void World::run(const Action& action)
 {
     ++totals_.actions;
+    // Faults at the same moment are the exception.
+    advance(milliseconds(action.second % 4 == 0 ? 0 : action.second % 200));
     std::size_t engine = action.first % engines_.size();
     std::size_t controller = action.first % controllers_.size();
     switch (action.kind) {
