--- a/Tests/Placement/PlacementTest.cpp
+++ b/Tests/Placement/PlacementTest.cpp
@@ -97,6 +97,13 @@
     CHECK(loads[2] < 2.5);
 }
 
+// Guards against experts that are moved because of noise in the step times.
+TEST_CASE_FIXTURE(PlacementFixture, "small differences of the ranks are no straggler")
+{
+    observe(std::vector<double>(expertCount, 10), { 1.1, 1, 0.95, 1 });
+    CHECK(estimate.slowness() == std::vector<double>(rankCount, 1));
+}
+
 // Guards against experts that are moved to and fro when the load oscillates.
 TEST_CASE_FIXTURE(PlacementFixture, "an oscillating load causes fewer changes than swings")
 {
