Membership: Leave lost peers out of the estimate of own slowness

Cause: an entry that loses two of its three peers gets fewer than half of its requests answered, takes itself for slow and widens its suspicion timeout up to nine times. In demo.sh the killed entry was not suspected within 10 s and callers went on getting its address. Ruled out: the time line (the state had not changed).

Change: only requests to peers with contact within the suspicion timeout count for the own health.

--- a/Source/Membership/Membership.cpp
+++ b/Source/Membership/Membership.cpp
@@ -43,8 +43,11 @@
 void Membership::ask(const std::string& slot)
 {
     std::uint64_t nonce = random_.bits();
-    pending_[nonce] = { slot, clock_.now() };
-    ++asked_;
+    // A peer that has been silent for long is probably lost; its missing answers say nothing about this process.
+    auto contact = contacts_.find(slot);
+    bool isCounted = contact != contacts_.end() && clock_.now() - contact->second.asOf <= settings_.limits.suspicionTimeout;
+    pending_[nonce] = { slot, clock_.now(), isCounted };
+    asked_ += isCounted ? 1 : 0;
     hooks_.sendRequest(slot, { slotSet_, nonce });
 }
 
@@ -82,8 +85,8 @@
         return;
     // Dated by the request, because the answer may have been under way for any time.
     TimePoint sentAt = request->second.sentAt;
+    answered_ += request->second.isCounted ? 1 : 0;
     pending_.erase(request);
-    ++answered_;
     for (std::size_t index = 0; index < message.slots.size(); ++index) {
         const std::optional<SlotReport>& report = message.slots[index];
         if (report && settings_.slots[index] != settings_.self)
--- a/Source/Membership/Membership.h
+++ b/Source/Membership/Membership.h
@@ -83,6 +83,8 @@
     struct PendingRequest {
         std::string slot;
         TimePoint sentAt;
+        // Whether the answer counts for the health of this process.
+        bool isCounted { false };
     };
 
     void ask(const std::string& slot);
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -177,6 +177,20 @@
     CHECK(peers.at(0).status(peers.name(3)).state == PeerState::Alive);
 }
 
+// Guards against an entry that takes the loss of most of a small deployment for its own slowness
+// and goes on telling callers the addresses of lost entries. Callers keep an address for 5 s.
+TEST_CASE("lost instances are suspected within seconds even if they are the majority")
+{
+    Peers peers(4);
+    peers.run(seconds(2));
+    peers.cut(2);
+    peers.cut(3);
+    peers.run(seconds(5));
+    CHECK(peers.at(0).status(peers.name(1)).state == PeerState::Alive);
+    CHECK(peers.at(0).status(peers.name(2)).state == PeerState::Suspected);
+    CHECK(peers.at(0).status(peers.name(3)).state == PeerState::Suspected);
+}
+
 // Guards against late answers that pass for fresh contact.
 TEST_CASE("contact is dated by the request, however late the answer is")
 {
