--- a/Tests/MapSwitch/MapSwitchTest.cpp
+++ b/Tests/MapSwitch/MapSwitchTest.cpp
@@ -127,6 +127,7 @@
     ControllerFixture()
     {
         GroupRow row;
+        row.holder = "previous";
         row.lastEpoch = { 1, 1 };
         row.lastVersion = 5;
         row.inForce = 4;
@@ -210,8 +211,8 @@
     tick();
     REQUIRE(orders.back().kind == MapOrderKind::Arm);
     respond("a", epoch(), state(5, { 1, 1 }, epoch()));
-    tick();
-    tick();
+    for (int count = 0; count < 4; ++count)
+        tick();
     CHECK(!hasOrdered(MapOrderKind::Prepare));
     CHECK(!hasOrdered(MapOrderKind::Release));
     respond("b", epoch(), state(4, { 1, 0 }, epoch()));
@@ -221,6 +222,24 @@
     CHECK(orders.back().version == 5);
 }
 
+// Guards against orders of an older holder that pass for those of the new one.
+TEST_CASE_FIXTURE(ControllerFixture, "each lease has a higher token")
+{
+    CHECK(epoch().token == 2);
+}
+
+// Guards against a holder that goes on with the row of the next one.
+TEST_CASE_FIXTURE(ControllerFixture, "a holder that finds a newer token stops at once")
+{
+    GroupRow next = row();
+    next.holder = "other";
+    next.lastEpoch = { 3, 0 };
+    table.rows.write({ { groupRowKey("g"), encodeGroupRow(next), std::nullopt } });
+    for (int count = 0; count < 15; ++count)
+        tick();
+    CHECK(!controller->holdsLease());
+}
+
 // Guards against a decision on states from before the lease.
 TEST_CASE_FIXTURE(ControllerFixture, "a result of an older epoch is ignored")
 {
--- a/Tests/Placement/PlacementTest.cpp
+++ b/Tests/Placement/PlacementTest.cpp
@@ -123,7 +123,7 @@
         }
     }
     CHECK(changes >= 1);
-    CHECK(changes <= 10);
+    CHECK(changes <= 5);
 }
 
 // Guards against an estimate that goes back when reports arrive out of order.
