--- a/Source/Configuration/AdmissionGate.cpp
+++ b/Source/Configuration/AdmissionGate.cpp
@@ -30,11 +30,7 @@
         return;
     // An entry that was paused or cut off hears the news long after others have switched. Its
     // grace period starts no later than the end of its last lease.
-    std::optional<TimePoint> evidence = evidenceAt(now);
-    if (evidence)
-        graceFrom_[version] = std::min(now, *evidence + limits_.contactLease);
-    else
-        graceFrom_[version] = now - limits_.switchGrace - std::chrono::milliseconds(1);
+    graceFrom_[version] = std::min(now, evidenceAt(now).value_or(now) + limits_.contactLease);
 }
 
 void AdmissionGate::switchTo(ConfigurationVersion version)
--- a/Tests/Configuration/ChangeProtocolStateTest.cpp
+++ b/Tests/Configuration/ChangeProtocolStateTest.cpp
@@ -101,12 +101,12 @@
 };
 
 struct FaultTable : Command {
-    int mode { pick(0, 4) };
+    int mode { pick(0, 5) };
 
     void run(const NoModel&, Deployment& deployment) const override { deployment.setTable(static_cast<TableMode>(mode)); }
     void show(std::ostream& out) const override
     {
-        static const char* const names[] = { "up", "down", "loses answers", "slow" };
+        static const char* const names[] = { "up", "down", "loses answers", "slow", "writes late" };
         out << "table " << names[mode];
     }
 };
@@ -120,6 +120,52 @@
     void show(std::ostream& out) const override { out << "network with delays to " << maxDelay << " ms, " << loss << "% lost, " << duplicates << "% duplicated"; }
 };
 
+// Cuts some entries off or stops one, and makes a change meanwhile. Random single commands seldom do this in order.
+struct ChangeMeanwhile : Command {
+    int mask { pick(1, 31) };
+    int kind { pick(0, 4) };
+    int submitter { pick(0, 5) };
+    int amount { pick(4, 440) };
+
+    void run(const NoModel&, Deployment& deployment) const override
+    {
+        std::size_t index = static_cast<std::size_t>(mask);
+        bool tableBit = ((mask >> submitter) & 1) != 0;
+        deployment.heal();
+        deployment.advance(milliseconds(1500));
+        if (kind <= 1)
+            deployment.partition(static_cast<unsigned>(mask), tableBit);
+        if (kind == 2)
+            deployment.pause(index);
+        if (kind == 3)
+            deployment.kill(index);
+        deployment.advance(milliseconds(2500));
+        deployment.submit(static_cast<std::size_t>(submitter), changedSections[0]);
+        deployment.advance(amount * milliseconds(25));
+    }
+    void show(std::ostream& out) const override { out << "change meanwhile: mask " << mask << ", kind " << kind << ", submit at " << submitter << ", advance " << amount * 25 << " ms"; }
+};
+
+// Some entries lose their memory while the table is out of reach.
+struct RestartInOutage : Command {
+    int mask { pick(1, 31) };
+    int sides { pick(0, 32) };
+
+    void run(const NoModel&, Deployment& deployment) const override
+    {
+        deployment.setTable(TableMode::Down);
+        for (std::size_t index = 0; index < 5; ++index) {
+            if (((mask >> index) & 1) == 0)
+                continue;
+            deployment.kill(index);
+            deployment.start(index);
+        }
+        deployment.partition(static_cast<unsigned>(sides), false);
+        deployment.advance(milliseconds(8000));
+    }
+    void show(std::ostream& out) const override { out << "restart mask " << mask << " in a table outage, then partition by mask " << sides; }
+};
+
 struct Heal : Command {
     void run(const NoModel&, Deployment& deployment) const override { deployment.heal(); }
     void show(std::ostream& out) const override { out << "heal"; }
@@ -154,7 +200,7 @@
         deployment.advance(milliseconds(1000));
         // Advance and Submit are listed twice, so that changes finish and faults last.
         rc::state::check(NoModel(), deployment,
-            rc::state::gen::execOneOfWithArgs<Advance, Advance, Advance, Submit, Submit, Race, FaultProcess, FaultProcess, Partition, FaultTable, FaultNetwork, Heal>());
+            rc::state::gen::execOneOfWithArgs<Advance, Advance, Advance, Submit, Submit, Race, FaultProcess, FaultProcess, Partition, FaultTable, FaultNetwork, Heal, ChangeMeanwhile, ChangeMeanwhile, RestartInOutage>());
         deployment.checkConvergence();
         totals.add(deployment.counters());
     });
--- a/Tests/Configuration/Deployment.cpp
+++ b/Tests/Configuration/Deployment.cpp
@@ -16,7 +16,9 @@
 constexpr milliseconds tableDelay { 5 };
 constexpr milliseconds clientTimeout { 900 };
 constexpr milliseconds slowTable { 5000 };
-constexpr milliseconds convergenceTime { 20000 };
+constexpr milliseconds lateWrite { 15000 };
+// Longer than a late write and the limits of a change together.
+constexpr milliseconds convergenceTime { 30000 };
 // Stated here again on purpose: the oracle must not follow a changed TimeLimits.
 constexpr milliseconds inForceBound { 7000 };
 
@@ -99,16 +101,17 @@
 
     void write(const std::vector<TableWrite>& writes, std::function<void(const TableWriteResult&)> done) override
     {
-        run<TableWriteResult>([rows = &deployment_.rows_, writes] { return rows->write(writes); }, done);
+        run<TableWriteResult>([rows = &deployment_.rows_, writes] { return rows->write(writes); }, done, true);
     }
 
 private:
     template <typename Result>
-    void run(std::function<Result()> execute, const std::function<void(const Result&)>& done)
+    void run(std::function<Result()> execute, const std::function<void(const Result&)>& done, bool isWrite = false)
     {
         bool isCut = deployment_.isPartitioned_ && ((deployment_.partitionMask_ >> index_) & 1U) != (deployment_.tableBit_ ? 1U : 0U);
         TableMode mode = isCut ? TableMode::Down : deployment_.tableMode_;
-        Duration delay = mode == TableMode::Slow ? deployment_.randomDelay(slowTable) : Duration(tableDelay);
+        bool isLate = mode == TableMode::WritesLate && isWrite;
+        Duration delay = mode == TableMode::Slow ? deployment_.randomDelay(slowTable) : Duration(isLate ? lateWrite : tableDelay);
         // Lives in a shared place, because the answer comes either on time or not at all.
         std::shared_ptr<bool> isAnswered = std::make_shared<bool>(false);
         Deployment* deployment = &deployment_;
@@ -187,8 +190,8 @@
 {
     ChangeProtocolHooks hooks;
     hooks.send = [this, index](const std::string& to, const ConfigurationMessage& message) { post(index, to, encodeMessage(message, 0)); };
-    hooks.validate = [](const ConfigurationText& text) {
-        if (text.join().find("invalid") != std::string::npos)
+    hooks.validate = [this, index](const ConfigurationText&) {
+        if (rejecting_ == index)
             throw Error(ResultCode::DocumentInvalid, "line 2, change: is invalid; write anything else");
     };
     hooks.authorize = [](const ConfigurationText&, const std::string&, const std::string&) { return std::string("team"); };
@@ -213,6 +216,8 @@
 void Deployment::post(std::size_t from, const std::string& to, const Frame& frame)
 {
     std::size_t target = indexOf(to);
+    if (filter_ && !filter_(to, frame))
+        return;
     if (!isReachable(from, target) || random_.fraction() < network_.lossShare)
         return;
     std::size_t copies = random_.fraction() < network_.duplicateShare ? 2 : 1;
--- a/Tests/Configuration/Deployment.h
+++ b/Tests/Configuration/Deployment.h
@@ -22,6 +22,8 @@
     AnswersLost,
     // Everything is executed, some of it long after the client has given up.
     Slow,
+    // Reads are answered; writes are executed long after the client has given up.
+    WritesLate,
 };
 
 struct NetworkMode {
@@ -72,6 +74,10 @@
     void setTable(TableMode mode) { tableMode_ = mode; }
     void setNetwork(const NetworkMode& mode) { network_ = mode; }
     void heal();
+    // Frames for which it returns false are lost.
+    void setFilter(std::function<bool(const std::string& to, const Frame&)> filter) { filter_ = std::move(filter); }
+    // This entry finds every changed document invalid.
+    void rejectAt(std::size_t index) { rejecting_ = index; }
 
     // Submits a change to an entry that runs. Returns the change id.
     std::string submit(std::size_t index, const std::string& section, ConfigurationVersion behind = 0);
@@ -132,6 +138,8 @@
     unsigned partitionMask_ { 0 };
     bool tableBit_ { false };
     bool isPartitioned_ { false };
+    std::function<bool(const std::string&, const Frame&)> filter_;
+    std::optional<std::size_t> rejecting_;
     std::size_t nextChange_ { 1 };
     ConfigurationOracle oracle_;
     DeploymentCounters counters_;
