Entry: Put the on-call and customer settings in force

Cause: retries, ejection, stall and resolve limits, the drain limit and max_in_flight were checked and accepted and had no effect. connect_ms had nothing to act on.

Change: CallService takes over the document that comes in force; connect_ms becomes stall_ms. fuzz.sh runs the state tests with fresh seeds.

--- a/Source/Calls/RetryBudget.h
+++ b/Source/Calls/RetryBudget.h
@@ -18,6 +18,9 @@
 public:
     RetryBudget(const Clock& clock, RetryBudgetSettings settings = {});
 
+    // Changes the settings from now on; what is saved stays.
+    void configure(RetryBudgetSettings settings) { settings_ = settings; }
+
     void addCall();
 
     // Returns whether one more send is allowed, and takes it from the budget.
--- a/Source/Configuration/Document.cpp
+++ b/Source/Configuration/Document.cpp
@@ -101,8 +101,8 @@
         std::string maxDeadline = std::to_string(onCall.maxDeadline.count());
         if (onCall.defaultDeadline > onCall.maxDeadline)
             add("oncall", { "timeouts", "default_deadline_ms" }, "exceeds max_deadline_ms", "write at most " + maxDeadline);
-        if (onCall.connectTimeout >= onCall.defaultDeadline)
-            add("oncall", { "timeouts", "connect_ms" }, "leaves no time for a call", "write less than " + std::to_string(onCall.defaultDeadline.count()));
+        if (onCall.stallLimit >= onCall.defaultDeadline)
+            add("oncall", { "timeouts", "stall_ms" }, "leaves no time for a call", "write less than " + std::to_string(onCall.defaultDeadline.count()));
         // A drain that is shorter than a call would interrupt the call.
         if (onCall.drainLimit < onCall.maxDeadline) {
             std::chrono::seconds least = std::chrono::ceil<std::chrono::seconds>(onCall.maxDeadline);
--- a/Source/Configuration/Document.h
+++ b/Source/Configuration/Document.h
@@ -42,7 +42,9 @@
 struct OnCallSettings {
     std::chrono::milliseconds defaultDeadline { 0 };
     std::chrono::milliseconds maxDeadline { 0 };
-    std::chrono::milliseconds connectTimeout { 0 };
+    // An idempotent call without a part of its answer for this long goes on at another backend server.
+    std::chrono::milliseconds stallLimit { 0 };
+    // An agent that can't be asked for this long makes the outcome of a call unknown.
     std::chrono::milliseconds resolveTimeout { 0 };
     std::chrono::seconds drainLimit { 0 };
     // Share of calls that may be sent again, and a floor for times with few calls.
--- a/Source/Configuration/DocumentReader.cpp
+++ b/Source/Configuration/DocumentReader.cpp
@@ -103,7 +103,7 @@
     reader.child("timeouts", true, [&onCall](TableReader& timeouts) {
         onCall.defaultDeadline = readMilliseconds(timeouts, "default_deadline_ms");
         onCall.maxDeadline = readMilliseconds(timeouts, "max_deadline_ms");
-        onCall.connectTimeout = readMilliseconds(timeouts, "connect_ms");
+        onCall.stallLimit = readMilliseconds(timeouts, "stall_ms");
         onCall.resolveTimeout = readMilliseconds(timeouts, "resolve_ms");
     });
     reader.child("drain", true, [&onCall](TableReader& drain) { onCall.drainLimit = readSeconds(drain, "limit_s"); });
--- a/Source/Entry/CallService.cpp
+++ b/Source/Entry/CallService.cpp
@@ -162,11 +162,34 @@
         call->driver->receiveRefused(message);
 }
 
-void CallService::setCustomerWeights(const std::map<std::string, double>& weights)
+void CallService::configure(const Document& document)
 {
-    weights_ = weights;
+    weights_.clear();
+    maxCallsByCustomer_.clear();
+    for (const auto& [name, customer] : document.customers) {
+        weights_[name] = customer.weight;
+        maxCallsByCustomer_[name] = customer.maxInFlight;
+    }
     for (auto& [serves, controller] : admissions_)
         controller.setWeights(weights_);
+    RetryBudgetSettings retries;
+    retries.share = document.onCall.retryShare;
+    retries.floorPerSecond = document.onCall.retryFloorPerSecond;
+    budget_.configure(retries);
+    OutlierSettings ejection;
+    ejection.consecutiveFailures = document.onCall.ejectAfterErrors;
+    ejection.baseEjection = document.onCall.ejectFor;
+    ejection.maximumEjectedShare = document.onCall.maxEjectedShare;
+    outliers_.configure(ejection);
+    driverSettings_.stallLimit = document.onCall.stallLimit;
+    driverSettings_.unreachableLimit = document.onCall.resolveTimeout;
+}
+
+bool CallService::isAtLimit(const std::string& customer) const
+{
+    auto limit = maxCallsByCustomer_.find(customer);
+    auto calls = callsByCustomer_.find(customer);
+    return limit != maxCallsByCustomer_.end() && calls != callsByCustomer_.end() && calls->second >= limit->second;
 }
 
 void CallService::setAgentDraining(const std::string& agent, bool isDraining)
@@ -177,7 +200,14 @@
 void CallService::submit(CallRequest request, CallNeeds needs, CallHandlers handlers)
 {
     ++counters_.received;
+    if (isAtLimit(request.customer)) {
+        ++counters_.outcomes[ResultCode::CustomerLimitReached];
+        ++counters_.executed[Executed::No];
+        handlers.onOutcome({ ResultCode::CustomerLimitReached, Executed::No, "" });
+        return;
+    }
     budget_.addCall();
+    ++callsByCustomer_[request.customer];
     std::string callId = request.callId;
     std::string serves = needs.serves;
     AdmissionRequest asked;
@@ -269,7 +299,7 @@
 void CallService::startDriver(const std::string& callId)
 {
     ActiveCall& call = calls_.at(callId);
-    call.driver = std::make_unique<CallDriver>(call.request, clock_, claims_, budget_, hedges_, CallDriverSettings(), makeDriverHooks(callId));
+    call.driver = std::make_unique<CallDriver>(call.request, clock_, claims_, budget_, hedges_, driverSettings_, makeDriverHooks(callId));
     call.driver->start();
 }
 
@@ -331,6 +361,7 @@
     if (call == nullptr)
         return;
     call->isFinished = true;
+    --callsByCustomer_[call->request.customer];
     ++counters_.outcomes[outcome.code];
     ++counters_.executed[outcome.executed];
     for (const auto& [agent, since] : call->waitingForFirstPart)
--- a/Source/Entry/CallService.h
+++ b/Source/Entry/CallService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Calls/CallDriver.h"
+#include "Configuration/Document.h"
 #include "Core/HybridClock.h"
 #include "Core/Random.h"
 #include "Entry/TicketPool.h"
@@ -60,8 +61,8 @@
     void agentDisconnected(const std::string& agent);
     void receive(const std::string& agent, const Frame& frame);
 
-    // Sets the weights of the customers in force.
-    void setCustomerWeights(const std::map<std::string, double>& weights);
+    // Takes over the settings of a configuration that has come in force.
+    void configure(const Document& document);
     void setAgentDraining(const std::string& agent, bool isDraining);
 
     // Takes a call. The outcome may be reported at once.
@@ -92,6 +93,7 @@
         std::map<std::string, TimePoint> waitingForFirstPart;
     };
 
+    bool isAtLimit(const std::string& customer) const;
     AdmissionController& admission(const std::string& serves);
     void apply(const std::string& serves, const AdmissionDecision& decision);
     void advance(const std::string& serves);
@@ -124,7 +126,11 @@
     TicketPool tickets_;
     // Agents that report an engine without good health.
     std::map<std::string, EngineHealth> unhealthy_;
+    CallDriverSettings driverSettings_;
     std::map<std::string, double> weights_;
+    // Calls without a final outcome, and the most that a customer may have.
+    std::map<std::string, std::size_t> callsByCustomer_;
+    std::map<std::string, std::size_t> maxCallsByCustomer_;
     std::map<std::string, AdmissionController> admissions_;
     std::map<std::string, ActiveCall> calls_;
     CallServiceCounters counters_;
--- a/Source/Entry/EntryProcess.cpp
+++ b/Source/Entry/EntryProcess.cpp
@@ -130,10 +130,7 @@
 void EntryProcess::applyDocument(const DocumentPointer& document)
 {
     document_ = parseDocument(document->text);
-    std::map<std::string, double> weights;
-    for (const auto& [name, customer] : document_.customers)
-        weights[name] = customer.weight;
-    calls_.setCustomerWeights(weights);
+    calls_.configure(document_);
     LOG(INFO) << "configuration version " << document->version << " is in force";
     events_.record(EventKind::ConfigurationInForce, document->changeId, "version " + std::to_string(document->version));
 }
@@ -224,6 +221,12 @@
     exchange.respond({ httpStatus(code), {}, reason + "\n" });
 }
 
+// The limit of the configuration in force, or of the settings before there is one.
+std::chrono::seconds EntryProcess::drainLimit() const
+{
+    return configuration_->protocol().inForce() ? document_.onCall.drainLimit : settings_.drainLimit;
+}
+
 void EntryProcess::recordAdmission()
 {
     Admission state = configuration_->protocol().admission();
@@ -256,7 +259,7 @@
     if (!isDraining_)
         return;
     Duration elapsed = clock_.now() - drainStartedAt_;
-    if (elapsed > settings_.drainLimit && !isOverTimeReported_) {
+    if (elapsed > drainLimit() && !isOverTimeReported_) {
         isOverTimeReported_ = true;
         LOG(WARNING) << "drain limit passed with " << calls_.activeCalls() << " calls running; waiting for them";
     }
--- a/Source/Entry/EntryProcess.h
+++ b/Source/Entry/EntryProcess.h
@@ -48,6 +48,7 @@
     void serveHealth(HttpExchange& exchange, std::string_view path);
     ResultCode admission() const;
     void tick();
+    std::chrono::seconds drainLimit() const;
     void recordAdmission();
     void recordPeers();
     void beginDrain();
--- a/Source/Routing/OutlierDetector.h
+++ b/Source/Routing/OutlierDetector.h
@@ -35,6 +35,9 @@
 public:
     OutlierDetector(const Clock& clock, OutlierSettings settings);
 
+    // Changes the settings from now on; servers that are ejected stay so for their time.
+    void configure(OutlierSettings settings) { settings_ = settings; }
+
     // The first servers of a class get their full share at once. A server that is added again
     // after removal, or later than others, returns gradually.
     void add(std::string_view server, std::string_view peerClass);
--- /dev/null
+++ b/Utilities/fuzz.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# Runs the state tests for a while with fresh seeds and reports the number of runs and failures.
+# Usage: fuzz.sh [--seed N] [--seconds S] [--test NAME]   (NAME: Calls, Configuration, MapSwitch, ...)
+# Each run uses the next seed; a failure prints its seed and output and ends with 1.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+seed=1
+seconds=60
+tests=(Calls Configuration MapSwitch)
+while [ $# -gt 0 ]; do
+  case "$1" in
+    --seed) seed="$2"; shift 2 ;;
+    --seconds) seconds="$2"; shift 2 ;;
+    --test) tests=("$2"); shift 2 ;;
+    *) echo "fuzz.sh: unknown option \"$1\"; write --seed N, --seconds S or --test NAME" >&2; exit 2 ;;
+  esac
+done
+
+./Utilities/build.sh >/dev/null
+log="$(mktemp)"
+trap 'rm -f "$log"' EXIT
+runs=0
+failures=0
+for test in "${tests[@]}"; do
+  end=$((SECONDS + seconds / ${#tests[@]}))
+  while [ "$SECONDS" -lt "$end" ]; do
+    if ! RC_PARAMS="seed=$seed" timeout 600 "build/Tests/test$test" >"$log" 2>&1; then
+      echo "FAILED: RC_PARAMS=\"seed=$seed\" build/Tests/test$test"
+      grep -v '^\[doctest\]' "$log" | tail -60
+      failures=$((failures + 1))
+    fi
+    grep -iE '(cases|worlds|steps|admissions)' "$log" | sed "s/^/$test seed $seed: /" || true
+    runs=$((runs + 1))
+    seed=$((seed + 1))
+  done
+done
+echo "$((runs - failures)) passed, $failures failed"
+[ "$failures" -eq 0 ]
