--- a/Utilities/mutants.sh
+++ b/Utilities/mutants.sh
@@ -13,7 +13,7 @@
 export CCACHE_BASEDIR
 export CCACHE_NOHASHDIR=1
 
-git ls-files -z | xargs -0 cp --parents -t "$scratch"
+git ls-files -z --cached --others --exclude-standard | xargs -0 cp --parents -t "$scratch"
 cd "$scratch"
 git init -q
 cmake --preset default >/dev/null
