--- a/Source/Entry/ConfigurationNode.cpp
+++ b/Source/Entry/ConfigurationNode.cpp
@@ -6,6 +6,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <utility>
@@ -15,7 +16,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickPeriod { 25 };
-constexpr std::chrono::milliseconds initialRetryPeriod { 500 };
+constexpr std::chrono::milliseconds tableRetryPeriod { 500 };
 
 std::string readFile(const std::string& path)
 {
@@ -29,6 +30,19 @@
 
 }
 
+std::string findSlotsProblem(std::vector<std::string> slots, const std::string& row)
+{
+    std::vector<std::string> expected;
+    try {
+        expected = decodeSlots(row);
+    } catch (const Error& error) {
+        return std::string("the slots in the table can't be read: ") + error.what();
+    }
+    std::sort(expected.begin(), expected.end());
+    std::sort(slots.begin(), slots.end());
+    return slots == expected ? "" : "--slots differs from the slots in the table, which are " + row;
+}
+
 ConfigurationNode::ConfigurationNode(EventLoop& loop, const Clock& clock, Random& random, HybridClock& hybridClock, Table& table,
     const EntrySettings& settings, ConfigurationNodeHooks hooks)
     : loop_(loop)
@@ -43,6 +57,33 @@
 {
     if (!settings.initialDocument.empty())
         storeInitialDocument(table, settings);
+    slotsTimer_ = loop_.every(tableRetryPeriod, [this, &table] { readSlots(table); });
+}
+
+Admission ConfigurationNode::admission() const
+{
+    Admission admission = protocol_.admission();
+    if (!slotsProblem_.empty())
+        admission = { false, admission.version, slotsProblem_ };
+    return admission;
+}
+
+// An entry with another list of slots would count another majority and could go on alone under an old version.
+void ConfigurationNode::readSlots(Table& table)
+{
+    table.read({ slotsKey }, [this](const TableReadResult& result) {
+        bool isRead = result.status == ResultCode::Ok && !result.rows.empty();
+        if (isRead && slotsTimer_)
+            takeSlots(result.rows.front().value);
+    });
+}
+
+void ConfigurationNode::takeSlots(const std::string& row)
+{
+    slotsProblem_ = findSlotsProblem(membership_.slots(), row);
+    if (!slotsProblem_.empty())
+        LOG(ERROR) << slotsProblem_;
+    loop_.post([this] { slotsTimer_ = nullptr; });
 }
 
 MembershipSettings ConfigurationNode::membershipSettings(const EntrySettings& settings, const Clock& clock) const
@@ -107,7 +148,7 @@
     ConfigurationText text = ConfigurationText::split(readFile(settings.initialDocument));
     parseDocument(text);
     std::vector<TableWrite> rows = initialRows(text, settings.slots);
-    initialTimer_ = loop_.every(initialRetryPeriod, [this, &table, rows] {
+    initialTimer_ = loop_.every(tableRetryPeriod, [this, &table, rows] {
         table.write(rows, [this](const TableWriteResult& result) {
             if (result.status == ResultCode::TableUnavailable || !initialTimer_)
                 return;
--- a/Source/Entry/EntryProcess.cpp
+++ b/Source/Entry/EntryProcess.cpp
@@ -80,7 +80,7 @@
 {
     CallServiceHooks hooks;
     hooks.send = [this](const std::string& agent, const Frame& frame) { return agents_.send(agent, frame); };
-    hooks.configurationVersion = [this] { return configuration_->protocol().admission().version; };
+    hooks.configurationVersion = [this] { return configuration_->admission().version; };
     return hooks;
 }
 
@@ -168,7 +168,7 @@
 {
     if (isDraining_)
         return ResultCode::InstanceDraining;
-    return configuration_->protocol().admission().isAllowed ? ResultCode::Ok : ResultCode::NotReady;
+    return configuration_->admission().isAllowed ? ResultCode::Ok : ResultCode::NotReady;
 }
 
 void EntryProcess::serve(const std::shared_ptr<HttpExchange>& exchange)
@@ -217,7 +217,7 @@
     ResultCode code = path == "/healthz" ? ResultCode::Ok : admission();
     std::string reason = code == ResultCode::Ok ? "ok" : std::string(resultName(code));
     if (code == ResultCode::NotReady)
-        reason += ": " + configuration_->protocol().admission().reason;
+        reason += ": " + configuration_->admission().reason;
     exchange.respond({ httpStatus(code), {}, reason + "\n" });
 }
 
@@ -229,7 +229,7 @@
 
 void EntryProcess::recordAdmission()
 {
-    Admission state = configuration_->protocol().admission();
+    Admission state = configuration_->admission();
     if (state.isAllowed == wasAdmitting_)
         return;
     wasAdmitting_ = state.isAllowed;
@@ -291,7 +291,7 @@
     counters.peerClients = peers_->clientCounters();
     counters.peerServer = peers_->serverCounters();
     counters.agents = agents_.counters();
-    counters.configurationVersion = configuration_->protocol().admission().version;
+    counters.configurationVersion = configuration_->admission().version;
     counters.isAdmitting = admission() == ResultCode::Ok;
     return entryMetrics(counters);
 }
@@ -303,7 +303,7 @@
     status.incarnation = incarnation_;
     status.availabilityZone = settings_.availabilityZone;
     status.isDraining = isDraining_;
-    status.admission = configuration_->protocol().admission();
+    status.admission = configuration_->admission();
     status.activeCalls = calls_.activeCalls();
     for (const std::string& slot : configuration_->membership().slots())
         status.peers.push_back(configuration_->membership().status(slot));
