Transport: Authenticate links by a keyed handshake with rotation

Cause: any process that reached a link address could give orders to an agent, and not all backend servers check who gives them an order.

Change: both sides of a link prove that they have a common key before the link opens; several keys may be valid. Without keys links work as before.

--- a/Source/Agent/AgentProcess.cpp
+++ b/Source/Agent/AgentProcess.cpp
@@ -48,7 +48,7 @@
     calls_.engineFailed("the engine has not answered yet");
     http_ = std::make_unique<HttpServer>(loop_, settings_.http, HttpServerLimits(),
         [this](const std::shared_ptr<HttpExchange>& exchange) { serveHttp(exchange); });
-    links_ = std::make_unique<LinkServer>(loop_, settings_.link, makeLinkHandlers());
+    links_ = std::make_unique<LinkServer>(loop_, settings_.link, settings_.linkKeys, makeLinkHandlers());
     tickTimer_ = loop_.every(tickPeriod, [this] { tick(); });
     engineTimer_ = loop_.every(engineReportPeriod, [this] { pollEngine(); });
     reportTimer_ = loop_.every(loadReportPeriod, [this] { reportLoad(); });
--- a/Source/Agent/AgentSettings.h
+++ b/Source/Agent/AgentSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Endpoint.h"
+#include "Transport/LinkKeys.h"
 
 #include <chrono>
 #include <cstdint>
@@ -19,6 +20,8 @@
     std::string availabilityZone;
     // Where entries connect.
     Endpoint link;
+    // Keys that all processes of the system share; none leaves links unauthenticated.
+    LinkKeys linkKeys;
     // Where metrics and health are served.
     Endpoint http;
     Endpoint engine;
--- a/Source/CommandLine/SettingsOptions.cpp
+++ b/Source/CommandLine/SettingsOptions.cpp
@@ -28,6 +28,23 @@
     withEnvironment(command.add_option("--availability-zone", availabilityZone, "Availability zone of this instance"))->required()->check(checkName);
 }
 
+void addLinkKeys(CLI::App& command, LinkKeys& keys)
+{
+    auto check = [](const std::string& text) -> std::string {
+        try {
+            LinkKeys::parse(text);
+            return {};
+        } catch (const Error& error) {
+            return error.what();
+        }
+    };
+    auto set = [&keys](const std::string& text) { keys = LinkKeys::parse(text); };
+    // Other users of the instance can read flags but not environment variables.
+    withEnvironment(command.add_option_function<std::string>("--link-keys", set, "Keys for links as id:secret,id:secret; better set as DAMASKGRADE_LINK_KEYS"))
+        ->check(check)
+        ->type_name("KEYS");
+}
+
 void addPlatform(CLI::App& command, Endpoint& platform, std::chrono::milliseconds& timeout, std::chrono::seconds& drainLimit)
 {
     addEndpointOption(command, "--platform", platform, "Address of the platform's services")->required();
@@ -69,6 +86,7 @@
     addIdentity(command, settings.name, settings.availabilityZone);
     addEndpointOption(command, "--callers", settings.callers, "Address for callers and operators")->required();
     addEndpointOption(command, "--link", settings.link, "Address for other entries")->required();
+    addLinkKeys(command, settings.linkKeys);
     addPlatform(command, settings.platform, settings.platformTimeout, settings.drainLimit);
     withEnvironment(command.add_option("--slots", settings.slots, "Names of all entry slots, separated by commas"))
         ->required()
@@ -82,6 +100,7 @@
 {
     addIdentity(command, settings.name, settings.availabilityZone);
     addEndpointOption(command, "--link", settings.link, "Address for entries")->required();
+    addLinkKeys(command, settings.linkKeys);
     addEndpointOption(command, "--http", settings.http, "Address for metrics and health")->required();
     addEndpointOption(command, "--engine", settings.engine, "Address of the backend server beside this agent")->required();
     std::map<std::string, EngineKind> kinds { { "model", EngineKind::Model }, { "application", EngineKind::Application } };
--- a/Source/Entry/EntryProcess.cpp
+++ b/Source/Entry/EntryProcess.cpp
@@ -38,12 +38,12 @@
     , timeline_(loop, clock, objects_, events_)
     , calls_(clock, random, hybridClock_, table_, settings_.availabilityZone, callHooks())
     , callerApi_(clock, random, calls_, callerHooks())
-    , agents_(loop, random, agentHooks())
+    , agents_(loop, random, settings_.linkKeys, agentHooks())
     , latencies_(assumedZoneLatency)
     , addresses_(latencies_, random, AddressSettings())
     , subset_(agentSubsetSize, minAgentsPerService)
 {
-    peers_ = std::make_unique<PeerLinks>(loop_, random_, hybridClock_, hello(), settings_.link,
+    peers_ = std::make_unique<PeerLinks>(loop_, random_, hybridClock_, hello(), settings_.link, settings_.linkKeys,
         [this](const std::string& peer, const Frame& frame) { configuration_->receive(peer, frame); });
     configuration_ = std::make_unique<ConfigurationNode>(loop_, clock_, random_, hybridClock_, table_, settings_, configurationHooks());
     administration_ = std::make_unique<AdministrationApi>(loop_, clock_, random_, configuration_->protocol(), administrationHooks());
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Endpoint.h"
+#include "Transport/LinkKeys.h"
 
 #include <chrono>
 #include <cstdint>
@@ -18,6 +19,8 @@
     Endpoint callers;
     // Where other entries connect.
     Endpoint link;
+    // Keys that all processes of the system share; none leaves links unauthenticated.
+    LinkKeys linkKeys;
     Endpoint platform;
     std::chrono::milliseconds platformTimeout { 1000 };
     // Names of all entry slots, this one included.
--- a/Source/Entry/PeerLinks.cpp
+++ b/Source/Entry/PeerLinks.cpp
@@ -4,12 +4,12 @@
 
 namespace Damaskgrade {
 
-PeerLinks::PeerLinks(EventLoop& loop, Random& random, HybridClock& hybridClock, HelloMessage self, const Endpoint& listen, FrameHandler onFrame)
+PeerLinks::PeerLinks(EventLoop& loop, Random& random, HybridClock& hybridClock, HelloMessage self, const Endpoint& listen, const LinkKeys& keys, FrameHandler onFrame)
     : hybridClock_(hybridClock)
     , self_(std::move(self))
     , onFrame_(std::move(onFrame))
-    , directory_(loop, random, makeClientHooks())
-    , server_(loop, listen, makeServerHandlers())
+    , directory_(loop, random, keys, makeClientHooks())
+    , server_(loop, listen, keys, makeServerHandlers())
 {
 }
 
--- a/Source/Entry/PeerLinks.h
+++ b/Source/Entry/PeerLinks.h
@@ -19,7 +19,7 @@
     using FrameHandler = std::function<void(const std::string& from, const Frame& frame)>;
 
     // Throws Error(SettingsInvalid) if the endpoint can't be bound.
-    PeerLinks(EventLoop& loop, Random& random, HybridClock& hybridClock, HelloMessage self, const Endpoint& listen, FrameHandler onFrame);
+    PeerLinks(EventLoop& loop, Random& random, HybridClock& hybridClock, HelloMessage self, const Endpoint& listen, const LinkKeys& keys, FrameHandler onFrame);
 
     void update(const std::vector<InstanceRecord>& instances);
 
--- a/Source/Metrics/LinkMetrics.cpp
+++ b/Source/Metrics/LinkMetrics.cpp
@@ -24,6 +24,7 @@
     page.addCounter("damaskgrade_link_frames_sent_total", "Frames sent", static_cast<double>(counters.framesSent), labels);
     page.addCounter("damaskgrade_link_frames_received_total", "Frames received", static_cast<double>(counters.framesReceived), labels);
     page.addCounter("damaskgrade_link_bad_frames_total", "Frames that were refused", static_cast<double>(counters.badFrames), labels);
+    page.addCounter("damaskgrade_link_failed_handshakes_total", "Links whose other side has no key", static_cast<double>(counters.failedHandshakes), labels);
     page.addCounter("damaskgrade_link_bytes_sent_total", "Bytes sent in frames", static_cast<double>(counters.bytesSent), labels);
     page.addCounter("damaskgrade_link_bytes_received_total", "Bytes received in frames", static_cast<double>(counters.bytesReceived), labels);
 }
--- a/Source/Transport/Link.h
+++ b/Source/Transport/Link.h
@@ -34,6 +34,8 @@
     std::uint64_t framesSent { 0 };
     std::uint64_t framesReceived { 0 };
     std::uint64_t badFrames { 0 };
+    // Links whose other side did not prove that it has a key.
+    std::uint64_t failedHandshakes { 0 };
     std::uint64_t bytesSent { 0 };
     std::uint64_t bytesReceived { 0 };
 };
--- a/Source/Transport/LinkClient.cpp
+++ b/Source/Transport/LinkClient.cpp
@@ -21,10 +21,11 @@
 }
 
 struct LinkClient::State : std::enable_shared_from_this<LinkClient::State> {
-    State(EventLoop& eventLoop, Random& randomSource, const Endpoint& endpoint, LinkHandlers linkHandlers)
+    State(EventLoop& eventLoop, Random& randomSource, const Endpoint& endpoint, const LinkKeys& linkKeys, LinkHandlers linkHandlers)
         : loop(eventLoop)
         , random(randomSource)
         , server(endpoint)
+        , keys(linkKeys)
         , handlers(std::move(linkHandlers))
     {
     }
@@ -36,6 +37,7 @@
     EventLoop& loop;
     Random& random;
     Endpoint server;
+    LinkKeys keys;
     LinkHandlers handlers;
     WebsocketClient client;
     std::shared_ptr<LinkCounters> counters { std::make_shared<LinkCounters>() };
@@ -63,10 +65,12 @@
             self->handlers.onFrame(source, frame);
     };
     tracked.onClose = [self](const std::shared_ptr<LinkSession>& closed) {
+        bool wasOpen = self->session == closed;
         self->session = nullptr;
         if (self->stopped)
             return;
-        self->handlers.onClose(closed);
+        if (wasOpen)
+            self->handlers.onClose(closed);
         self->scheduleReconnect();
     };
     return tracked;
@@ -82,7 +86,7 @@
     }
     std::shared_ptr<State> self = shared_from_this();
     std::shared_ptr<ClientSession> opening = std::make_shared<ClientSession>(connection, counters);
-    opening->attach(trackedHandlers());
+    opening->attach(trackedHandlers(), keys, LinkSide::Client);
     connection->set_open_handshake_timeout(openTimeoutMilliseconds);
     connection->set_fail_handler([self, opening](websocketpp::connection_hdl) {
         opening->releaseHandlers();
@@ -106,8 +110,8 @@
     });
 }
 
-LinkClient::LinkClient(EventLoop& loop, Random& random, const Endpoint& server, LinkHandlers handlers)
-    : state_(std::make_shared<State>(loop, random, server, std::move(handlers)))
+LinkClient::LinkClient(EventLoop& loop, Random& random, const Endpoint& server, const LinkKeys& keys, LinkHandlers handlers)
+    : state_(std::make_shared<State>(loop, random, server, keys, std::move(handlers)))
 {
     WebsocketClient& client = state_->client;
     client.clear_access_channels(websocketpp::log::alevel::all);
--- a/Source/Transport/LinkClient.h
+++ b/Source/Transport/LinkClient.h
@@ -4,6 +4,7 @@
 #include "Core/Random.h"
 #include "Transport/EventLoop.h"
 #include "Transport/Link.h"
+#include "Transport/LinkKeys.h"
 
 #include <memory>
 
@@ -12,7 +13,8 @@
 // Keeps a link to another process open; reconnects after random delays that double up to two seconds.
 class LinkClient {
 public:
-    LinkClient(EventLoop& loop, Random& random, const Endpoint& server, LinkHandlers handlers);
+    // With keys, the link opens only if the server has one of them.
+    LinkClient(EventLoop& loop, Random& random, const Endpoint& server, const LinkKeys& keys, LinkHandlers handlers);
     ~LinkClient();
     LinkClient(const LinkClient&) = delete;
     LinkClient& operator=(const LinkClient&) = delete;
--- a/Source/Transport/LinkDirectory.cpp
+++ b/Source/Transport/LinkDirectory.cpp
@@ -13,15 +13,17 @@
     sum.framesSent += counters.framesSent;
     sum.framesReceived += counters.framesReceived;
     sum.badFrames += counters.badFrames;
+    sum.failedHandshakes += counters.failedHandshakes;
     sum.bytesSent += counters.bytesSent;
     sum.bytesReceived += counters.bytesReceived;
 }
 
 }
 
-LinkDirectory::LinkDirectory(EventLoop& loop, Random& random, LinkDirectoryHooks hooks)
+LinkDirectory::LinkDirectory(EventLoop& loop, Random& random, const LinkKeys& keys, LinkDirectoryHooks hooks)
     : loop_(loop)
     , random_(random)
+    , keys_(keys)
     , hooks_(std::move(hooks))
 {
 }
@@ -80,7 +82,7 @@
     handlers.onOpen = [this, name](const std::shared_ptr<LinkSession>&) { hooks_.onOpen(name); };
     handlers.onFrame = [this, name](const std::shared_ptr<LinkSession>&, const Frame& frame) { hooks_.onFrame(name, frame); };
     handlers.onClose = [this, name](const std::shared_ptr<LinkSession>&) { hooks_.onClose(name); };
-    targets_[name] = { endpoint, std::make_unique<LinkClient>(loop_, random_, endpoint, handlers) };
+    targets_[name] = { endpoint, std::make_unique<LinkClient>(loop_, random_, endpoint, keys_, handlers) };
 }
 
 void LinkDirectory::close(const std::string& name)
--- a/Source/Transport/LinkDirectory.h
+++ b/Source/Transport/LinkDirectory.h
@@ -18,7 +18,7 @@
 // Keeps links to a changing set of named processes open.
 class LinkDirectory {
 public:
-    LinkDirectory(EventLoop& loop, Random& random, LinkDirectoryHooks hooks);
+    LinkDirectory(EventLoop& loop, Random& random, const LinkKeys& keys, LinkDirectoryHooks hooks);
 
     // Links to exactly these processes: opens links to new ones and to those whose address
     // has changed, and closes the links to all others.
@@ -44,6 +44,7 @@
 
     EventLoop& loop_;
     Random& random_;
+    LinkKeys keys_;
     LinkDirectoryHooks hooks_;
     std::map<std::string, Target> targets_;
     LinkCounters closedCounters_;
--- a/Source/Transport/LinkServer.cpp
+++ b/Source/Transport/LinkServer.cpp
@@ -21,14 +21,16 @@
     std::shared_ptr<LinkCounters> counters { std::make_shared<LinkCounters>() };
     std::set<std::shared_ptr<LinkSession>> sessions;
     LinkHandlers handlers;
+    LinkKeys keys;
     bool stopped { false };
 };
 
-LinkServer::LinkServer(EventLoop& loop, const Endpoint& listen, LinkHandlers handlers)
+LinkServer::LinkServer(EventLoop& loop, const Endpoint& listen, const LinkKeys& keys, LinkHandlers handlers)
     : state_(std::make_shared<State>())
 {
     std::shared_ptr<State> state = state_;
     state->handlers = std::move(handlers);
+    state->keys = keys;
     LinkHandlers tracked;
     tracked.onOpen = [state](const std::shared_ptr<LinkSession>& session) {
         if (state->stopped)
@@ -41,8 +43,8 @@
             state->handlers.onFrame(session, frame);
     };
     tracked.onClose = [state](const std::shared_ptr<LinkSession>& session) {
-        state->sessions.erase(session);
-        if (!state->stopped)
+        bool wasOpen = state->sessions.erase(session) > 0;
+        if (wasOpen && !state->stopped)
             state->handlers.onClose(session);
     };
     WebsocketServer& server = state->server;
@@ -66,7 +68,7 @@
         WebsocketServer::connection_ptr connection = current ? current->server.get_con_from_hdl(handle, ignored) : nullptr;
         if (!connection || current->stopped)
             return false;
-        std::make_shared<ServerSession>(connection, current->counters)->attach(tracked);
+        std::make_shared<ServerSession>(connection, current->counters)->attach(tracked, current->keys, LinkSide::Server);
         return true;
     });
     if (!failure)
--- a/Source/Transport/LinkServer.h
+++ b/Source/Transport/LinkServer.h
@@ -3,6 +3,7 @@
 #include "Core/Endpoint.h"
 #include "Transport/EventLoop.h"
 #include "Transport/Link.h"
+#include "Transport/LinkKeys.h"
 
 #include <memory>
 
@@ -12,7 +13,8 @@
 class LinkServer {
 public:
     // Listens at once. Throws Error(SettingsInvalid) if the endpoint can't be bound.
-    LinkServer(EventLoop& loop, const Endpoint& listen, LinkHandlers handlers);
+    // With keys, only links whose other side has one of them are opened.
+    LinkServer(EventLoop& loop, const Endpoint& listen, const LinkKeys& keys, LinkHandlers handlers);
     ~LinkServer();
     LinkServer(const LinkServer&) = delete;
     LinkServer& operator=(const LinkServer&) = delete;
--- a/Source/Transport/WebsocketSession.h
+++ b/Source/Transport/WebsocketSession.h
@@ -2,10 +2,12 @@
 
 #include "Core/Error.h"
 #include "Transport/Link.h"
+#include "Transport/LinkHandshake.h"
 
 #include <websocketpp/connection.hpp>
 
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace Damaskgrade {
@@ -25,12 +27,8 @@
 
     void send(const Frame& frame) override
     {
-        if (!isOpen_)
-            return;
-        Bytes bytes = encodeFrame(frame);
-        ++counters_->framesSent;
-        counters_->bytesSent += bytes.size();
-        connection_->send(bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+        if (isOpen_)
+            write(frame);
     }
 
     void close() override
@@ -42,14 +40,18 @@
     std::size_t pendingBytes() const override { return connection_->get_buffered_amount(); }
 
     // Registers the handlers at the connection, which keeps the session alive until it closes.
-    void attach(const LinkHandlers& handlers)
+    // With keys, the link opens once the other side has proven that it has one of them.
+    void attach(const LinkHandlers& handlers, const LinkKeys& keys, LinkSide side)
     {
+        if (!keys.isEmpty())
+            handshake_.emplace(keys, side, makeNonce());
         auto self = this->shared_from_this();
         connection_->set_max_message_size(maxFrameBytes);
         connection_->set_open_handler([self, handlers](websocketpp::connection_hdl) {
-            self->isOpen_ = true;
-            ++self->counters_->opened;
-            handlers.onOpen(self);
+            if (self->handshake_)
+                self->startHandshake();
+            else
+                self->open(handlers);
         });
         connection_->set_message_handler([self, handlers](websocketpp::connection_hdl, MessagePointer message) {
             self->receive(handlers, message->get_payload());
@@ -57,6 +59,7 @@
         connection_->set_close_handler([self, handlers](websocketpp::connection_hdl) {
             self->isOpen_ = false;
             ++self->counters_->closed;
+            self->handshakeTimer_ = nullptr;
             handlers.onClose(self);
             self->releaseHandlers();
         });
@@ -69,13 +72,64 @@
     }
 
 private:
+    static constexpr long handshakeTimeoutMilliseconds = 5000;
+
+    void write(const Frame& frame)
+    {
+        Bytes bytes = encodeFrame(frame);
+        ++counters_->framesSent;
+        counters_->bytesSent += bytes.size();
+        connection_->send(bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+    }
+
+    void open(const LinkHandlers& handlers)
+    {
+        isOpen_ = true;
+        ++counters_->opened;
+        handlers.onOpen(this->shared_from_this());
+    }
+
+    void startHandshake()
+    {
+        write(handshake_->challenge());
+        std::weak_ptr<WebsocketSession> weak = this->weak_from_this();
+        handshakeTimer_ = connection_->set_timer(handshakeTimeoutMilliseconds, [weak](websocketpp::lib::error_code failure) {
+            std::shared_ptr<WebsocketSession> self = weak.lock();
+            if (!failure && self && !self->isOpen_)
+                self->failHandshake();
+        });
+    }
+
+    void continueHandshake(const LinkHandlers& handlers, const Frame& frame)
+    {
+        std::optional<Frame> answer = handshake_->receive(frame);
+        if (answer)
+            write(*answer);
+        if (handshake_->state() == HandshakeState::Failed)
+            failHandshake();
+        if (handshake_->state() != HandshakeState::Done)
+            return;
+        handshakeTimer_->cancel();
+        open(handlers);
+    }
+
+    void failHandshake()
+    {
+        ++counters_->failedHandshakes;
+        close();
+    }
+
     void receive(const LinkHandlers& handlers, const std::string& payload)
     {
         ++counters_->framesReceived;
         counters_->bytesReceived += payload.size();
         try {
             const std::uint8_t* data = reinterpret_cast<const std::uint8_t*>(payload.data());
-            handlers.onFrame(this->shared_from_this(), decodeFrame(ByteView(data, payload.size())));
+            Frame frame = decodeFrame(ByteView(data, payload.size()));
+            if (isOpen_)
+                handlers.onFrame(this->shared_from_this(), frame);
+            else if (handshake_)
+                continueHandshake(handlers, frame);
         } catch (const Error& error) {
             if (error.code() != ResultCode::BadFrame)
                 throw;
@@ -85,6 +139,8 @@
 
     ConnectionPointer connection_;
     std::shared_ptr<LinkCounters> counters_;
+    std::optional<LinkHandshake> handshake_;
+    typename WebsocketEndpoint::connection_type::timer_ptr handshakeTimer_;
     bool isOpen_ { false };
 };
 
--- a/Tests/Transport/LinkTest.cpp
+++ b/Tests/Transport/LinkTest.cpp
@@ -43,7 +43,7 @@
         closed = true;
         loop.stop();
     };
-    LinkServer server(loop, endpoint, serverHandlers);
+    LinkServer server(loop, endpoint, LinkKeys(), serverHandlers);
     std::unique_ptr<LinkClient> client;
     LinkHandlers clientHandlers;
     clientHandlers.onOpen = [](const std::shared_ptr<LinkSession>& session) { session->send({ "question", 0, { 9 } }); };
@@ -52,11 +52,57 @@
         loop.post([&client] { client = nullptr; });
     };
     clientHandlers.onClose = [](const std::shared_ptr<LinkSession>&) {};
-    client = std::make_unique<LinkClient>(loop, random, endpoint, clientHandlers);
+    client = std::make_unique<LinkClient>(loop, random, endpoint, LinkKeys(), clientHandlers);
     std::unique_ptr<Timer> limit = loop.after(generousLimit, [&loop] { loop.stop(); });
     loop.run();
     CHECK(answered);
     CHECK(closed);
 }
 
+// Guards against a process without a key that gets a link, or waits for one without being told.
+TEST_CASE("a link without a common key is not opened and is counted")
+{
+    EventLoop loop;
+    Random random(1);
+    Endpoint endpoint { "127.0.0.1", 18476 };
+    int opened = 0;
+    LinkHandlers handlers;
+    handlers.onOpen = [&](const std::shared_ptr<LinkSession>&) { ++opened; };
+    handlers.onFrame = [](const std::shared_ptr<LinkSession>&, const Frame&) {};
+    handlers.onClose = [](const std::shared_ptr<LinkSession>&) {};
+    LinkServer server(loop, endpoint, LinkKeys::parse("k:" + std::string(32, 'a')), handlers);
+    LinkClient stranger(loop, random, endpoint, LinkKeys::parse("k:" + std::string(32, 'b')), handlers);
+    LinkClient withoutKeys(loop, random, endpoint, LinkKeys(), handlers);
+    std::unique_ptr<Timer> poll = loop.every(std::chrono::milliseconds(10), [&] {
+        if (server.counters().failedHandshakes > 0)
+            loop.stop();
+    });
+    std::unique_ptr<Timer> limit = loop.after(generousLimit, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(server.counters().failedHandshakes > 0);
+    CHECK(server.counters().opened == 0);
+    CHECK(opened <= 1);
+}
+
+TEST_CASE("a link with a common key is opened on both sides")
+{
+    EventLoop loop;
+    Random random(1);
+    Endpoint endpoint { "127.0.0.1", 18477 };
+    LinkKeys keys = LinkKeys::parse("k:" + std::string(32, 'a'));
+    int opened = 0;
+    LinkHandlers handlers;
+    handlers.onOpen = [&](const std::shared_ptr<LinkSession>&) {
+        if (++opened == 2)
+            loop.stop();
+    };
+    handlers.onFrame = [](const std::shared_ptr<LinkSession>&, const Frame&) {};
+    handlers.onClose = [](const std::shared_ptr<LinkSession>&) {};
+    LinkServer server(loop, endpoint, keys, handlers);
+    LinkClient client(loop, random, endpoint, keys, handlers);
+    std::unique_ptr<Timer> limit = loop.after(generousLimit, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(opened == 2);
+}
+
 }
--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -12,6 +12,10 @@
 httpPort=8002
 enginePort=8003
 
+# A new key for each run; the processes read it from their environment.
+DAMASKGRADE_LINK_KEYS="run:$(head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n')"
+export DAMASKGRADE_LINK_KEYS
+
 declare -A processIds=()
 declare -a engineNames=()
 declare -A engineAddress=()
