StandIns: Align the orders of the model engine with MapEngine

The model engine stand-in knew epochs as opaque values, had no recovery and remembered refusals in a list, so HttpMapEngine could not map onto it. Epochs are now ordered, arm and release name a map version, version 0 blocks at once, and one settled epoch replaces the list. An engine that is blocked leaves the barrier, since its arrival names a map that a recovery may change. A repeated prepare loads once.

--- a/StandIns/EngineOrders.cpp
+++ b/StandIns/EngineOrders.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr std::size_t maxRefusedEpochs = 64;
-
 OrderResult refused(const std::string& reason)
 {
     return { 409, reason };
@@ -18,7 +16,7 @@
 EngineOrders::EngineOrders(const Options& options)
     : options_(options)
     , mapVersion_(options.mapVersion)
-    , mayStep_(!options.waitsForJoin)
+    , usedVersion_(options.mapVersion)
 {
 }
 
@@ -42,8 +40,6 @@
         return refuse(order);
     if (kind == "release")
         return release(order);
-    if (kind == "join")
-        return join(order);
     if (kind == "load_model")
         options_.model = order.at("model").get<std::string>();
     else if (kind == "load_adapter")
@@ -57,7 +53,8 @@
 
 bool EngineOrders::tryBegin(std::uint64_t step)
 {
-    if (!mayStep_ || isBlockedAt(step))
+    bool lacksMap = options_.waitsForMap && mapVersion_ == 0;
+    if (lacksMap || isBlockedAt(step))
         return false;
     promisedStep_ = std::max(promisedStep_, step);
     return true;
@@ -65,23 +62,23 @@
 
 std::uint64_t EngineOrders::mapVersionAt(std::uint64_t step) const
 {
-    bool isSwitched = armed_ && armed_->switches.value_or(false) && step >= armed_->step;
-    return isSwitched ? armed_->map.mapVersion : mapVersion_;
+    return step >= switchStep_ ? mapVersion_ : usedVersion_;
 }
 
 void EngineOrders::adopt(std::uint64_t lastStep, std::uint64_t mapVersion)
 {
     lastStep_ = lastStep;
+    if (options_.waitsForMap)
+        return;
     mapVersion_ = mapVersion;
+    usedVersion_ = mapVersion;
 }
 
 void EngineOrders::finish(std::uint64_t step)
 {
-    mapVersion_ = mapVersionAt(step);
+    usedVersion_ = mapVersionAt(step);
     lastStep_ = step;
     promisedStep_ = std::max(promisedStep_, step);
-    if (armed_ && armed_->switches && step >= armed_->step)
-        armed_.reset();
 }
 
 EngineOrders::Json EngineOrders::state() const
@@ -90,15 +87,12 @@
         { "highest_token", highestToken_ },
         { "step", lastStep_ },
         { "map_version", mapVersion_ },
-        { "armed_epoch", armed_ ? armed_->map.epoch : Json() },
+        { "prepared_version", preparedVersion_ },
+        { "armed_epoch", armed_ ? Json(armed_->epoch) : Json() },
+        { "armed_version", armed_ ? armed_->mapVersion : 0 },
         { "armed_step", armed_ ? Json(armed_->step) : Json() },
-        { "prepared_epoch", prepared_ ? prepared_->epoch : Json() },
-        { "prepared_map_version", prepared_ ? Json(prepared_->mapVersion) : Json() },
-        { "released_epoch", lastReleased_ ? lastReleased_->map.epoch : Json() },
-        { "released_switch", lastReleased_ ? Json(*lastReleased_->switches) : Json() },
-        { "refused_epochs", refusedEpochs_ },
-        { "blocked", isBlockedAt(lastStep_ + 1) },
-        { "waits_for_join", !mayStep_ },
+        { "settled_epoch", settled_ },
+        { "blocked", isBlocked() },
         { "role", options_.role },
         { "model", options_.model },
         { "adapters", adapters_ },
@@ -107,86 +101,99 @@
 
 OrderResult EngineOrders::prepare(const Json& order)
 {
-    if (armed_ && !armed_->switches)
-        return refused("the engine is armed for another epoch");
-    if (isRefused(order.at("epoch")))
-        return refused("the epoch was refused");
-    prepared_ = PreparedMap { order.at("epoch"), order.at("map_version").get<std::uint64_t>() };
+    std::uint64_t version = order.at("map_version").get<std::uint64_t>();
+    // The release of an armed map needs its weights.
+    if (armed_ && armed_->mapVersion != 0 && armed_->mapVersion != version)
+        return refused("the engine is armed for another map");
+    if (order.at("epoch").get<Epoch>() <= settled_)
+        return refused("the epoch is settled");
+    preparedVersion_ = version;
     return {};
 }
 
 OrderResult EngineOrders::arm(const Json& order)
 {
-    const Json& epoch = order.at("epoch");
-    std::uint64_t step = order.at("step").get<std::uint64_t>();
-    if (armed_) {
-        bool isRepeated = armed_->map.epoch == epoch && armed_->step == step;
-        return isRepeated ? OrderResult {} : refused("the engine is armed already");
+    ArmedSwitch next { order.at("epoch").get<Epoch>(), order.at("map_version").get<std::uint64_t>(), order.value("step", std::uint64_t { 0 }) };
+    if (armed_ && armed_->epoch == next.epoch) {
+        bool isRepeated = armed_->mapVersion == next.mapVersion && armed_->step == next.step;
+        return isRepeated ? OrderResult {} : refused("the engine is armed otherwise for this epoch");
     }
-    if (isRefused(epoch))
-        return refused("the epoch was refused");
-    if (!prepared_ || prepared_->epoch != epoch)
-        return refused("the epoch is not prepared");
-    if (lastStep_ == 0 || step <= promisedStep_) {
-        rememberRefusal(epoch);
+    if (next.epoch <= settled_)
+        return refused("the epoch is settled");
+    if (armed_ && next.epoch < armed_->epoch)
+        return refused("the engine is armed for a higher epoch");
+    if (next.mapVersion != 0)
+        return armSwitch(next);
+    armed_ = next;
+    return {};
+}
+
+OrderResult EngineOrders::armSwitch(const ArmedSwitch& next)
+{
+    if (armed_)
+        return refused("the engine is armed already");
+    if (mapVersion_ == 0)
+        return refused("the engine has no map");
+    if (mapVersionAt(lastStep_ + 1) != mapVersion_)
+        return refused("the step of the last switch is not reached");
+    if (preparedVersion_ != next.mapVersion)
+        return refused("the map is not prepared");
+    if (next.step <= std::max(lastStep_, promisedStep_)) {
+        settled_ = next.epoch;
+        releasedVersion_.reset();
         return refused("the engine can't block before this step any more");
     }
-    armed_ = ArmedSwitch { *prepared_, step, std::nullopt };
+    armed_ = next;
     return {};
 }
 
 OrderResult EngineOrders::refuse(const Json& order)
 {
-    const Json& epoch = order.at("epoch");
-    bool wasArmed = (armed_ && armed_->map.epoch == epoch) || (lastReleased_ && lastReleased_->map.epoch == epoch);
-    if (wasArmed)
-        return refused("the engine is armed for this epoch");
-    rememberRefusal(epoch);
+    Epoch epoch = order.at("epoch").get<Epoch>();
+    if (armed_)
+        return refused("the engine is armed");
+    if (mapVersion_ == 0)
+        return refused("the engine has no map");
+    if (epoch == settled_ && !releasedVersion_)
+        return {};
+    if (epoch <= settled_)
+        return refused("the epoch is settled");
+    settled_ = epoch;
+    releasedVersion_.reset();
     return {};
 }
 
 OrderResult EngineOrders::release(const Json& order)
 {
-    const Json& epoch = order.at("epoch");
-    bool switches = order.value("switch", true);
-    if (lastReleased_ && lastReleased_->map.epoch == epoch)
-        return *lastReleased_->switches == switches ? OrderResult {} : refused("the epoch was released with another outcome");
-    if (!armed_ || armed_->map.epoch != epoch)
+    Epoch epoch = order.at("epoch").get<Epoch>();
+    std::uint64_t version = order.at("map_version").get<std::uint64_t>();
+    if (!armed_ && epoch == settled_ && releasedVersion_ == version)
+        return {};
+    if (!armed_ || armed_->epoch != epoch)
         return refused("the engine is not armed for this epoch");
-    armed_->switches = switches;
-    lastReleased_ = armed_;
-    // A switch that does not happen needs no further step to take effect.
-    if (!switches)
-        armed_.reset();
-    return {};
-}
-
-OrderResult EngineOrders::join(const Json& order)
-{
-    if (lastStep_ != 0 || promisedStep_ != 0)
-        return refused("the engine has run steps already");
-    mapVersion_ = order.at("map_version").get<std::uint64_t>();
-    mayStep_ = true;
+    if (version == 0 || (version != mapVersion_ && version != preparedVersion_))
+        return refused("the map is not loaded");
+    if (armed_->mapVersion == 0) {
+        usedVersion_ = version;
+        switchStep_ = 0;
+    } else if (version != mapVersion_) {
+        switchStep_ = armed_->step;
+    }
+    mapVersion_ = version;
+    settled_ = epoch;
+    releasedVersion_ = version;
+    armed_.reset();
     return {};
 }
 
-void EngineOrders::rememberRefusal(const Json& epoch)
-{
-    if (isRefused(epoch))
-        return;
-    refusedEpochs_.push_back(epoch);
-    if (refusedEpochs_.size() > maxRefusedEpochs)
-        refusedEpochs_.pop_front();
-}
-
-bool EngineOrders::isRefused(const Json& epoch) const
+bool EngineOrders::isBlocked() const
 {
-    return std::find(refusedEpochs_.begin(), refusedEpochs_.end(), epoch) != refusedEpochs_.end();
+    return isBlockedAt(lastStep_ + 1);
 }
 
 bool EngineOrders::isBlockedAt(std::uint64_t step) const
 {
-    return armed_ && !armed_->switches && step >= armed_->step;
+    return armed_ && (armed_->mapVersion == 0 || step >= armed_->step);
 }
 
 }
--- a/StandIns/Main.cpp
+++ b/StandIns/Main.cpp
@@ -66,7 +66,7 @@
     role->add_option("--group-engines", options.groupEngines, "Engines of the group, for its first engine")->check(CLI::PositiveNumber);
     role->add_option("--weight-store", settings.weightStore, "Address of the platform");
     role->add_flag("--check-fencing", options.orders.checksFencing, "Refuses orders with a stale fencing token");
-    role->add_flag("--wait-for-join", options.orders.waitsForJoin, "Runs no step before the order join");
+    role->add_flag("--wait-for-map", options.orders.waitsForMap, "Runs no step without an expert map from an order");
     return role;
 }
 
--- a/StandIns/ModelEngineRole.cpp
+++ b/StandIns/ModelEngineRole.cpp
@@ -93,7 +93,7 @@
     else if (path == "/v1/orders/state")
         respondJson(*exchange, 200, orders_.state());
     else if (path == "/v1/expert-counts")
-        respondJson(*exchange, 200, { { "counts", expertCounts_ } });
+        reportExperts(*exchange);
     else
         respondError(*exchange, 404, "unknown path");
 }
@@ -167,6 +167,14 @@
         });
 }
 
+// All ranks of this stand-in are equally fast; a step delay makes them stragglers of their group.
+void ModelEngineRole::reportExperts(HttpExchange& exchange)
+{
+    auto stepTime = std::chrono::duration_cast<std::chrono::microseconds>(currentStepTime());
+    std::vector<std::int64_t> tokenTimes(options_.ranks, stepTime.count());
+    respondJson(exchange, 200, { { "counts", expertCounts_ }, { "rank_token_us", tokenTimes } });
+}
+
 void ModelEngineRole::handleKeyValueCache(HttpExchange& exchange, const std::string& requestId)
 {
     if (exchange.request().method == "POST") {
@@ -191,22 +199,36 @@
         return;
     }
     std::uint64_t bytes = order.value("bytes", std::uint64_t { 0 });
-    if (!options_.weightStore || bytes == 0) {
+    bool isPrepare = order.value("kind", "") == "prepare";
+    std::uint64_t version = isPrepare ? order.at("map_version").get<std::uint64_t>() : 0;
+    bool isLoaded = isPrepare && orders_.isPrepared(version);
+    if (!options_.weightStore || bytes == 0 || isLoaded) {
         applyOrder(*exchange, order);
         return;
     }
+    // A controller repeats the order until the state shows the map; the weights are loaded once.
+    if (isPrepare && loadingVersions_.count(version) != 0) {
+        respondJson(*exchange, 200, orders_.state());
+        return;
+    }
+    if (isPrepare)
+        loadingVersions_.insert(version);
     HttpRequest request;
     request.target = "/v1/weights/" + percentEncode(order.value("weights", "map")) + "?bytes=" + std::to_string(bytes);
     client_.send(
         *options_.weightStore, request,
-        [this, exchange, order](const HttpResponse& response) {
+        [this, exchange, order, version](const HttpResponse& response) {
+            loadingVersions_.erase(version);
             if (response.status != 200) {
                 respondError(*exchange, 503, "the weights can't be loaded");
                 return;
             }
             handleSafely(exchange, [this, &order](const Exchange& loaded) { applyLoadedOrder(*loaded, order); });
         },
-        [exchange](const HttpFailure&) { respondError(*exchange, 503, "the weight store can't be reached"); });
+        [this, exchange, version](const HttpFailure&) {
+            loadingVersions_.erase(version);
+            respondError(*exchange, 503, "the weight store can't be reached");
+        });
 }
 
 // Another controller may have taken over while the weights were loaded.
@@ -222,6 +244,8 @@
 void ModelEngineRole::applyOrder(HttpExchange& exchange, const Json& order)
 {
     OrderResult result = orders_.apply(order);
+    if (orders_.isBlocked())
+        leaveBarrier();
     if (result.status == 200)
         respondJson(exchange, 200, orders_.state());
     else
@@ -305,19 +329,39 @@
     request.method = "POST";
     request.target = "/v1/barrier";
     request.body = arrival.dump();
-    client_.send(
-        *options_.barrier, request,
-        [this](const HttpResponse& response) { handleBarrierAnswer(response); },
-        [this](const HttpFailure&) { retryStep(); });
+    auto body = std::make_shared<std::string>();
+    auto status = std::make_shared<int>(0);
+    HttpResponseHandlers handlers;
+    handlers.onHead = [status](const HttpResponse& head) { *status = head.status; };
+    handlers.onBody = [body](std::string_view part) { *body += part; };
+    handlers.onEnd = [this, status, body] {
+        loop_.post([this, status, body] { handleBarrierAnswer(*status, *body); });
+    };
+    handlers.onFailure = [this](const HttpFailure&) {
+        loop_.post([this] { handleBarrierAnswer(0, ""); });
+    };
+    barrierCall_ = client_.stream(*options_.barrier, request, std::move(handlers));
 }
 
-void ModelEngineRole::handleBarrierAnswer(const HttpResponse& response)
+// An arrival names the map of the step. A recovery may change it, so the engine has to arrive again.
+void ModelEngineRole::leaveBarrier()
 {
-    if (response.status != 200) {
+    if (!barrierCall_)
+        return;
+    barrierCall_ = nullptr;
+    retryStep();
+}
+
+void ModelEngineRole::handleBarrierAnswer(int status, const std::string& body)
+{
+    if (!barrierCall_)
+        return;
+    barrierCall_ = nullptr;
+    if (status != 200) {
         retryStep();
         return;
     }
-    Json json = Json::parse(response.body);
+    Json json = Json::parse(body);
     std::uint64_t step = json.at("step").get<std::uint64_t>();
     if (!json.at("adopt").get<bool>()) {
         runStep(step);
@@ -331,17 +375,18 @@
 {
     batch_->fill(clock_.now());
     auto time = std::chrono::ceil<std::chrono::milliseconds>(currentStepTime());
-    delayed_.run(time, [this, step] { finishStep(step); });
+    std::uint64_t mapVersion = orders_.mapVersionAt(step);
+    delayed_.run(time, [this, step, mapVersion] { finishStep(step, mapVersion); });
 }
 
-void ModelEngineRole::finishStep(std::uint64_t step)
+void ModelEngineRole::finishStep(std::uint64_t step, std::uint64_t mapVersion)
 {
     // A stalled rank ends no step, which holds up its whole group.
     if (faults_.settings().isStalled) {
-        delayed_.run(retryDelay, [this, step] { finishStep(step); });
+        delayed_.run(retryDelay, [this, step, mapVersion] { finishStep(step, mapVersion); });
         return;
     }
-    steps_.push_back({ step, orders_.mapVersionAt(step) });
+    steps_.push_back({ step, mapVersion });
     if (steps_.size() > maxStepRecords)
         steps_.pop_front();
     orders_.finish(step);
--- a/StandIns/ModelEngineRole.h
+++ b/StandIns/ModelEngineRole.h
@@ -12,6 +12,7 @@
 
 #include <deque>
 #include <optional>
+#include <set>
 
 namespace Damaskgrade {
 
@@ -63,6 +64,7 @@
     void reportCacheEvents(HttpExchange& exchange);
     void reportLoad(HttpExchange& exchange);
     void reportSteps(HttpExchange& exchange);
+    void reportExperts(HttpExchange& exchange);
     void handleKeyValueCache(HttpExchange& exchange, const std::string& requestId);
     void handleOrder(const Exchange& exchange);
     void applyLoadedOrder(HttpExchange& exchange, const nlohmann::json& order);
@@ -75,9 +77,10 @@
     void beginStep();
     void retryStep();
     void arriveAtBarrier(std::uint64_t step);
-    void handleBarrierAnswer(const HttpResponse& response);
+    void leaveBarrier();
+    void handleBarrierAnswer(int status, const std::string& body);
     void runStep(std::uint64_t step);
-    void finishStep(std::uint64_t step);
+    void finishStep(std::uint64_t step, std::uint64_t mapVersion);
     Duration currentStepTime() const;
     void takeLoadSnapshot();
 
@@ -95,6 +98,10 @@
     std::deque<StepRecord> steps_;
     LoadSnapshot load_;
     bool isStepping_ { false };
+    // The arrival at the barrier that is not answered yet.
+    std::unique_ptr<HttpCall> barrierCall_;
+    // Maps whose weights are being loaded.
+    std::set<std::uint64_t> loadingVersions_;
     std::unique_ptr<Timer> loadTimer_;
     FaultControl faults_;
     HttpServer server_;
