--- a/Benchmarks/Placement/Main.cpp
+++ b/Benchmarks/Placement/Main.cpp
@@ -123,7 +123,7 @@
 // Returns the new map, or nothing. The interval is the true one, for the oracle only.
 using Decide = std::function<std::optional<ExpertMap>(int interval, TimePoint now, const ExpertMap& current, const ExpertLoadEstimate& estimate)>;
 
-Result simulate(const std::string& name, const Scale& scale, const Trace& trace, const PlacementSettings& settings, bool isOracle, const Decide& decide)
+Result simulate(const std::string& name, const Scale& scale, const Trace& trace, const PlacementPolicySettings& settings, bool isOracle, const Decide& decide)
 {
     Random random(7);
     ExpertMap current = ExpertMap::contiguous(scale.ranks, scale.experts);
@@ -198,11 +198,11 @@
 
 std::vector<Result> runAll(const Scale& scale, const Trace& trace)
 {
-    PlacementSettings settings;
+    PlacementPolicySettings settings;
     settings.slotsPerRank = scale.slots;
-    PlacementSettings vitosha = settings;
+    PlacementPolicySettings vitosha = settings;
     vitosha.skewWeight = 3;
-    PlacementSettings tubolimpo = settings;
+    PlacementPolicySettings tubolimpo = settings;
     tubolimpo.costWeight = 3;
     PlacementPolicy vitoshaPolicy(vitosha);
     PlacementPolicy tubolimpoPolicy(tubolimpo);
--- a/Source/Placement/PlacementPolicy.cpp
+++ b/Source/Placement/PlacementPolicy.cpp
@@ -15,7 +15,7 @@
 
 }
 
-PlacementPolicy::PlacementPolicy(const PlacementSettings& settings)
+PlacementPolicy::PlacementPolicy(const PlacementPolicySettings& settings)
     : settings_(settings)
 {
 }
--- a/Source/Placement/PlacementPolicy.h
+++ b/Source/Placement/PlacementPolicy.h
@@ -7,7 +7,7 @@
 
 namespace Damaskgrade {
 
-struct PlacementSettings {
+struct PlacementPolicySettings {
     // How much a second of waiting for the slowest rank counts, and a second of moving experts.
     double skewWeight { 1 };
     double costWeight { 1 };
@@ -39,7 +39,10 @@
 // Decides whether a change of the expert map is worth its cost, and makes the smallest one that is.
 class PlacementPolicy {
 public:
-    explicit PlacementPolicy(const PlacementSettings& settings);
+    explicit PlacementPolicy(const PlacementPolicySettings& settings);
+
+    // Changes the settings; the time of the last change is kept.
+    void configure(const PlacementPolicySettings& settings) { settings_ = settings; }
 
     // Returns the change to make now, or nothing.
     std::optional<PlacementDecision> decide(TimePoint now, const ExpertMap& current, const ExpertLoadEstimate& estimate);
@@ -47,7 +50,7 @@
 private:
     double requiredRatio(TimePoint now) const;
 
-    PlacementSettings settings_;
+    PlacementPolicySettings settings_;
     std::optional<TimePoint> lastChange_;
 };
 
--- a/Tests/Placement/PlacementTest.cpp
+++ b/Tests/Placement/PlacementTest.cpp
@@ -36,9 +36,9 @@
         return tokens;
     }
 
-    PlacementSettings settings() const
+    PlacementPolicySettings settings() const
     {
-        PlacementSettings result;
+        PlacementPolicySettings result;
         result.slotsPerRank = slots;
         return result;
     }
@@ -74,10 +74,10 @@
 TEST_CASE_FIXTURE(PlacementFixture, "the weights change the choice")
 {
     observe(hotExperts(0, 2));
-    PlacementSettings costly = settings();
+    PlacementPolicySettings costly = settings();
     costly.horizon = std::chrono::seconds(60);
     costly.costWeight = 16;
-    PlacementSettings impatient = costly;
+    PlacementPolicySettings impatient = costly;
     impatient.costWeight = 1;
     impatient.skewWeight = 16;
     CHECK(!PlacementPolicy(costly).decide(clock.now(), current, estimate));
@@ -107,7 +107,7 @@
 // Guards against experts that are moved to and fro when the load oscillates.
 TEST_CASE_FIXTURE(PlacementFixture, "an oscillating load causes fewer changes than swings")
 {
-    PlacementSettings limits = settings();
+    PlacementPolicySettings limits = settings();
     limits.costWeight = 8;
     limits.horizon = std::chrono::seconds(120);
     PlacementPolicy policy(limits);
