Agent, Entry: Change expert maps through the processes

MapAgent and MapController ran in tests only.

MapService runs a MapController for each group of the configuration in force. The holder of the lease asks the agents for token counts and rank times every 2 s, has PlacementPolicy decide within the limits of section scheduling, and sends the skew back with its question. Agents pass the skew on to all entries with their load reports, which gives it to the selector. The time line, the metrics and the status show leases, changes and the skew of each group.

The deployment gives its agents the members of their groups, and its engines run no step before their first map.

--- a/Source/Agent/AgentProcess.cpp
+++ b/Source/Agent/AgentProcess.cpp
@@ -46,6 +46,10 @@
     , calls_(makeCalls())
 {
     calls_.engineFailed("the engine has not answered yet");
+    if (!settings_.groupMembers.empty()) {
+        maps_ = std::make_unique<MapLinks>(loop_, clock_, random, hybridClock_, settings_, hello(), engine_,
+            [this](const std::string& entry, const Frame& frame) { sendToEntry(entry, frame); });
+    }
     http_ = std::make_unique<HttpServer>(loop_, settings_.http, HttpServerLimits(),
         [this](const std::shared_ptr<HttpExchange>& exchange) { serveHttp(exchange); });
     links_ = std::make_unique<LinkServer>(loop_, settings_.link, makeLinkHandlers());
@@ -95,9 +99,16 @@
         greet(link, decodeHello(frame.body));
         return;
     }
+    auto member = groupLinks_.find(link);
+    if (member != groupLinks_.end() && maps_) {
+        maps_->receive(member->second, frame);
+        return;
+    }
     auto peer = peers_.find(link);
     if (peer == peers_.end())
         return;
+    if (maps_ && maps_->receive(peer->second.name, frame))
+        return;
     std::uint64_t session = peer->second.session;
     if (frame.type == CallMessage::type)
         calls_.receiveCall(session, decodeCall(frame.body), clock_.now());
@@ -113,15 +124,12 @@
 {
     if (peers_.count(link) != 0)
         return;
-    HelloMessage answer;
-    answer.name = settings_.name;
-    answer.incarnation = incarnation_;
-    answer.availabilityZone = settings_.availabilityZone;
-    answer.role = "agent";
-    answer.engineKind = settings_.engineKind == EngineKind::Model ? "model" : "application";
-    answer.serves = settings_.serves;
-    answer.group = settings_.group;
-    link->send(encodeMessage(answer, hybridClock_.tick()));
+    // Another agent of the group gets no tickets.
+    if (hello.role == "agent") {
+        groupLinks_[link] = hello.name;
+        return;
+    }
+    link->send(encodeMessage(this->hello(), hybridClock_.tick()));
     peers_[link] = { link, 0, hello.name, 0 };
     // The first tickets are sent while the session opens, so the link must be known by then.
     pendingLink_ = link;
@@ -132,8 +140,31 @@
     LOG(INFO) << "entry " << hello.name << " linked";
 }
 
+HelloMessage AgentProcess::hello() const
+{
+    HelloMessage answer;
+    answer.name = settings_.name;
+    answer.incarnation = incarnation_;
+    answer.availabilityZone = settings_.availabilityZone;
+    answer.role = "agent";
+    answer.engineKind = settings_.engineKind == EngineKind::Model ? "model" : "application";
+    answer.serves = settings_.serves;
+    answer.group = settings_.group;
+    answer.groupMembers = settings_.groupMembers;
+    return answer;
+}
+
+void AgentProcess::sendToEntry(const std::string& entry, const Frame& frame)
+{
+    for (const auto& [link, peer] : peers_) {
+        if (peer.name == entry)
+            link->send(frame);
+    }
+}
+
 void AgentProcess::closePeer(const SessionPointer& link)
 {
+    groupLinks_.erase(link);
     auto peer = peers_.find(link);
     if (peer == peers_.end())
         return;
@@ -232,6 +263,7 @@
 {
     message.load = load_;
     message.health = engineHealth();
+    message.groupSkew = maps_ ? maps_->groupSkew() : 1;
     message.load.age += std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - loadReceivedAt_);
 }
 
@@ -332,6 +364,8 @@
     page.addGauge("damaskgrade_agent_answer_bytes", "Bytes of answers kept", static_cast<double>(calls_.answerBytes()));
     page.addGauge("damaskgrade_agent_engine_available", "Whether the engine answers", isEngineAvailable_ ? 1 : 0);
     addLinkMetrics(page, links_->counters(), "server");
+    if (maps_)
+        addLinkMetrics(page, maps_->counters(), "group");
     addHttpMetrics(page, http_->counters());
     addProcessMetrics(page);
     return page.text();
--- a/Source/Agent/AgentProcess.h
+++ b/Source/Agent/AgentProcess.h
@@ -2,6 +2,7 @@
 
 #include "Agent/AgentSettings.h"
 #include "Agent/EngineClient.h"
+#include "Agent/MapLinks.h"
 #include "Calls/AgentCalls.h"
 #include "Core/HybridClock.h"
 #include "Core/Random.h"
@@ -40,6 +41,8 @@
     EventRecorderOptions recorderOptions() const;
     LinkHandlers makeLinkHandlers();
     void receiveFrame(const SessionPointer& link, const Frame& frame);
+    HelloMessage hello() const;
+    void sendToEntry(const std::string& entry, const Frame& frame);
     void greet(const SessionPointer& link, const HelloMessage& hello);
     void closePeer(const SessionPointer& link);
     void send(std::uint64_t session, const AgentMessage& message);
@@ -68,6 +71,9 @@
     EngineClient engine_;
     AgentCalls calls_;
     std::map<SessionPointer, Peer> peers_;
+    // Only for an engine whose group is known. The links of other agents, and their names.
+    std::unique_ptr<MapLinks> maps_;
+    std::map<SessionPointer, std::string> groupLinks_;
     std::map<std::uint64_t, SessionPointer> linkBySession_;
     // The link whose session is being opened.
     SessionPointer pendingLink_;
--- a/Source/Agent/AgentSettings.h
+++ b/Source/Agent/AgentSettings.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Damaskgrade {
 
@@ -27,6 +28,8 @@
     std::string serves;
     // The model group; empty for application engines.
     std::string group;
+    // Names of all agents of the group, this one included. Expert maps are only changed if they are given.
+    std::vector<std::string> groupMembers;
     std::uint32_t ranks { 1 };
     Endpoint platform;
     std::chrono::milliseconds platformTimeout { 1000 };
--- a/Source/Agent/EngineClient.cpp
+++ b/Source/Agent/EngineClient.cpp
@@ -28,6 +28,20 @@
     return request;
 }
 
+std::optional<ExpertLoadMessage> readExpertLoad(const std::string& body)
+{
+    try {
+        Json json = Json::parse(body);
+        ExpertLoadMessage load;
+        load.expertTokens = json.at("counts").get<std::vector<std::uint64_t>>();
+        for (const Json& tokenTime : json.at("rank_token_us"))
+            load.rankTokenTimes.emplace_back(tokenTime.get<std::int64_t>());
+        return load;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
 // Adds what the engine needs to the caller's request.
 std::string completionBody(const std::string& key, const CallMessage& call)
 {
@@ -226,6 +240,16 @@
         [](const HttpFailure&) {});
 }
 
+void EngineClient::fetchExpertLoad(std::function<void(const std::optional<ExpertLoadMessage>&)> done)
+{
+    HttpRequest request;
+    request.target = "/v1/expert-counts";
+    controlClient_.send(
+        engine_, request,
+        [done](const HttpResponse& response) { done(response.status == 200 ? readExpertLoad(response.body) : std::nullopt); },
+        [done](const HttpFailure&) { done(std::nullopt); });
+}
+
 void EngineClient::postOrder(const std::string& body, std::function<void(int, const std::string&)> done)
 {
     controlClient_.send(
--- a/Source/Agent/EngineClient.h
+++ b/Source/Agent/EngineClient.h
@@ -2,6 +2,7 @@
 
 #include "Agent/AgentSettings.h"
 #include "Calls/CallMessages.h"
+#include "MapSwitch/ExpertLoadMessages.h"
 #include "Transport/HttpClient.h"
 
 #include <functional>
@@ -44,6 +45,9 @@
     // Gets the events after the given sequence number.
     void fetchCacheEvents(std::uint64_t after, std::function<void(const std::vector<CacheEvent>&)> done);
 
+    // Gets the load of the experts and ranks, without group and agent; nothing if the engine does not answer.
+    void fetchExpertLoad(std::function<void(const std::optional<ExpertLoadMessage>&)> done);
+
     // Posts an order or reads the order state; gets the status (0 without a connection) and the JSON body.
     void postOrder(const std::string& body, std::function<void(int, const std::string&)> done);
     void fetchOrderState(std::function<void(int, const std::string&)> done);
--- /dev/null
+++ b/Source/Agent/MapLinks.cpp
@@ -0,0 +1,131 @@
+#include "Agent/MapLinks.h"
+
+#include "MapSwitch/ExpertLoadMessages.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+// Also the period of the engine's state, on which the agent's own question for votes depends.
+constexpr std::chrono::milliseconds tickPeriod { 100 };
+// A member that is replaced is linked to again within this time.
+constexpr std::chrono::milliseconds linkPeriod { 1000 };
+// A few reports may be lost before the skew counts as unknown.
+constexpr std::chrono::seconds skewLifetime { 30 };
+
+}
+
+MapLinks::MapLinks(EventLoop& loop, const Clock& clock, Random& random, HybridClock& hybridClock, const AgentSettings& settings,
+    const HelloMessage& self, EngineClient& engine, SendToEntry sendToEntry)
+    : clock_(clock)
+    , hybridClock_(hybridClock)
+    , settings_(settings)
+    , self_(self)
+    , engine_(engine)
+    , sendToEntry_(std::move(sendToEntry))
+    , table_(loop, settings.platform, settings.platformTimeout)
+    , instances_(loop, settings.platform, settings.platformTimeout)
+    , mapEngine_(engine)
+    , agents_(loop, random, directoryHooks())
+    , mapAgent_(agentSettings(settings), clock, table_, mapEngine_, agentHooks())
+    , tickTimer_(loop.every(tickPeriod, [this] { mapAgent_.tick(); }))
+    , linkTimer_(loop.every(linkPeriod, [this] { updateLinks(); }))
+{
+    updateLinks();
+}
+
+MapAgentSettings MapLinks::agentSettings(const AgentSettings& settings) const
+{
+    MapAgentSettings result;
+    result.name = settings.name;
+    result.group = settings.group;
+    result.members = settings.groupMembers;
+    return result;
+}
+
+MapAgentHooks MapLinks::agentHooks()
+{
+    MapAgentHooks hooks;
+    hooks.sendResult = [this](const std::string& controller, const MapOrderResultMessage& result) {
+        sendToEntry_(controller, encodeMessage(result, hybridClock_.tick()));
+    };
+    hooks.sendQuestion = [this](const std::string& agent, const VoteQuestionMessage& question) {
+        agents_.send(agent, encodeMessage(question, hybridClock_.tick()));
+    };
+    hooks.sendAnswer = [this](const std::string& agent, const VoteAnswerMessage& answer) {
+        agents_.send(agent, encodeMessage(answer, hybridClock_.tick()));
+    };
+    return hooks;
+}
+
+LinkDirectoryHooks MapLinks::directoryHooks()
+{
+    LinkDirectoryHooks hooks;
+    hooks.onOpen = [this](const std::string& agent) { agents_.send(agent, encodeMessage(self_, hybridClock_.tick())); };
+    // Each agent sends over the links that it opened and receives over the others.
+    hooks.onFrame = [](const std::string&, const Frame&) {};
+    hooks.onClose = [](const std::string&) {};
+    return hooks;
+}
+
+bool MapLinks::receive(const std::string& from, const Frame& frame)
+{
+    if (frame.type == MapOrderMessage::type)
+        mapAgent_.receive(decodeMapOrder(frame.body));
+    else if (frame.type == VoteQuestionMessage::type)
+        mapAgent_.receive(decodeVoteQuestion(frame.body));
+    else if (frame.type == VoteAnswerMessage::type)
+        mapAgent_.receive(decodeVoteAnswer(frame.body));
+    else if (frame.type == ExpertLoadQuestionMessage::type)
+        takeQuestion(from, decodeExpertLoadQuestion(frame.body));
+    else
+        return false;
+    return true;
+}
+
+// The settings name the members, because the instance list lags: a member that it lacks must still vote.
+// The list only gives their addresses. Without it the known links are kept.
+void MapLinks::updateLinks()
+{
+    instances_.fetch([this](ResultCode code, const std::vector<InstanceRecord>& instances) {
+        if (code != ResultCode::Ok)
+            return;
+        std::map<std::string, Endpoint> targets;
+        for (const InstanceRecord& record : instances) {
+            const std::vector<std::string>& members = settings_.groupMembers;
+            bool isMember = std::find(members.begin(), members.end(), record.name) != members.end();
+            if (isMember && record.name != settings_.name)
+                targets[record.name] = record.link;
+        }
+        agents_.setTargets(targets);
+    });
+}
+
+double MapLinks::groupSkew() const
+{
+    return clock_.now() - skewSince_ < skewLifetime ? skew_ : 1;
+}
+
+void MapLinks::takeQuestion(const std::string& entry, const ExpertLoadQuestionMessage& question)
+{
+    skew_ = question.skew;
+    skewSince_ = clock_.now();
+    reportLoad(entry);
+}
+
+void MapLinks::reportLoad(const std::string& entry)
+{
+    engine_.fetchExpertLoad([this, entry](const std::optional<ExpertLoadMessage>& load) {
+        if (!load)
+            return;
+        ExpertLoadMessage message = *load;
+        message.group = settings_.group;
+        message.agent = settings_.name;
+        sendToEntry_(entry, encodeMessage(message, hybridClock_.tick()));
+    });
+}
+
+}
--- /dev/null
+++ b/Source/Agent/MapLinks.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Agent/AgentSettings.h"
+#include "Agent/HttpMapEngine.h"
+#include "Calls/CallMessages.h"
+#include "Core/HybridClock.h"
+#include "MapSwitch/MapAgent.h"
+#include "Platform/HttpInstanceList.h"
+#include "Platform/HttpTable.h"
+#include "Transport/LinkDirectory.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Damaskgrade {
+
+// Joins the map agent of a model engine to the entries and to the other agents of its group.
+// Agents link to each other directly, so that votes need neither an entry nor the table.
+class MapLinks {
+public:
+    using SendToEntry = std::function<void(const std::string& entry, const Frame& frame)>;
+
+    MapLinks(EventLoop& loop, const Clock& clock, Random& random, HybridClock& hybridClock, const AgentSettings& settings,
+        const HelloMessage& self, EngineClient& engine, SendToEntry sendToEntry);
+
+    // Takes a frame of an entry or another agent. Returns whether it was about expert maps.
+    bool receive(const std::string& from, const Frame& frame);
+
+    // Returns the skew of the group that its controller told last, or 1 if that is too old.
+    double groupSkew() const;
+
+    LinkCounters counters() const { return agents_.counters(); }
+
+private:
+    MapAgentSettings agentSettings(const AgentSettings& settings) const;
+    MapAgentHooks agentHooks();
+    LinkDirectoryHooks directoryHooks();
+    void updateLinks();
+    void takeQuestion(const std::string& entry, const ExpertLoadQuestionMessage& question);
+    void reportLoad(const std::string& entry);
+
+    const Clock& clock_;
+    HybridClock& hybridClock_;
+    AgentSettings settings_;
+    HelloMessage self_;
+    EngineClient& engine_;
+    SendToEntry sendToEntry_;
+    HttpTable table_;
+    HttpInstanceList instances_;
+    HttpMapEngine mapEngine_;
+    LinkDirectory agents_;
+    MapAgent mapAgent_;
+    double skew_ { 1 };
+    TimePoint skewSince_;
+    std::unique_ptr<Timer> tickTimer_;
+    std::unique_ptr<Timer> linkTimer_;
+};
+
+}
--- a/Source/Calls/CallMessages.cpp
+++ b/Source/Calls/CallMessages.cpp
@@ -96,7 +96,8 @@
 {
     return makeFrame(HelloMessage::type, time,
         { { "name", message.name }, { "incarnation", message.incarnation }, { "zone", message.availabilityZone },
-            { "role", message.role }, { "engineKind", message.engineKind }, { "serves", message.serves }, { "group", message.group } });
+            { "role", message.role }, { "engineKind", message.engineKind }, { "serves", message.serves }, { "group", message.group },
+            { "groupMembers", message.groupMembers } });
 }
 
 HelloMessage decodeHello(ByteView body)
@@ -110,6 +111,7 @@
         message.engineKind = json.value("engineKind", "");
         message.serves = json.value("serves", "");
         message.group = json.value("group", "");
+        message.groupMembers = json.value("groupMembers", std::vector<std::string>());
         return message;
     });
 }
@@ -119,7 +121,7 @@
     return makeFrame(TicketsMessage::type, time,
         { { "session", message.session }, { "first", message.firstSequence }, { "count", message.count },
             { "load", loadToJson(message.load) }, { "cacheEvents", cacheEventsToJson(message.cacheEvents) }, { "draining", message.isDraining },
-            { "health", static_cast<int>(message.health) } });
+            { "health", static_cast<int>(message.health) }, { "groupSkew", message.groupSkew } });
 }
 
 TicketsMessage decodeTickets(ByteView body)
@@ -133,6 +135,7 @@
         message.cacheEvents = cacheEventsFromJson(json.at("cacheEvents"));
         message.isDraining = json.at("draining").get<bool>();
         message.health = enumerationFromJson(json.at("health"), EngineHealth::Unavailable);
+        message.groupSkew = json.value("groupSkew", 1.0);
         return message;
     });
 }
--- a/Source/Calls/CallMessages.h
+++ b/Source/Calls/CallMessages.h
@@ -34,6 +34,8 @@
     std::string engineKind;
     std::string serves;
     std::string group;
+    // Names of all agents of the model group.
+    std::vector<std::string> groupMembers;
 };
 
 // What an engine reports of itself. Lags behind the truth.
@@ -78,6 +80,8 @@
     std::vector<CacheEvent> cacheEvents;
     bool isDraining { false };
     EngineHealth health { EngineHealth::Good };
+    // Step-time skew between the ranks of the group, as its controller told the agent; 1 if unknown.
+    double groupSkew { 1 };
 };
 
 enum class CallKind {
--- a/Source/CommandLine/SettingsOptions.cpp
+++ b/Source/CommandLine/SettingsOptions.cpp
@@ -90,6 +90,9 @@
         ->transform(CLI::CheckedTransformer(kinds).description("{model,application}"));
     withEnvironment(command.add_option("--serves", settings.serves, "Model or service of the backend server"))->required()->check(checkName);
     withEnvironment(command.add_option("--group", settings.group, "Model group of the backend server"))->check(checkName);
+    withEnvironment(command.add_option("--group-members", settings.groupMembers, "Names of all agents of the model group, separated by commas"))
+        ->delimiter(',')
+        ->check(checkName);
     withEnvironment(command.add_option("--ranks", settings.ranks, "Ranks of the backend server"))->check(CLI::Range(1, 4096));
     addPlatform(command, settings.platform, settings.platformTimeout, settings.drainLimit);
 }
--- a/Source/Entry/CallService.cpp
+++ b/Source/Entry/CallService.cpp
@@ -12,11 +12,6 @@
 // Separates the call id from the number of a question in a query id.
 constexpr char querySeparator = '/';
 
-double neutralSkew(std::string_view)
-{
-    return 1;
-}
-
 }
 
 CallService::CallService(const Clock& clock, Random& random, HybridClock& hybridClock, Table& table, std::string availabilityZone, CallServiceHooks hooks)
@@ -29,7 +24,8 @@
     , cache_(maxCacheBlocksPerServer)
     , outliers_(clock, OutlierSettings())
     , latencies_(assumedZoneLatency)
-    , selector_(servers_, cache_, outliers_, latencies_, random, SelectorSettings { std::move(availabilityZone) }, neutralSkew)
+    , selector_(servers_, cache_, outliers_, latencies_, random, SelectorSettings { std::move(availabilityZone) },
+          [this](std::string_view group) { return groupSkew(group); })
 {
 }
 
@@ -77,6 +73,8 @@
         return;
     std::string serves = server->serves;
     takeHealth(agent, message.health);
+    if (!server->group.empty())
+        groupSkews_[server->group] = message.groupSkew;
     tickets_.add(agent, server->incarnation, message);
     servers_.ticketsReceived(agent, message);
     cache_.apply(agent, message.cacheEvents);
@@ -88,6 +86,12 @@
     advance(serves);
 }
 
+double CallService::groupSkew(std::string_view group) const
+{
+    auto found = groupSkews_.find(group);
+    return found == groupSkews_.end() ? 1 : found->second;
+}
+
 void CallService::takeHealth(const std::string& agent, EngineHealth health)
 {
     auto known = unhealthy_.find(agent);
--- a/Source/Entry/CallService.h
+++ b/Source/Entry/CallService.h
@@ -104,6 +104,7 @@
     void receivePart(const std::string& agent, const PartMessage& message);
     void receiveEnd(const std::string& agent, const EndMessage& message);
     void receiveRefused(const std::string& agent, const RefusedMessage& message);
+    double groupSkew(std::string_view group) const;
     void takeHealth(const std::string& agent, EngineHealth health);
     void updateSuspicions();
     void moveCalls(const std::string& agent);
@@ -122,6 +123,8 @@
     ZoneLatencies latencies_;
     BackendServerSelector selector_;
     TicketPool tickets_;
+    // The step-time skew of each model group, from the last load report of one of its agents.
+    std::map<std::string, double, std::less<>> groupSkews_;
     // Agents that report an engine without good health.
     std::map<std::string, EngineHealth> unhealthy_;
     std::map<std::string, double> weights_;
--- a/Source/Entry/EntryProcess.cpp
+++ b/Source/Entry/EntryProcess.cpp
@@ -39,6 +39,7 @@
     , calls_(clock, random, hybridClock_, table_, settings_.availabilityZone, callHooks())
     , callerApi_(clock, random, calls_, callerHooks())
     , agents_(loop, random, agentHooks())
+    , maps_(clock, random, hybridClock_, table_, events_, settings_.name, [this](const std::string& agent, const Frame& frame) { agents_.send(agent, frame); })
     , latencies_(assumedZoneLatency)
     , addresses_(latencies_, random, AddressSettings())
     , subset_(agentSubsetSize, minAgentsPerService)
@@ -121,10 +122,13 @@
 void EntryProcess::receiveFromAgent(const std::string& agent, const Frame& frame)
 {
     hybridClock_.observe(frame.time);
-    if (frame.type == HelloMessage::type)
-        calls_.agentConnected(decodeHello(frame.body));
-    else
+    if (frame.type == HelloMessage::type) {
+        HelloMessage hello = decodeHello(frame.body);
+        calls_.agentConnected(hello);
+        maps_.agentConnected(hello);
+    } else if (!maps_.receive(frame)) {
         calls_.receive(agent, frame);
+    }
 }
 
 void EntryProcess::applyDocument(const DocumentPointer& document)
@@ -134,6 +138,7 @@
     for (const auto& [name, customer] : document_.customers)
         weights[name] = customer.weight;
     calls_.setCustomerWeights(weights);
+    maps_.apply(document_);
     LOG(INFO) << "configuration version " << document->version << " is in force";
     events_.record(EventKind::ConfigurationInForce, document->changeId, "version " + std::to_string(document->version));
 }
@@ -251,6 +256,7 @@
 void EntryProcess::tick()
 {
     calls_.tick();
+    maps_.tick();
     recordAdmission();
     recordPeers();
     if (!isDraining_)
@@ -284,6 +290,7 @@
 {
     EntryCounters counters;
     counters.calls = &calls_;
+    counters.maps = &maps_;
     counters.http = &http_->counters();
     counters.peerClients = peers_->clientCounters();
     counters.peerServer = peers_->serverCounters();
@@ -304,6 +311,7 @@
     status.activeCalls = calls_.activeCalls();
     for (const std::string& slot : configuration_->membership().slots())
         status.peers.push_back(configuration_->membership().status(slot));
+    status.groups = maps_.statusJson();
     status.servers = &calls_.servers();
     status.outliers = &calls_.outliers();
     return entryStatusJson(status);
--- a/Source/Entry/EntryProcess.h
+++ b/Source/Entry/EntryProcess.h
@@ -7,6 +7,7 @@
 #include "Entry/CallerApi.h"
 #include "Entry/ConfigurationNode.h"
 #include "Entry/EntrySettings.h"
+#include "Entry/MapService.h"
 #include "Entry/PeerLinks.h"
 #include "Platform/HttpInstanceList.h"
 #include "Platform/HttpObjectStore.h"
@@ -70,6 +71,7 @@
     CallService calls_;
     CallerApi callerApi_;
     LinkDirectory agents_;
+    MapService maps_;
     std::unique_ptr<PeerLinks> peers_;
     std::unique_ptr<ConfigurationNode> configuration_;
     std::unique_ptr<AdministrationApi> administration_;
--- a/Source/Entry/EntryReports.cpp
+++ b/Source/Entry/EntryReports.cpp
@@ -75,6 +75,7 @@
 {
     MetricsPage page;
     addCallMetrics(page, *counters.calls);
+    counters.maps->addMetrics(page);
     page.addGauge("damaskgrade_configuration_version", "Configuration version in force", static_cast<double>(counters.configurationVersion));
     page.addGauge("damaskgrade_admitting", "Whether new work is admitted", counters.isAdmitting ? 1 : 0);
     addLinkMetrics(page, counters.peerClients, "peer client");
@@ -99,6 +100,7 @@
     json["peers"] = Json::array();
     for (const PeerStatus& peer : status.peers)
         json["peers"].push_back(peerJson(peer));
+    json["groups"] = Json::parse(status.groups);
     json["backend_servers"] = Json::array();
     for (const auto& [name, server] : status.servers->servers())
         json["backend_servers"].push_back(serverJson(server, *status.outliers));
--- a/Source/Entry/EntryReports.h
+++ b/Source/Entry/EntryReports.h
@@ -3,6 +3,7 @@
 #include "Configuration/MemberState.h"
 #include "Core/Endpoint.h"
 #include "Entry/CallService.h"
+#include "Entry/MapService.h"
 #include "Membership/Membership.h"
 #include "Transport/HttpServer.h"
 #include "Transport/Link.h"
@@ -14,6 +15,7 @@
 
 struct EntryCounters {
     const CallService* calls { nullptr };
+    const MapService* maps { nullptr };
     const HttpServerCounters* http { nullptr };
     LinkCounters peerClients;
     LinkCounters peerServer;
@@ -33,6 +35,8 @@
     Admission admission;
     std::size_t activeCalls { 0 };
     std::vector<PeerStatus> peers;
+    // The model groups, as a JSON array.
+    std::string groups;
     const BackendServerTable* servers { nullptr };
     const OutlierDetector* outliers { nullptr };
 };
--- /dev/null
+++ b/Source/Entry/MapService.cpp
@@ -0,0 +1,147 @@
+#include "Entry/MapService.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Damaskgrade {
+
+using Json = nlohmann::json;
+
+namespace {
+
+Json groupJson(const std::string& name, const MapGroup& group)
+{
+    const MapController& controller = group.controller();
+    Json json;
+    json["group"] = name;
+    json["holder"] = controller.holder();
+    json["holds_lease"] = controller.holdsLease();
+    json["map_version"] = controller.versionInForce();
+    json["target_version"] = controller.targetVersion();
+    json["skew"] = group.skew();
+    json["switches"] = controller.counters().switches;
+    json["aborts"] = controller.counters().aborts;
+    json["recoveries"] = controller.counters().recoveries;
+    return json;
+}
+
+}
+
+MapService::MapService(const Clock& clock, Random& random, HybridClock& hybridClock, Table& table, EventRecorder& events, std::string name, Send send)
+    : clock_(clock)
+    , random_(random)
+    , hybridClock_(hybridClock)
+    , table_(table)
+    , events_(events)
+    , name_(std::move(name))
+    , send_(std::move(send))
+{
+}
+
+void MapService::apply(const Document& document)
+{
+    document_ = document;
+    modelOfGroup_.clear();
+    for (const auto& [name, model] : document.models) {
+        for (const std::string& group : model.groups)
+            modelOfGroup_[group] = name;
+    }
+    for (auto entry = groups_.begin(); entry != groups_.end();)
+        entry = modelOfGroup_.count(entry->first) == 0 ? groups_.erase(entry) : std::next(entry);
+    for (const auto& [group, members] : members_)
+        update(group);
+}
+
+void MapService::agentConnected(const HelloMessage& hello)
+{
+    if (hello.groupMembers.empty())
+        return;
+    std::vector<std::string> members = hello.groupMembers;
+    std::sort(members.begin(), members.end());
+    std::vector<std::string>& known = members_[hello.group];
+    // The members of a group are part of its identity, since unanimity needs all of them. Another
+    // list means that the group was set up anew.
+    if (known != members) {
+        known = members;
+        groups_.erase(hello.group);
+    }
+    update(hello.group);
+}
+
+void MapService::update(const std::string& group)
+{
+    auto modelName = modelOfGroup_.find(group);
+    if (modelName == modelOfGroup_.end())
+        return;
+    std::unique_ptr<MapGroup>& state = groups_[group];
+    if (!state) {
+        MapControllerSettings settings;
+        settings.name = name_;
+        settings.group = group;
+        settings.members = members_[group];
+        state = std::make_unique<MapGroup>(settings, clock_, table_, random_, events_, groupHooks());
+    }
+    auto ownSettings = document_.placementOfModel.find(modelName->second);
+    bool hasOwn = ownSettings != document_.placementOfModel.end();
+    state->configure(document_.models[modelName->second], hasOwn ? ownSettings->second : document_.placement);
+}
+
+MapGroupHooks MapService::groupHooks()
+{
+    MapGroupHooks hooks;
+    hooks.sendOrder = [this](const std::string& agent, const MapOrderMessage& order) { send_(agent, encodeMessage(order, hybridClock_.tick())); };
+    hooks.sendQuestion = [this](const std::string& agent, const ExpertLoadQuestionMessage& question) {
+        send_(agent, encodeMessage(question, hybridClock_.tick()));
+    };
+    return hooks;
+}
+
+bool MapService::receive(const Frame& frame)
+{
+    if (frame.type == MapOrderResultMessage::type) {
+        MapOrderResultMessage result = decodeMapOrderResult(frame.body);
+        auto group = groups_.find(result.group);
+        if (group != groups_.end())
+            group->second->receive(result);
+    } else if (frame.type == ExpertLoadMessage::type) {
+        ExpertLoadMessage load = decodeExpertLoad(frame.body);
+        auto group = groups_.find(load.group);
+        if (group != groups_.end())
+            group->second->receive(load);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+void MapService::tick()
+{
+    for (const auto& [name, group] : groups_)
+        group->tick();
+}
+
+std::string MapService::statusJson() const
+{
+    Json list = Json::array();
+    for (const auto& [name, group] : groups_)
+        list.push_back(groupJson(name, *group));
+    return list.dump();
+}
+
+void MapService::addMetrics(MetricsPage& page) const
+{
+    for (const auto& [name, group] : groups_) {
+        MetricLabels labels { { "group", name } };
+        const MapController& controller = group->controller();
+        page.addGauge("damaskgrade_group_lease_held", "Whether this entry holds the lease of the group", controller.holdsLease() ? 1 : 0, labels);
+        page.addGauge("damaskgrade_group_skew", "Expected step-time skew between the ranks of the group", group->skew(), labels);
+        page.addCounter("damaskgrade_map_bytes_moved_total", "Bytes of experts moved by map changes", static_cast<double>(group->bytesMoved()), labels);
+        page.addCounter("damaskgrade_map_switches_total", "Expert map changes", static_cast<double>(controller.counters().switches), labels);
+        page.addCounter("damaskgrade_map_aborts_total", "Expert map changes that were refused", static_cast<double>(controller.counters().aborts), labels);
+        page.addCounter("damaskgrade_map_recoveries_total", "Recoveries of the group", static_cast<double>(controller.counters().recoveries), labels);
+    }
+}
+
+}
--- a/Source/MapSwitch/MapController.cpp
+++ b/Source/MapSwitch/MapController.cpp
@@ -37,6 +37,26 @@
     return phase_ == Phase::Observing && row_.target == noMap && !requested_;
 }
 
+MapStage MapController::stage() const
+{
+    switch (phase_) {
+    case Phase::Observing:
+        return MapStage::Watching;
+    case Phase::Preparing:
+        return MapStage::Preparing;
+    case Phase::Arming:
+        return MapStage::Arming;
+    case Phase::Releasing:
+        return MapStage::Releasing;
+    case Phase::RecoveryArming:
+    case Phase::RecoveryReading:
+    case Phase::RecoveryPreparing:
+    case Phase::RecoveryReleasing:
+        return MapStage::Recovering;
+    }
+    return MapStage::Watching;
+}
+
 void MapController::tick()
 {
     if (token_ != 0 && !holdsLease())
--- a/Source/MapSwitch/MapController.h
+++ b/Source/MapSwitch/MapController.h
@@ -27,6 +27,16 @@
     std::uint64_t stepMargin { 20 };
 };
 
+// What the controller of a group is doing.
+enum class MapStage {
+    // Watches the group, or does not hold its lease.
+    Watching,
+    Preparing,
+    Arming,
+    Releasing,
+    Recovering,
+};
+
 struct MapControllerCounters {
     std::uint64_t leases { 0 };
     std::uint64_t switches { 0 };
@@ -51,6 +61,9 @@
 
     bool holdsLease() const;
     bool isIdle() const;
+    MapStage stage() const;
+    const std::string& holder() const { return row_.holder; }
+    MapVersion targetVersion() const { return row_.target; }
     MapVersion versionInForce() const { return row_.inForce; }
     const MapControllerCounters& counters() const { return counters_; }
 
--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -73,17 +73,19 @@
   waitFor 10 answers "$platform"
 }
 
-# Starts a model engine and its agent: startModelEngine NUMBER ZONE-INDEX GROUP-INDEX BARRIER ENGINES-OF-GROUP
+# Starts a model engine and its agent: startModelEngine NUMBER ZONE-INDEX GROUP-INDEX BARRIER MEMBERS
 # The first engine of a group hosts its barrier.
 startModelEngine() {
-  local name="model-$1" zone="$2" group="${groups[$3]}" served="${groupModels[$3]}" barrier="$4" size="$5"
+  local name="model-$1" zone="$2" group="${groups[$3]}" served="${groupModels[$3]}" barrier="$4" members="$5"
   local address="127.10.$zone.$((100 + $1))"
+  local -a memberNames=()
+  IFS=, read -ra memberNames <<<"$members"
   local -a options=(--listen "$address:$enginePort" --name "$name" --model "$served" --group "$group"
-    --ranks 2 --capacity 8 --step-ms 10 --prefill-tokens-per-ms 10 --weight-store "$platform" --group-engines "$size" --barrier "$barrier")
+    --ranks 2 --capacity 8 --step-ms 10 --prefill-tokens-per-ms 10 --weight-store "$platform" --group-engines "${#memberNames[@]}" --barrier "$barrier" --wait-for-map)
   startProcess "engine-$name" "$standIns" model-engine "${options[@]}"
   startProcess "agent-$name" "$program" agent --name "$name" --availability-zone "${zones[$zone]}" \
     --link "$address:$linkPort" --http "$address:$httpPort" --engine "$address:$enginePort" \
-    --engine-kind model --serves "$served" --group "$group" --ranks 2 --platform "$platform"
+    --engine-kind model --serves "$served" --group "$group" --group-members "$members" --ranks 2 --platform "$platform"
   engineNames+=("$name")
   engineAddress[$name]="$address:$enginePort"
   registerInstance "$name" backendServer "${zones[$zone]}" "$address:$linkPort" "$served" ""
@@ -116,16 +118,19 @@
 # Starts the whole deployment: 16 model engines, spread over the groups, each group in one
 # availability zone; 3 application engines; 4 entries.
 startDeployment() {
-  local i group zone barrier size count="${#groups[@]}"
-  local -A barriers=()
+  local i group zone barrier count="${#groups[@]}"
+  local -A barriers=() members=()
   startPlatform
+  for i in $(seq 1 16); do
+    group=$(((i - 1) % count))
+    members[$group]="${members[$group]:+${members[$group]},}model-$i"
+  done
   for i in $(seq 1 16); do
     group=$(((i - 1) % count))
     zone=$((group % 3 + 1))
-    size=$(((16 - group + count - 1) / count))
     barrier="${barriers[$group]:-}"
     barriers[$group]="${barrier:-127.10.$zone.$((100 + i)):$enginePort}"
-    startModelEngine "$i" "$zone" "$group" "${barriers[$group]}" "$size"
+    startModelEngine "$i" "$zone" "$group" "${barriers[$group]}" "${members[$group]}"
   done
   for i in 1 2 3; do
     startApplicationEngine "application-$i" "$i" 50
