--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -52,10 +52,12 @@
 
 # The demonstration knows the token of every team.
 tokenHash="$(printf %s "$token" | sha256sum | cut -d' ' -f1)"
-sed "s/^token_sha256 = .*/token_sha256 = [\"$tokenHash\"]/" "$example" >"$work/document.toml"
+# Maps may change every second, so that a change is seen within the demonstration.
+sed "s/^token_sha256 = .*/token_sha256 = [\"$tokenHash\"]/; s/^min_interval_s = .*/min_interval_s = 1/" "$example" >"$work/document.toml"
 
 passed=0
 failed=0
+topicCalls=()
 check() {
   local name="$1"
   shift
@@ -236,11 +238,78 @@
   waitFor 10 timelineShows 'InstanceSuspected entry-3' && timelineShows ConfigurationInForce
 }
 
+# Prints a number of a group's state at an entry: groupValue ENTRY GROUP KEY
+groupValue() {
+  curl -s -m 5 "http://${entryAddress[$1]}/v1/status" | grep -o "{[^{}]*\"group\":\"$2\"[^{}]*\"holder\"[^{}]*}" | grep -o "\"$3\":[^,}]*" | cut -d: -f2 | tr -d '"'
+}
+
+# Prints the entry that holds the lease of a group, as an entry sees it that holds it.
+holderOf() {
+  local i
+  for i in 1 2 3 4; do
+    if [ "$(groupValue "entry-$i" "$1" holds_lease)" = true ]; then
+      echo "entry-$i"
+      return 0
+    fi
+  done
+  return 1
+}
+
+mapChanged() {
+  local holder
+  holder="$(holderOf "${groups[0]}")" && [ "$(groupValue "$holder" "${groups[0]}" switches)" -ge 1 ]
+}
+
+# Prints "step version" for all steps that the engines of a group still know, of all engines.
+stepsOfGroup() {
+  local name
+  for name in "${engineNames[@]}"; do
+    curl -s -m 5 "http://${engineAddress[$name]}/v1/steps" | grep "\"group\":\"$1\"" |
+      grep -o '"map_version":[0-9]*,"step":[0-9]*' | sed 's/"map_version":\([0-9]*\),"step":\([0-9]*\)/\2 \1/' || true
+  done
+}
+
+# The demand has a few topics, each with experts of its own, and the topics change.
+checkMapChange() {
+  local topic call mixed name
+  for topic in 1 2 3 4; do
+    for call in 1 2 3 4 5 6; do
+      post "entry-$((call % 4 + 1))" /v1/completions "$(completionBody "Topic $topic, question $call" 100 false)" >/dev/null &
+      topicCalls+=("$!")
+    done
+    if waitFor 2 mapChanged && [ "$topic" -ge 2 ]; then break; fi
+  done
+  wait "${topicCalls[@]}" || true
+  waitFor 15 mapChanged || return 1
+  stepsOfGroup "${groups[0]}" | sort -u >"$work/steps"
+  # Two lines for one step mean two maps in one step.
+  [ "$(cut -d' ' -f1 "$work/steps" | uniq -d | wc -l)" -eq 0 ] || return 1
+  [ "$(cut -d' ' -f2 "$work/steps" | sort -u | wc -l)" -ge 2 ] || return 1
+  for name in "${engineNames[@]}"; do
+    mixed="$(curl -s -m 5 "http://${engineAddress[$name]}/v1/steps" | grep -o '"mixed_map_steps":[0-9]*' | cut -d: -f2)"
+    [ "${mixed:-0}" -eq 0 ] || return 1
+  done
+}
+
+# The killed entry leaves a lease that nobody renews; the row in the table shows it to the others.
+checkTakeover() {
+  local holder
+  holder="$(holderOf "${groups[0]}")" || return 1
+  signalProcess "$holder" KILL
+  waitFor 20 holderIsNot "$holder" && timelineShows "LeaseAcquired ${groups[0]}"
+}
+
+holderIsNot() {
+  local holder
+  holder="$(holderOf "${groups[0]}")" && [ "$holder" != "$1" ]
+}
+
 start="$SECONDS"
 echo "Deployment $deployment: 4 entries, 16 model engines, 3 application engines in ${zones[*]:1}"
 startDeployment
 echo "  ${#processIds[@]} processes started"
 check "callers are told all entry addresses, nearest zone first" checkAddresses
+check "drifting demand changes the expert map in the same step on all engines" checkMapChange
 check "a streamed answer is whole and the same at two entries" checkStream
 check "a lookup is answered" checkLookup
 check "a booking sent twice over two entries is executed once" checkBooking
@@ -254,6 +323,7 @@
 check "a graceful shutdown of an entry finishes its stream" checkShutdown
 check "a caller resumes its stream after the kill of an entry" checkEntryKill
 check "the time line shows the changes and the lost entry" checkTimeline
+check "another entry takes over the expert maps after the kill of the one that holds the lease" checkTakeover
 sed 's/^/    /' "$work/load"
 echo "$passed passed, $failed failed in $((SECONDS - start)) s"
 [ "$failed" -eq 0 ]
