Entry: Read the claim of a repeated booking before its admission

A repeated booking waited in the admission queue until an agent had a free ticket, and was refused with executed "no" if none came, although an earlier send may have been executed. The driver of a repeated booking now starts at once, reads the claim, and asks for admission only if it has to send the call. A refusal of the admission reports "unknown" for a repeat.

The process test that kills the agent during a booking reported "no" after the wait for the deadline before this change, and passes with it.

--- a/Source/Entry/CallService.cpp
+++ b/Source/Entry/CallService.cpp
@@ -179,23 +179,31 @@
     ++counters_.received;
     budget_.addCall();
     std::string callId = request.callId;
-    std::string serves = needs.serves;
-    AdmissionRequest asked;
-    asked.callId = callId;
-    asked.customer = request.customer;
-    asked.priority = request.priority;
-    asked.deadline = request.deadline;
-    bool needsTicket = !request.position;
     ActiveCall call;
     call.needs = std::move(needs);
     call.handlers = std::move(handlers);
     call.request = std::move(request);
     call.submittedAt = clock_.now();
+    // A kept stream needs no ticket. A repeated booking may need none either: its driver reads the claim,
+    // and asks for admission only if it has to send the call.
+    bool isAdmittedLater = call.request.position || (call.request.mayBeRepeat && !call.request.isIdempotent);
     calls_.emplace(callId, std::move(call));
-    if (!needsTicket) {
+    if (isAdmittedLater)
         startDriver(callId);
-        return;
-    }
+    else
+        requestAdmission(callId);
+}
+
+void CallService::requestAdmission(const std::string& callId)
+{
+    ActiveCall& call = calls_.at(callId);
+    call.admission = AdmissionState::Queued;
+    std::string serves = call.needs.serves;
+    AdmissionRequest asked;
+    asked.callId = callId;
+    asked.customer = call.request.customer;
+    asked.priority = call.request.priority;
+    asked.deadline = call.request.deadline;
     AdmissionController& controller = admission(serves);
     controller.setFreeTickets(servers_.ticketsHeld(serves));
     apply(serves, controller.submit(asked));
@@ -210,7 +218,6 @@
         call->driver->cancel();
         return;
     }
-    admission(call->needs.serves).abandoned(callId);
     finish(callId, { ResultCode::Cancelled, Executed::No, "" });
 }
 
@@ -258,11 +265,16 @@
             admission(serves).abandoned(decision.callId);
         return;
     }
-    if (decision.action == AdmissionAction::Refuse)
-        finish(decision.callId, { decision.code, Executed::No, "" });
-    else if (decision.action == AdmissionAction::Start) {
-        call->isCounted = true;
-        startDriver(decision.callId);
+    if (decision.action == AdmissionAction::Refuse) {
+        // An earlier send of a repeated call may have been executed.
+        Executed executed = call->request.mayBeRepeat ? Executed::Unknown : Executed::No;
+        finish(decision.callId, { decision.code, executed, "" });
+    } else if (decision.action == AdmissionAction::Start) {
+        call->admission = AdmissionState::Started;
+        if (call->driver)
+            call->driver->ticketsAvailable();
+        else
+            startDriver(decision.callId);
     }
 }
 
@@ -301,6 +313,12 @@
     ActiveCall* call = find(callId);
     if (call == nullptr)
         return std::nullopt;
+    if (call->admission != AdmissionState::Started) {
+        // The driver is told when the admission starts the call.
+        if (call->admission == AdmissionState::NotAsked)
+            requestAdmission(callId);
+        return std::nullopt;
+    }
     std::vector<std::string> triedNames(tried.begin(), tried.end());
     SelectionRequest wanted;
     wanted.kind = call->needs.kind;
@@ -335,7 +353,7 @@
     ++counters_.executed[outcome.executed];
     for (const auto& [agent, since] : call->waitingForFirstPart)
         servers_.callEnded(agent, callId);
-    if (call->isCounted) {
+    if (call->admission != AdmissionState::NotAsked) {
         AdmissionController& controller = admission(call->needs.serves);
         if (outcome.code == ResultCode::Ok)
             controller.finished(callId);
--- a/Source/Entry/CallService.h
+++ b/Source/Entry/CallService.h
@@ -80,19 +80,25 @@
     const OutlierDetector& outliers() const { return outliers_; }
 
 private:
+    enum class AdmissionState {
+        NotAsked,
+        Queued,
+        Started,
+    };
+
     struct ActiveCall {
         CallNeeds needs;
         CallHandlers handlers;
         CallRequest request;
         std::unique_ptr<CallDriver> driver;
-        // Whether the admission counts this call as started.
-        bool isCounted { false };
+        AdmissionState admission { AdmissionState::NotAsked };
         bool isFinished { false };
         TimePoint submittedAt;
         std::map<std::string, TimePoint> waitingForFirstPart;
     };
 
     AdmissionController& admission(const std::string& serves);
+    void requestAdmission(const std::string& callId);
     void apply(const std::string& serves, const AdmissionDecision& decision);
     void advance(const std::string& serves);
     void startDriver(const std::string& callId);
