Transport: Count frames that websocketpp refuses itself

An oversized frame, or one that breaks the websocket protocol, never reaches the session's receive step, so damaskgrade_link_bad_frames_total did not count it, and a peer that does not answer the close kept its connection for 5 s. The close handler now counts such a close, and the limit for the answer is 1 s.

Before this change an agent closed the link after a frame with a length in the wrong form and reported 0 bad frames.

--- a/Source/Transport/WebsocketSession.h
+++ b/Source/Transport/WebsocketSession.h
@@ -35,6 +35,7 @@
 
     void close() override
     {
+        isClosedHere_ = true;
         websocketpp::lib::error_code ignored;
         connection_->close(websocketpp::close::status::normal, "", ignored);
     }
@@ -46,6 +47,7 @@
     {
         auto self = this->shared_from_this();
         connection_->set_max_message_size(maxFrameBytes);
+        connection_->set_close_handshake_timeout(closeTimeoutMilliseconds);
         connection_->set_open_handler([self, handlers](websocketpp::connection_hdl) {
             self->isOpen_ = true;
             ++self->counters_->opened;
@@ -57,6 +59,7 @@
         connection_->set_close_handler([self, handlers](websocketpp::connection_hdl) {
             self->isOpen_ = false;
             ++self->counters_->closed;
+            self->countRefusedFrame();
             handlers.onClose(self);
             self->releaseHandlers();
         });
@@ -69,6 +72,21 @@
     }
 
 private:
+    // A peer that does not answer a close keeps its connection this long.
+    static constexpr long closeTimeoutMilliseconds = 1000;
+
+    // websocketpp refuses an oversized or broken frame itself, before receive(), and starts to close the connection.
+    void countRefusedFrame()
+    {
+        websocketpp::close::status::value code = connection_->get_local_close_code();
+        bool isRefused = code == websocketpp::close::status::message_too_big || code == websocketpp::close::status::protocol_error;
+        // If the peer does not answer the close, the code is replaced by that of the timeout.
+        bool isUnanswered = connection_->get_ec() == websocketpp::error::make_error_code(websocketpp::error::close_handshake_timeout)
+            && connection_->get_remote_close_code() == websocketpp::close::status::abnormal_close;
+        if (isRefused || (isUnanswered && !isClosedHere_))
+            ++counters_->badFrames;
+    }
+
     void receive(const LinkHandlers& handlers, const std::string& payload)
     {
         ++counters_->framesReceived;
@@ -86,6 +104,7 @@
     ConnectionPointer connection_;
     std::shared_ptr<LinkCounters> counters_;
     bool isOpen_ { false };
+    bool isClosedHere_ { false };
 };
 
 }
