--- a/Tests/Process/ConfigurationFailureTest.cpp
+++ b/Tests/Process/ConfigurationFailureTest.cpp
@@ -24,6 +24,7 @@
 constexpr std::chrono::seconds linkLimit { 30 };
 // The contact lease of design.md, 4.1, and a little more.
 constexpr std::chrono::milliseconds pastContactLease { 2500 };
+constexpr std::size_t removedCalls = 4;
 
 std::string sectionText(const TestDeployment& deployment, int entry, const std::string& section)
 {
@@ -138,9 +139,9 @@
     std::uint64_t newVersion = deployment.version(1);
     CHECK(newVersion > oldVersion);
     // These calls wait in the stopped entry's sockets, and are the first that it handles.
-    std::vector<std::future<CallerResult>> removed;
-    for (int number = 0; number < 4; ++number)
-        removed.push_back(startCall(deployment.entry(3), withCustomer(bookingRequest("removed-" + std::to_string(number)), "second")));
+    std::vector<std::future<CallerResult>> removed(removedCalls);
+    for (std::size_t number = 0; number < removedCalls; ++number)
+        removed[number] = startCall(deployment.entry(3), withCustomer(bookingRequest("removed-" + std::to_string(number)), "second"));
     deployment.process("entry-3").signal(SIGCONT);
     bool wasEverOutdated = false;
     CHECK(waitUntil([&] {
@@ -151,8 +152,8 @@
         return isAdmitting && !isOld;
     }));
     CHECK(!wasEverOutdated);
-    for (int number = 0; number < 4; ++number) {
-        CallerResult result = removed[static_cast<std::size_t>(number)].get();
+    for (std::size_t number = 0; number < removedCalls; ++number) {
+        CallerResult result = removed[number].get();
         CHECK_MESSAGE(result.executed == "no", result.body);
         CHECK(deployment.executions("removed-" + std::to_string(number)) == 0);
     }
