Placement: Make no change that saves less than 0.025 of the skew

Cause: with the weights favouring skew a gain of 0.002 pays for a load, and noise in the reports shows such gains all the time. On a load that changes only at three moments (sudden, 8x32) the policy made 195 changes, the oracle bound by the transfer rate 4.

Change: a change must save at least PlacementSettings::minimumGain.

--- a/Source/Placement/PlacementPolicy.cpp
+++ b/Source/Placement/PlacementPolicy.cpp
@@ -56,7 +56,7 @@
         best.benefit = benefit;
         best.cost = cost;
     }
-    if (bestNet <= 0)
+    if (bestNet <= 0 || best.skewBefore - best.skewAfter < settings_.minimumGain)
         return std::nullopt;
     best.bytes = bytesToLoad(current, best.map, settings_.bytesPerExpert);
     lastChange_ = now;
--- a/Source/Placement/PlacementPolicy.h
+++ b/Source/Placement/PlacementPolicy.h
@@ -24,6 +24,9 @@
     // A change that takes longer to load is made in parts, so that the first part helps earlier
     // and the rest is decided with newer load.
     std::chrono::seconds maxLoadTime { 30 };
+    // Smallest skew that a change must save. Noise in the reports shows smaller gains all the time,
+    // and the change for one of them is undone soon after.
+    double minimumGain { 0.025 };
 };
 
 struct PlacementDecision {
--- a/Tests/Placement/PlacementTest.cpp
+++ b/Tests/Placement/PlacementTest.cpp
@@ -104,6 +104,21 @@
     CHECK(estimate.slowness() == std::vector<double>(rankCount, 1));
 }
 
+// Guards against experts that are moved for gains as small as the noise of the reports.
+TEST_CASE_FIXTURE(PlacementFixture, "a gain within the noise causes no change")
+{
+    std::vector<double> loads(expertCount, 10);
+    // A second replica of the small expert saves less than 1% of the skew.
+    loads[1] = 20;
+    loads[2] = 0.5;
+    observe(loads);
+    PlacementSettings eager = settings();
+    eager.skewWeight = 100;
+    CHECK(!PlacementPolicy(eager).decide(clock.now(), current, estimate));
+    eager.minimumGain = 0;
+    CHECK(PlacementPolicy(eager).decide(clock.now(), current, estimate));
+}
+
 // Guards against experts that are moved to and fro when the load oscillates.
 TEST_CASE_FIXTURE(PlacementFixture, "an oscillating load causes fewer changes than swings")
 {
