Benchmarks: Measure the slopes of the decision code at the target size

benchCapacity drives the real classes on a manual clock with encoded frames at three or more sizes each: gossip and changes, losses, load reports, instance list, links, subset, calls, admission, selection, placement and table load.

--- /dev/null
+++ b/Benchmarks/Capacity/Fleet.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "Configuration/ChangeProtocol.h"
+#include "Configuration/ConfigurationText.h"
+#include "Core/ManualClock.h"
+#include "Core/Random.h"
+#include "Measure.h"
+#include "Membership/Membership.h"
+#include "Platform/MemoryTable.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Damaskgrade {
+
+// Returns a document with this many customers.
+ConfigurationText makeDocument(int customers);
+
+struct FleetCounters {
+    std::uint64_t bytesSent { 0 };
+    std::uint64_t messagesSent { 0 };
+    std::uint64_t tableReads { 0 };
+    std::uint64_t tableWrites { 0 };
+    ProcessorTime time;
+};
+
+// Entries with membership and change protocol, joined by encoded frames on a manual clock.
+// The document is validated only at the first two entries, a coordinator and a member.
+class Fleet {
+public:
+    Fleet(std::size_t slots, const ConfigurationText& text);
+
+    void advance(Duration duration);
+    void submit(const std::string& changeId, const std::string& section, const std::string& text);
+    // From now on the first entries reach only each other and, if it is reachable, the table. The others are lost.
+    void isolate(std::size_t reachable, bool isTableReachable);
+    // Of the entries that are not lost.
+    std::size_t admitting() const;
+    // Of the entries that are not lost.
+    bool isInForceEverywhere(ConfigurationVersion version) const;
+
+    const FleetCounters& counters(std::size_t index) const { return entries_[index]->counters; }
+    FleetCounters total() const;
+
+    Membership& membership(std::size_t index) { return *entries_[index]->membership; }
+    ChangeProtocol& protocol(std::size_t index) { return *entries_[index]->protocol; }
+    const std::vector<std::string>& names() const { return names_; }
+    TimePoint now() const { return clock_.now(); }
+
+private:
+    class Client;
+
+    struct Entry {
+        std::unique_ptr<Table> table;
+        std::unique_ptr<Membership> membership;
+        std::unique_ptr<ChangeProtocol> protocol;
+        FleetCounters counters;
+    };
+
+    void start(std::size_t index);
+    void post(std::size_t from, const std::string& to, const Frame& frame);
+    void deliver(std::size_t from, std::size_t to, const Bytes& bytes);
+    void at(Duration delay, std::function<void()> step);
+
+    ManualClock clock_;
+    Random random_;
+    MemoryTable rows_;
+    std::vector<std::string> names_;
+    std::map<std::string, std::size_t> indexes_;
+    std::vector<std::unique_ptr<Entry>> entries_;
+    std::multimap<TimePoint, std::function<void()>> steps_;
+    std::size_t reachable_ { 0 };
+    bool isTableReachable_ { true };
+};
+
+}
--- /dev/null
+++ b/Benchmarks/Capacity/Sections.h
@@ -0,0 +1,25 @@
+#pragma once
+
+namespace Damaskgrade {
+
+// The sizes of requirement R25.
+constexpr int targetEntries = 340;
+constexpr int targetAgents = 600;
+constexpr double targetCallsPerSecond = 11000;
+constexpr double targetTokensPerSecond = 2400000;
+constexpr int targetGroups = 75;
+constexpr double targetChangesPerSecond = 1900.0 / 86400;
+
+// Each prints one section of the results.
+// Also writes bytes by slots to the file, unless the path is null.
+void printMembership(const char* path);
+void printChanges();
+void printLosses();
+void printLoadReports();
+void printLinks();
+void printSubset();
+void printCalls();
+void printDecisions();
+void printTable();
+
+}
--- /dev/null
+++ b/Benchmarks/Capacity/TableLoad.cpp
@@ -0,0 +1,207 @@
+#include "Calls/ClaimStore.h"
+#include "Core/ManualClock.h"
+#include "Core/Random.h"
+#include "MapSwitch/MapController.h"
+#include "Platform/MemoryTable.h"
+#include "Sections.h"
+#include "Timeline/EventRecorder.h"
+
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds tableDelay { 10 };
+constexpr std::chrono::seconds measured { 30 };
+constexpr std::chrono::seconds warmUp { 5 };
+constexpr std::chrono::milliseconds bookingTime { 30 };
+constexpr double headPollsPerSecond = 1;
+constexpr double timelineSeconds = 10;
+// The commit and the mark in force (see the section on changes).
+constexpr double writesPerChange = 2;
+constexpr double readsPerChange = 20;
+
+// A table with a delay on a manual clock that counts its operations.
+class CountingTable : public Table {
+public:
+    void read(const std::vector<std::string>& keys, std::function<void(const TableReadResult&)> done) override
+    {
+        ++reads;
+        at(tableDelay, [this, keys, done] { done(rows_.read(keys)); });
+    }
+
+    void scan(const std::string& prefix, std::function<void(const TableReadResult&)> done) override
+    {
+        ++reads;
+        at(tableDelay, [this, prefix, done] { done(rows_.scan(prefix)); });
+    }
+
+    void write(const std::vector<TableWrite>& writes, std::function<void(const TableWriteResult&)> done) override
+    {
+        ++this->writes;
+        at(tableDelay, [this, writes, done] { done(rows_.write(writes)); });
+    }
+
+    void at(Duration delay, std::function<void()> step) { steps_.emplace(clock.now() + delay, std::move(step)); }
+
+    void advance(Duration duration)
+    {
+        TimePoint end = clock.now() + duration;
+        while (!steps_.empty() && steps_.begin()->first <= end) {
+            auto first = steps_.begin();
+            std::function<void()> step = std::move(first->second);
+            clock.advance(first->first - clock.now());
+            steps_.erase(first);
+            step();
+        }
+        clock.advance(end - clock.now());
+    }
+
+    ManualClock clock;
+    std::uint64_t reads { 0 };
+    std::uint64_t writes { 0 };
+
+private:
+    MemoryTable rows_;
+    std::multimap<TimePoint, std::function<void()>> steps_;
+};
+
+struct TableRates {
+    double reads { 0 };
+    double writes { 0 };
+};
+
+struct LeaseFigures {
+    TableRates rates;
+    // Of the first five seconds, in which all controllers try to get the lease.
+    std::uint64_t writesAtStart { 0 };
+};
+
+TableRates ratesOf(const CountingTable& table)
+{
+    double seconds = static_cast<double>(measured.count());
+    return { static_cast<double>(table.reads) / seconds, static_cast<double>(table.writes) / seconds };
+}
+
+// Each booking reads its row, writes the claim and, after the call, the answer, as CallDriver does.
+TableRates claimRates(double bookingsPerSecond, std::size_t writers)
+{
+    CountingTable table;
+    Random random(1);
+    std::vector<std::unique_ptr<ClaimStore>> stores;
+    for (std::size_t index = 0; index < writers; ++index)
+        stores.push_back(std::make_unique<ClaimStore>(table));
+    double second = 0;
+    for (int number = 0; second < static_cast<double>(measured.count()); ++number) {
+        second -= std::log(1 - random.fraction()) / bookingsPerSecond;
+        ClaimStore* store = stores[random.index(writers)].get();
+        std::string row = "claim/" + std::to_string(number);
+        ClaimRecord record;
+        record.owner = "call-" + std::to_string(number);
+        table.at(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(second)), [&table, store, row, record] {
+            store->read(row, [&table, store, row, record](const ClaimResult&) {
+                store->write(row, std::nullopt, record, [&table, store, row, record](const ClaimResult&) {
+                    ClaimRecord finished = record;
+                    finished.state = ClaimState::Done;
+                    table.at(bookingTime, [store, row, record, finished] { store->write(row, record, finished, [](const ClaimResult&) {}); });
+                });
+            });
+        });
+    }
+    table.advance(measured);
+    return ratesOf(table);
+}
+
+LeaseFigures leaseRates(int controllers)
+{
+    CountingTable table;
+    Random random(1);
+    std::vector<std::unique_ptr<MapController>> all;
+    for (int number = 0; number < controllers; ++number) {
+        MapControllerSettings settings;
+        settings.name = "entry-" + std::to_string(number);
+        settings.group = "group";
+        settings.members = { "agent" };
+        all.push_back(std::make_unique<MapController>(settings, table.clock, table, random, [](const std::string&, const MapOrderMessage&) {}));
+    }
+    auto run = [&table, &all](std::chrono::milliseconds length) {
+        for (std::chrono::milliseconds time { 0 }; time < length; time += std::chrono::milliseconds(50)) {
+            for (const std::unique_ptr<MapController>& controller : all)
+                controller->tick();
+            table.advance(std::chrono::milliseconds(50));
+        }
+    };
+    run(warmUp);
+    std::uint64_t writesAtStart = table.writes;
+    table.reads = 0;
+    table.writes = 0;
+    run(measured);
+    return { ratesOf(table), writesAtStart };
+}
+
+// Objects that one process writes in 100 s while it records ten events a second.
+int timelineObjects()
+{
+    ManualClock clock;
+    HybridClock hybridClock(clock);
+    EventRecorder recorder(hybridClock, EventRecorderOptions());
+    int objects = 0;
+    for (int step = 0; step < 1000; ++step) {
+        clock.advance(std::chrono::milliseconds(100));
+        recorder.record(EventKind::InstanceSuspected, "entry", "");
+        if (!recorder.takeBatch(clock.now()))
+            continue;
+        ++objects;
+        recorder.finishWrite(ResultCode::Ok);
+    }
+    return objects;
+}
+
+void printRow(const char* name, const TableRates& rates)
+{
+    std::printf("%-58s %10.2f %10.2f\n", name, rates.reads, rates.writes);
+}
+
+}
+
+void printTable()
+{
+    std::printf("\nGroup leases of one group on the real controller, %lld s\n%12s %10s %10s %16s\n", static_cast<long long>(measured.count()), "controllers", "reads/s", "writes/s", "writes, first 5 s");
+    std::map<int, TableRates> leases;
+    for (int controllers : { 1, 4, 16, 64 }) {
+        LeaseFigures figures = leaseRates(controllers);
+        leases[controllers] = figures.rates;
+        std::printf("%12d %10.2f %10.2f %16llu\n", controllers, figures.rates.reads, figures.rates.writes, static_cast<unsigned long long>(figures.writesAtStart));
+    }
+    double readsPerObserver = (leases[64].reads - leases[4].reads) / 60;
+    std::printf("\nClaims at 11,000 calls/s, transactions of 10 ms\n%10s %12s %8s %10s %10s %16s\n", "bookings", "bookings/s", "writers", "reads/s", "writes/s", "writes a booking");
+    std::map<double, TableRates> claims;
+    for (double percent : { 0.1, 1.0, 5.0 }) {
+        for (std::size_t writers : { 340, 32, 4 }) {
+            double bookings = targetCallsPerSecond * percent / 100;
+            TableRates rates = claimRates(bookings, writers);
+            if (writers == static_cast<std::size_t>(targetEntries))
+                claims[percent] = rates;
+            std::printf("%9.1f%% %12.0f %8zu %10.1f %10.1f %16.2f\n", percent, bookings, writers, rates.reads, rates.writes, rates.writes / bookings);
+        }
+    }
+    int objects = timelineObjects();
+    double timeline = (targetEntries + targetAgents) * objects / 100.0;
+    std::printf("\nOperations a second at R25 (several hundred writes, about 2,000 reads)\n%-58s %10s %10s\n", "", "reads/s", "writes/s");
+    printRow("head row polls, 340 entries", { targetEntries * headPollsPerSecond, 0 });
+    printRow("configuration changes, 1,900 a day", { readsPerChange * targetChangesPerSecond, writesPerChange * targetChangesPerSecond });
+    printRow("claims, 0.1% bookings", claims[0.1]);
+    printRow("claims, 1% bookings", claims[1.0]);
+    printRow("claims, 5% bookings", claims[5.0]);
+    printRow("leases of 75 groups, 4 controllers each", { targetGroups * leases[4].reads, targetGroups * leases[4].writes });
+    printRow("leases of 75 groups, a controller at each of 340 entries", { targetGroups * (leases[4].reads + readsPerObserver * (targetEntries - 4)), targetGroups * leases[4].writes });
+    printRow("timeline objects, 940 processes, at most", { 0, timeline });
+    std::printf("One process that records all the time wrote %d timeline objects in %.0f s.\n", objects, 10 * timelineSeconds);
+}
+
+}
