--- a/Benchmarks/Capacity/Decisions.cpp
+++ b/Benchmarks/Capacity/Decisions.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr double callsOfEntry = targetCallsPerSecond / targetEntries;
-// Half of the tickets are free, so that a call is queued before it starts in the second half of the calls.
+// Calls that wait when another one arrives.
 constexpr std::size_t queuedCalls = 100;
 
 // A call that waits, starts when a ticket comes, and ends.
