Transport: Release closed links

Cause: the close handler of a connection kept its session and the session kept the connection, so the socket of a closed link was never closed, only shut down.

Change: sessions hold their connection weakly. Also: the retry budget counts a call once, not twice.

--- a/Benchmarks/Capacity/Decisions.cpp
+++ b/Benchmarks/Capacity/Decisions.cpp
@@ -101,7 +101,7 @@
         sample.time += std::chrono::seconds(10);
         estimate.observe(sample);
     });
-    PlacementSettings settings;
+    PlacementPolicySettings settings;
     settings.slotsPerRank = experts / ranks + 2;
     figures.decide = secondsPerCall([&] {
         PlacementPolicy policy(settings);
--- a/Benchmarks/Capacity/Links.cpp
+++ b/Benchmarks/Capacity/Links.cpp
@@ -38,7 +38,7 @@
     Endpoint endpoint { "127.0.0.1", firstPort };
     for (; !server && endpoint.port < firstPort + ports; ++endpoint.port) {
         try {
-            server = std::make_unique<LinkServer>(loop, endpoint, handlers);
+            server = std::make_unique<LinkServer>(loop, endpoint, LinkKeys(), handlers);
             break;
         } catch (const Error&) {
             continue;
@@ -49,7 +49,7 @@
     std::size_t before = allocatedBytes();
     std::vector<std::unique_ptr<LinkClient>> clients;
     for (std::size_t index = 0; index < count; ++index)
-        clients.push_back(std::make_unique<LinkClient>(loop, random, endpoint, handlers));
+        clients.push_back(std::make_unique<LinkClient>(loop, random, endpoint, LinkKeys(), handlers));
     double bytes = 0;
     std::unique_ptr<Timer> check = loop.every(checkPeriod, [&] {
         if (server->counters().opened < count)
--- a/Benchmarks/Placement/Main.cpp
+++ b/Benchmarks/Placement/Main.cpp
@@ -216,7 +216,7 @@
 // Knows the future and loads all the time at the rate of the weight store. It prepares for the
 // mean of some intervals after the load; the best of several lengths is taken for each trace.
 // This is a reference and not a proven optimum.
-Result runBoundOracle(const Scale& scale, const Trace& trace, const PlacementSettings& settings)
+Result runBoundOracle(const Scale& scale, const Trace& trace, const PlacementPolicySettings& settings)
 {
     double secondsPerExpert = static_cast<double>(settings.bytesPerExpert) / settings.weightStoreBytesPerSecond;
     std::size_t maxLoads = static_cast<std::size_t>(intervalsPerDecision * intervalSeconds / secondsPerExpert);
--- a/Source/Entry/CallService.cpp
+++ b/Source/Entry/CallService.cpp
@@ -210,7 +210,6 @@
         handlers.onOutcome({ ResultCode::CustomerLimitReached, Executed::No, "" });
         return;
     }
-    budget_.addCall();
     ++callsByCustomer_[request.customer];
     std::string callId = request.callId;
     ActiveCall call;
--- a/Source/Transport/LinkClient.cpp
+++ b/Source/Transport/LinkClient.cpp
@@ -89,7 +89,6 @@
     opening->attach(trackedHandlers(), keys, LinkSide::Client);
     connection->set_open_handshake_timeout(openTimeoutMilliseconds);
     connection->set_fail_handler([self, opening](websocketpp::connection_hdl) {
-        opening->releaseHandlers();
         if (!self->stopped)
             self->scheduleReconnect();
     });
--- a/Source/Transport/LinkServer.cpp
+++ b/Source/Transport/LinkServer.cpp
@@ -25,12 +25,9 @@
     bool stopped { false };
 };
 
-LinkServer::LinkServer(EventLoop& loop, const Endpoint& listen, const LinkKeys& keys, LinkHandlers handlers)
-    : state_(std::make_shared<State>())
+// The handlers of a connection keep the state, because the connection uses the endpoint until it has ended.
+LinkHandlers LinkServer::trackedHandlers(const std::shared_ptr<State>& state)
 {
-    std::shared_ptr<State> state = state_;
-    state->handlers = std::move(handlers);
-    state->keys = keys;
     LinkHandlers tracked;
     tracked.onOpen = [state](const std::shared_ptr<LinkSession>& session) {
         if (state->stopped)
@@ -47,6 +44,15 @@
         if (wasOpen && !state->stopped)
             state->handlers.onClose(session);
     };
+    return tracked;
+}
+
+LinkServer::LinkServer(EventLoop& loop, const Endpoint& listen, const LinkKeys& keys, LinkHandlers handlers)
+    : state_(std::make_shared<State>())
+{
+    std::shared_ptr<State> state = state_;
+    state->handlers = std::move(handlers);
+    state->keys = keys;
     WebsocketServer& server = state->server;
     server.clear_access_channels(websocketpp::log::alevel::all);
     server.clear_error_channels(websocketpp::log::elevel::all);
@@ -61,14 +67,15 @@
         boost::system::error_code optionFailure;
         connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), optionFailure);
     });
+    // The endpoint is part of the state, so its own handlers must not keep the state.
     std::weak_ptr<State> weakState = state;
-    server.set_validate_handler([weakState, tracked](websocketpp::connection_hdl handle) {
+    server.set_validate_handler([weakState](websocketpp::connection_hdl handle) {
         std::shared_ptr<State> current = weakState.lock();
         websocketpp::lib::error_code ignored;
         WebsocketServer::connection_ptr connection = current ? current->server.get_con_from_hdl(handle, ignored) : nullptr;
         if (!connection || current->stopped)
             return false;
-        std::make_shared<ServerSession>(connection, current->counters)->attach(tracked, current->keys, LinkSide::Server);
+        std::make_shared<ServerSession>(connection, current->counters)->attach(trackedHandlers(current), current->keys, LinkSide::Server);
         return true;
     });
     if (!failure)
--- a/Source/Transport/LinkServer.h
+++ b/Source/Transport/LinkServer.h
@@ -23,6 +23,9 @@
 
 private:
     struct State;
+
+    static LinkHandlers trackedHandlers(const std::shared_ptr<State>& state);
+
     std::shared_ptr<State> state_;
 };
 
--- a/Source/Transport/WebsocketSession.h
+++ b/Source/Transport/WebsocketSession.h
@@ -20,7 +20,7 @@
     using MessagePointer = typename WebsocketEndpoint::message_ptr;
 
     WebsocketSession(ConnectionPointer connection, std::shared_ptr<LinkCounters> counters)
-        : connection_(std::move(connection))
+        : connection_(connection)
         , counters_(std::move(counters))
     {
     }
@@ -35,10 +35,15 @@
     {
         isClosedHere_ = true;
         websocketpp::lib::error_code ignored;
-        connection_->close(websocketpp::close::status::normal, "", ignored);
+        if (ConnectionPointer connection = connection_.lock())
+            connection->close(websocketpp::close::status::normal, "", ignored);
     }
 
-    std::size_t pendingBytes() const override { return connection_->get_buffered_amount(); }
+    std::size_t pendingBytes() const override
+    {
+        ConnectionPointer connection = connection_.lock();
+        return connection ? connection->get_buffered_amount() : 0;
+    }
 
     // Registers the handlers at the connection, which keeps the session alive until it closes.
     // With keys, the link opens once the other side has proven that it has one of them.
@@ -47,33 +52,27 @@
         if (!keys.isEmpty())
             handshake_.emplace(keys, side, makeNonce());
         auto self = this->shared_from_this();
-        connection_->set_max_message_size(maxFrameBytes);
-        connection_->set_close_handshake_timeout(closeTimeoutMilliseconds);
-        connection_->set_open_handler([self, handlers](websocketpp::connection_hdl) {
+        ConnectionPointer connection = connection_.lock();
+        connection->set_max_message_size(maxFrameBytes);
+        connection->set_close_handshake_timeout(closeTimeoutMilliseconds);
+        connection->set_open_handler([self, handlers](websocketpp::connection_hdl) {
             if (self->handshake_)
                 self->startHandshake();
             else
                 self->open(handlers);
         });
-        connection_->set_message_handler([self, handlers](websocketpp::connection_hdl, MessagePointer message) {
+        connection->set_message_handler([self, handlers](websocketpp::connection_hdl, MessagePointer message) {
             self->receive(handlers, message->get_payload());
         });
-        connection_->set_close_handler([self, handlers](websocketpp::connection_hdl) {
+        connection->set_close_handler([self, handlers](websocketpp::connection_hdl) {
             self->isOpen_ = false;
             ++self->counters_->closed;
             self->handshakeTimer_ = nullptr;
             self->countRefusedFrame();
             handlers.onClose(self);
-            self->releaseHandlers();
         });
     }
 
-    void releaseHandlers()
-    {
-        connection_->set_open_handler(nullptr);
-        connection_->set_message_handler(nullptr);
-    }
-
 private:
     // A peer that does not answer a close keeps its connection this long.
     static constexpr long closeTimeoutMilliseconds = 1000;
@@ -84,7 +83,8 @@
         Bytes bytes = encodeFrame(frame);
         ++counters_->framesSent;
         counters_->bytesSent += bytes.size();
-        connection_->send(bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+        if (ConnectionPointer connection = connection_.lock())
+            connection->send(bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
     }
 
     void open(const LinkHandlers& handlers)
@@ -98,7 +98,8 @@
     {
         write(handshake_->challenge());
         std::weak_ptr<WebsocketSession> weak = this->weak_from_this();
-        handshakeTimer_ = connection_->set_timer(handshakeTimeoutMilliseconds, [weak](websocketpp::lib::error_code failure) {
+        ConnectionPointer connection = connection_.lock();
+        handshakeTimer_ = connection->set_timer(handshakeTimeoutMilliseconds, [weak](websocketpp::lib::error_code failure) {
             std::shared_ptr<WebsocketSession> self = weak.lock();
             if (!failure && self && !self->isOpen_)
                 self->failHandshake();
@@ -127,11 +128,12 @@
     // websocketpp refuses an oversized or broken frame itself, before receive(), and starts to close the connection.
     void countRefusedFrame()
     {
-        websocketpp::close::status::value code = connection_->get_local_close_code();
+        ConnectionPointer connection = connection_.lock();
+        websocketpp::close::status::value code = connection->get_local_close_code();
         bool isRefused = code == websocketpp::close::status::message_too_big || code == websocketpp::close::status::protocol_error;
         // If the peer does not answer the close, the code is replaced by that of the timeout.
-        bool isUnanswered = connection_->get_ec() == websocketpp::error::make_error_code(websocketpp::error::close_handshake_timeout)
-            && connection_->get_remote_close_code() == websocketpp::close::status::abnormal_close;
+        bool isUnanswered = connection->get_ec() == websocketpp::error::make_error_code(websocketpp::error::close_handshake_timeout)
+            && connection->get_remote_close_code() == websocketpp::close::status::abnormal_close;
         if (isRefused || (isUnanswered && !isClosedHere_))
             ++counters_->badFrames;
     }
@@ -154,7 +156,9 @@
         }
     }
 
-    ConnectionPointer connection_;
+    // The connection keeps the session by its handlers. A pointer back that kept the connection would leave
+    // its socket open for good, and a peer that goes on sending would block.
+    std::weak_ptr<typename ConnectionPointer::element_type> connection_;
     std::shared_ptr<LinkCounters> counters_;
     std::optional<LinkHandshake> handshake_;
     typename WebsocketEndpoint::connection_type::timer_ptr handshakeTimer_;
--- a/Tests/Placement/PlacementTest.cpp
+++ b/Tests/Placement/PlacementTest.cpp
@@ -112,7 +112,7 @@
     loads[1] = 20;
     loads[2] = 0.5;
     observe(loads);
-    PlacementSettings eager = settings();
+    PlacementPolicySettings eager = settings();
     eager.skewWeight = 100;
     CHECK(!PlacementPolicy(eager).decide(clock.now(), current, estimate));
     eager.minimumGain = 0;
--- a/Tests/Process/ConfigurationFailureTest.cpp
+++ b/Tests/Process/ConfigurationFailureTest.cpp
@@ -64,7 +64,7 @@
     explicit LinkPeer(const Endpoint& agent)
         : hybridClock_(clock_)
         , random_(1)
-        , client_(loop_, random_, agent, handlers())
+        , client_(loop_, random_, agent, LinkKeys(), handlers())
     {
     }
 
--- a/Tests/Transport/LinkTest.cpp
+++ b/Tests/Transport/LinkTest.cpp
@@ -105,4 +105,38 @@
     CHECK(opened == 2);
 }
 
+// Guards against closed links that keep their sockets: a peer that goes on sending would block,
+// and the process would run out of descriptors.
+TEST_CASE("a closed link is released")
+{
+    EventLoop loop;
+    Random random(1);
+    Endpoint endpoint { "127.0.0.1", 18478 };
+    std::weak_ptr<LinkSession> ofServer;
+    LinkHandlers serverHandlers;
+    serverHandlers.onOpen = [&](const std::shared_ptr<LinkSession>& session) { ofServer = session; };
+    serverHandlers.onFrame = [](const std::shared_ptr<LinkSession>&, const Frame&) {};
+    serverHandlers.onClose = [](const std::shared_ptr<LinkSession>&) {};
+    std::weak_ptr<LinkSession> ofClient;
+    LinkHandlers clientHandlers;
+    clientHandlers.onOpen = [&](const std::shared_ptr<LinkSession>& session) {
+        ofClient = session;
+        session->close();
+    };
+    clientHandlers.onFrame = [](const std::shared_ptr<LinkSession>&, const Frame&) {};
+    clientHandlers.onClose = [](const std::shared_ptr<LinkSession>&) {};
+    LinkServer server(loop, endpoint, LinkKeys(), serverHandlers);
+    std::unique_ptr<LinkClient> client = std::make_unique<LinkClient>(loop, random, endpoint, LinkKeys(), clientHandlers);
+    std::unique_ptr<Timer> poll = loop.every(std::chrono::milliseconds(10), [&] {
+        if (server.counters().closed > 0)
+            client = nullptr;
+        if (!client && ofServer.expired() && ofClient.expired())
+            loop.stop();
+    });
+    std::unique_ptr<Timer> limit = loop.after(generousLimit, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(ofServer.expired());
+    CHECK(ofClient.expired());
+}
+
 }
