Tests: Follow the renamed stall setting

Cause: connect_ms became stall_ms while the process tests and the capacity benchmark were written, so no entry of theirs started.

Change: their documents use stall_ms.

--- a/Benchmarks/Capacity/Fleet.cpp
+++ b/Benchmarks/Capacity/Fleet.cpp
@@ -33,7 +33,7 @@
 [oncall.timeouts]
 default_deadline_ms = 30000
 max_deadline_ms = 90000
-connect_ms = 300
+stall_ms = 300
 resolve_ms = 1000
 
 [oncall.drain]
--- a/Tests/Process/TestDeployment.cpp
+++ b/Tests/Process/TestDeployment.cpp
@@ -69,7 +69,7 @@
 [oncall.timeouts]
 default_deadline_ms = 25000
 max_deadline_ms = 25000
-connect_ms = 300
+stall_ms = 3000
 resolve_ms = 1000
 
 [oncall.drain]
