Entry: Never deny the execution of a repeated request

Cause: a request with Retry-Attempt above zero that the entry itself refused (not ready, draining, malformed, limit of the customer) was told executed: no, although its first send may have run. Found by reading, after the process tests had shown the same fault in the admission.

Change: one function says what a refusal may claim.

--- a/Source/Agent/EngineClient.cpp
+++ b/Source/Agent/EngineClient.cpp
@@ -18,16 +18,6 @@
 constexpr std::chrono::minutes maxCallTime { 30 };
 constexpr std::chrono::milliseconds controlTimeout { 1000 };
 
-HttpRequest makePost(const std::string& path, const std::string& body)
-{
-    HttpRequest request;
-    request.method = "POST";
-    request.target = path;
-    request.headers.push_back({ "Content-Type", "application/json" });
-    request.body = body;
-    return request;
-}
-
 std::optional<ExpertLoadMessage> readExpertLoad(const std::string& body)
 {
     try {
@@ -141,7 +131,7 @@
         return;
     }
     running_[key] = running;
-    running->call = callClient_.stream(engine_, makePost("/v1/completions", body), std::move(responseHandlers));
+    running->call = callClient_.stream(engine_, makeJsonPost("/v1/completions", body), std::move(responseHandlers));
 }
 
 void EngineClient::startService(const std::string& key, const CallMessage& call, EngineCallHandlers handlers)
@@ -164,7 +154,7 @@
         finish(key);
         running->handlers.onFailure({ failure.wasSent, "connection to the engine failed" });
     };
-    HttpRequest request = makePost("/v1/operations/" + percentEncode(call.operation), call.payload);
+    HttpRequest request = makeJsonPost("/v1/operations/" + percentEncode(call.operation), call.payload);
     if (!call.idempotencyKey.empty())
         request.headers.push_back({ "Idempotency-Key", call.idempotencyKey });
     running_[key] = running;
@@ -179,7 +169,7 @@
     found->second->ended = true;
     finish(key);
     controlClient_.send(
-        engine_, makePost("/v1/cancel", Json { { "request_id", key } }.dump()),
+        engine_, makeJsonPost("/v1/cancel", Json { { "request_id", key } }.dump()),
         [](const HttpResponse&) {}, [](const HttpFailure&) {});
 }
 
@@ -253,7 +243,7 @@
 void EngineClient::postOrder(const std::string& body, std::function<void(int, const std::string&)> done)
 {
     controlClient_.send(
-        engine_, makePost("/v1/orders", body),
+        engine_, makeJsonPost("/v1/orders", body),
         [done](const HttpResponse& response) { done(response.status, response.body); },
         [done](const HttpFailure&) { done(0, ""); });
 }
--- a/Source/Calls/CallMessages.cpp
+++ b/Source/Calls/CallMessages.cpp
@@ -63,16 +63,6 @@
     return events;
 }
 
-// Throws Error(BadFrame) for a number that is no value of the enumeration.
-template <typename Enumeration>
-Enumeration enumerationFromJson(const Json& json, Enumeration last)
-{
-    int number = json.get<int>();
-    if (number < 0 || number > static_cast<int>(last))
-        throw Error(ResultCode::BadFrame, "message has the unknown value " + std::to_string(number));
-    return static_cast<Enumeration>(number);
-}
-
 ResultCode codeFromJson(const Json& json)
 {
     return static_cast<ResultCode>(json.get<std::uint16_t>());
--- a/Source/Entry/CallService.cpp
+++ b/Source/Entry/CallService.cpp
@@ -1,5 +1,7 @@
 #include "Entry/CallService.h"
 
+#include "Entry/CallerRequest.h"
+
 #include <utility>
 
 namespace Damaskgrade {
@@ -205,9 +207,10 @@
 {
     ++counters_.received;
     if (isAtLimit(request.customer)) {
+        Executed executed = executedAfterRefusal(request.mayBeRepeat);
         ++counters_.outcomes[ResultCode::CustomerLimitReached];
-        ++counters_.executed[Executed::No];
-        handlers.onOutcome({ ResultCode::CustomerLimitReached, Executed::No, "" });
+        ++counters_.executed[executed];
+        handlers.onOutcome({ ResultCode::CustomerLimitReached, executed, "" });
         return;
     }
     ++callsByCustomer_[request.customer];
@@ -299,9 +302,7 @@
         return;
     }
     if (decision.action == AdmissionAction::Refuse) {
-        // An earlier send of a repeated call may have been executed.
-        Executed executed = call->request.mayBeRepeat ? Executed::Unknown : Executed::No;
-        finish(decision.callId, { decision.code, executed, "" });
+        finish(decision.callId, { decision.code, executedAfterRefusal(call->request.mayBeRepeat), "" });
     } else if (decision.action == AdmissionAction::Start) {
         call->admission = AdmissionState::Started;
         if (call->driver)
--- a/Source/Entry/CallerApi.cpp
+++ b/Source/Entry/CallerApi.cpp
@@ -72,15 +72,16 @@
 
 void CallerApi::handle(const std::shared_ptr<HttpExchange>& exchange)
 {
+    Executed executed = executedAfterRefusal(isRepeated(exchange->request()));
     ResultCode admission = hooks_.admission();
     if (admission != ResultCode::Ok) {
-        exchange->respond(problemResponse(admission, Executed::No, "use another address from /v1/addresses"));
+        exchange->respond(problemResponse(admission, executed, "use another address from /v1/addresses"));
         return;
     }
     try {
         submit(exchange, parseCallerRequest(exchange->request()));
     } catch (const Error& error) {
-        exchange->respond(problemResponse(error.code(), Executed::No, error.what()));
+        exchange->respond(problemResponse(error.code(), executed, error.what()));
     }
 }
 
--- a/Source/Entry/CallerRequest.cpp
+++ b/Source/Entry/CallerRequest.cpp
@@ -101,13 +101,22 @@
     return position;
 }
 
+bool isRepeated(const HttpRequest& request)
+{
+    return findHeader(request.headers, "Retry-Attempt").value_or("0") != "0";
+}
+
+Executed executedAfterRefusal(bool mayBeRepeat)
+{
+    return mayBeRepeat ? Executed::Unknown : Executed::No;
+}
+
 CallerRequest parseCallerRequest(const HttpRequest& request)
 {
     CallerRequest result;
     result.customer = headerOr(request, "X-Customer", "");
     result.idempotencyKey = headerOr(request, "Idempotency-Key", "");
-    std::string attempt = headerOr(request, "Retry-Attempt", "0");
-    result.mayBeRepeat = attempt != "0";
+    result.mayBeRepeat = isRepeated(request);
     result.requestId = headerOr(request, "X-Request-Id", "");
     result.timeLeft = readDeadline(request);
     std::string lastEvent = headerOr(request, "Last-Event-ID", "");
--- a/Source/Entry/CallerRequest.h
+++ b/Source/Entry/CallerRequest.h
@@ -42,6 +42,12 @@
     std::optional<StreamPosition> resumeFrom;
 };
 
+// Whether the caller says that it has sent the request before (Retry-Attempt above zero).
+bool isRepeated(const HttpRequest& request);
+
+// What a refusal may say of the execution of a request. An earlier send of a repeated one may have run.
+Executed executedAfterRefusal(bool mayBeRepeat);
+
 // Reads a request to /v1/completions, /v1/chat/completions or /v1/services/{service}/{operation}.
 // Throws Error(MalformedRequest, InvalidDeadline or UnknownRoute).
 CallerRequest parseCallerRequest(const HttpRequest& request);
--- a/Source/MapSwitch/MapMessages.cpp
+++ b/Source/MapSwitch/MapMessages.cpp
@@ -43,16 +43,6 @@
     return state;
 }
 
-// Throws Error(BadFrame) for a number that is no value of the enumeration.
-template <typename Enumeration>
-Enumeration enumerationFromJson(const Json& json, Enumeration last)
-{
-    int number = json.get<int>();
-    if (number < 0 || number > static_cast<int>(last))
-        throw Error(ResultCode::BadFrame, "message has the unknown value " + std::to_string(number));
-    return static_cast<Enumeration>(number);
-}
-
 }
 
 bool operator==(const Epoch& left, const Epoch& right)
--- a/Source/Platform/HttpTable.cpp
+++ b/Source/Platform/HttpTable.cpp
@@ -9,16 +9,6 @@
 
 namespace {
 
-HttpRequest makeRequest(const std::string& path, const std::string& body)
-{
-    HttpRequest request;
-    request.method = "POST";
-    request.target = path;
-    request.headers.push_back({ "Content-Type", "application/json" });
-    request.body = body;
-    return request;
-}
-
 TableReadResult readResult(const HttpResponse& response)
 {
     if (response.status != 200)
@@ -60,7 +50,7 @@
 void HttpTable::write(const std::vector<TableWrite>& writes, std::function<void(const TableWriteResult&)> done)
 {
     client_.send(
-        server_, makeRequest("/v1/table/write", encodeWriteRequest(writes)),
+        server_, makeJsonPost("/v1/table/write", encodeWriteRequest(writes)),
         [done](const HttpResponse& response) { done(writeResult(response)); },
         [done](const HttpFailure&) { done({ ResultCode::TableUnavailable }); });
 }
@@ -68,7 +58,7 @@
 void HttpTable::fetchRows(const std::string& path, const std::string& body, std::function<void(const TableReadResult&)> done)
 {
     client_.send(
-        server_, makeRequest(path, body),
+        server_, makeJsonPost(path, body),
         [done](const HttpResponse& response) { done(readResult(response)); },
         [done](const HttpFailure&) { done({}); });
 }
--- a/Source/Transport/CborBody.h
+++ b/Source/Transport/CborBody.h
@@ -27,4 +27,15 @@
     }
 }
 
+// Reads the number of an enumeration that counts up from 0 to the last value.
+// Throws Error(BadFrame) for a number that is no value of it.
+template <typename Enumeration>
+Enumeration enumerationFromJson(const nlohmann::json& json, Enumeration last)
+{
+    int number = json.get<int>();
+    if (number < 0 || number > static_cast<int>(last))
+        throw Error(ResultCode::BadFrame, "message has the unknown value " + std::to_string(number));
+    return static_cast<Enumeration>(number);
+}
+
 }
--- a/Source/Transport/HttpMessage.cpp
+++ b/Source/Transport/HttpMessage.cpp
@@ -30,6 +30,16 @@
 
 }
 
+HttpRequest makeJsonPost(std::string_view target, std::string_view body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = std::string(target);
+    request.headers.push_back({ "Content-Type", "application/json" });
+    request.body = std::string(body);
+    return request;
+}
+
 std::optional<std::string> findHeader(const std::vector<HttpHeader>& headers, std::string_view name)
 {
     for (const HttpHeader& header : headers) {
--- a/Source/Transport/HttpMessage.h
+++ b/Source/Transport/HttpMessage.h
@@ -26,6 +26,9 @@
     std::string body;
 };
 
+// Returns a POST request with a JSON body.
+HttpRequest makeJsonPost(std::string_view target, std::string_view body);
+
 // Returns the value of the first header of this name, compared without case.
 std::optional<std::string> findHeader(const std::vector<HttpHeader>& headers, std::string_view name);
 
--- a/Tests/Entry/CallServiceTest.cpp
+++ b/Tests/Entry/CallServiceTest.cpp
@@ -51,18 +51,20 @@
         service_.receive(agent, encodeMessage(message, 0));
     }
 
-    void submit(const std::string& callId, const std::string& customer)
+    void submit(const std::string& callId, const std::string& customer, bool mayBeRepeat = false)
     {
         CallRequest request;
         request.callId = callId;
         request.customer = customer;
         request.payload = "{}";
+        request.mayBeRepeat = mayBeRepeat;
         request.deadline = clock_.now() + std::chrono::seconds(20);
         CallNeeds needs;
         needs.serves = "model";
         CallHandlers handlers;
         handlers.onText = [](std::string_view, const std::string&, std::uint64_t) {};
-        handlers.onOutcome = [this, callId](const CallOutcome& outcome) { outcomes_[callId] = outcome.code; };
+        handlers.onOutcome = [this, callId](const CallOutcome& outcome) { outcomes_[callId] = outcome.code;
+            executed_[callId] = outcome.executed; };
         service_.submit(std::move(request), std::move(needs), std::move(handlers));
     }
 
@@ -79,6 +81,7 @@
 
     CallService& service() { return service_; }
     std::map<std::string, ResultCode>& outcomes() { return outcomes_; }
+    std::map<std::string, Executed>& executed() { return executed_; }
 
 private:
     CallServiceHooks hooks()
@@ -99,6 +102,7 @@
     std::uint64_t nextTicket_ { 1 };
     std::vector<std::pair<std::string, std::string>> sent_;
     std::map<std::string, ResultCode> outcomes_;
+    std::map<std::string, Executed> executed_;
     CallService service_;
 };
 
@@ -140,6 +144,11 @@
     CHECK(test.outcomes().count("first") == 0);
     CHECK(test.outcomes()["second"] == ResultCode::CustomerLimitReached);
     CHECK(test.outcomes().count("third") == 0);
+    CHECK(test.executed()["second"] == Executed::No);
+    // An earlier send of a repeated call may have run, so the limit must not deny it.
+    test.submit("repeat", "small", true);
+    CHECK(test.outcomes()["repeat"] == ResultCode::CustomerLimitReached);
+    CHECK(test.executed()["repeat"] == Executed::Unknown);
     test.service().cancel("first");
     test.submit("fourth", "small");
     CHECK(test.outcomes().count("fourth") == 0);
--- a/Tests/Transport/LinkHandshakeTest.cpp
+++ b/Tests/Transport/LinkHandshakeTest.cpp
@@ -86,7 +86,10 @@
 
 TEST_CASE("malformed keys are refused without their secrets")
 {
-    for (const std::string& text : { std::string("k"), std::string(":") + oldSecret, std::string("k:short"), "k:" + oldSecret + ",k:" + newSecret }) {
+    std::string key = "k:" + oldSecret;
+    std::string twice = key;
+    twice.append(",").append(key);
+    for (const std::string& text : { std::string("k"), ":" + oldSecret, std::string("k:short"), twice }) {
         try {
             LinkKeys::parse(text);
             FAIL("accepted " << text);
