Agent, Entry: Remove state that nothing needs

Cause: read once more. The agent kept the link of a session that is being opened, for tickets sent during the opening; openSession sends nothing, the first tickets come with the next tick. The entry kept a submission time that nothing read.

Change: both are gone; no change of behaviour.

--- a/Source/Agent/AgentProcess.cpp
+++ b/Source/Agent/AgentProcess.cpp
@@ -130,13 +130,9 @@
         return;
     }
     link->send(encodeMessage(this->hello(), hybridClock_.tick()));
-    peers_[link] = { link, 0, hello.name, 0 };
-    // The first tickets are sent while the session opens, so the link must be known by then.
-    pendingLink_ = link;
     std::uint64_t session = calls_.openSession();
-    pendingLink_ = nullptr;
     linkBySession_[session] = link;
-    peers_[link].session = session;
+    peers_[link] = { link, session, hello.name, 0 };
     LOG(INFO) << "entry " << hello.name << " linked";
 }
 
@@ -177,9 +173,9 @@
 void AgentProcess::send(std::uint64_t session, const AgentMessage& message)
 {
     auto found = linkBySession_.find(session);
-    const SessionPointer& link = found == linkBySession_.end() ? pendingLink_ : found->second;
-    if (!link)
+    if (found == linkBySession_.end())
         return;
+    const SessionPointer& link = found->second;
     if (std::holds_alternative<TicketsMessage>(message)) {
         TicketsMessage tickets = std::get<TicketsMessage>(message);
         addCacheEvents(peers_[link], tickets);
--- a/Source/Agent/AgentProcess.h
+++ b/Source/Agent/AgentProcess.h
@@ -75,8 +75,6 @@
     std::unique_ptr<MapLinks> maps_;
     std::map<SessionPointer, std::string> groupLinks_;
     std::map<std::uint64_t, SessionPointer> linkBySession_;
-    // The link whose session is being opened.
-    SessionPointer pendingLink_;
     LoadReport load_;
     TimePoint loadReceivedAt_;
     // The newest cache events, in order.
--- a/Source/Entry/CallService.cpp
+++ b/Source/Entry/CallService.cpp
@@ -219,7 +219,6 @@
     call.needs = std::move(needs);
     call.handlers = std::move(handlers);
     call.request = std::move(request);
-    call.submittedAt = clock_.now();
     // A kept stream needs no ticket. A repeated booking may need none either: its driver reads the claim,
     // and asks for admission only if it has to send the call.
     bool isAdmittedLater = call.request.position || (call.request.mayBeRepeat && !call.request.isIdempotent);
--- a/Source/Entry/CallService.h
+++ b/Source/Entry/CallService.h
@@ -94,7 +94,6 @@
         std::unique_ptr<CallDriver> driver;
         AdmissionState admission { AdmissionState::NotAsked };
         bool isFinished { false };
-        TimePoint submittedAt;
         std::map<std::string, TimePoint> waitingForFirstPart;
     };
 
