--- /dev/null
+++ b/Source/Catalog/CatalogFollower.cpp
@@ -0,0 +1,72 @@
+#include "Catalog/CatalogFollower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Damaskgrade {
+
+CatalogFollower::CatalogFollower(EventLoop& loop, Random& random, CatalogSource& source, CatalogHolder& holder, CatalogFollowerSettings settings,
+    std::function<void(bool)> onReachable)
+    : loop_(loop)
+    , random_(random)
+    , source_(source)
+    , holder_(holder)
+    , settings_(settings)
+    , onReachable_(std::move(onReachable))
+    , retryDelay_(settings.minRetryDelay)
+{
+}
+
+void CatalogFollower::readAll()
+{
+    hasRevision_ = false;
+    source_.read([this](const CatalogReadResult& result) { handle(result); });
+}
+
+void CatalogFollower::awaitChange()
+{
+    source_.awaitChange(revision_, settings_.wait, [this](const CatalogReadResult& result) { handle(result); });
+}
+
+void CatalogFollower::handle(const CatalogReadResult& result)
+{
+    if (result.status == CatalogReadStatus::Unavailable) {
+        setReachable(false);
+        retryLater();
+        return;
+    }
+    setReachable(true);
+    retryDelay_ = settings_.minRetryDelay;
+    if (result.status == CatalogReadStatus::HistoryLost) {
+        readAll();
+        return;
+    }
+    holder_.offer(result.version);
+    // The source may serve a snapshot that is older than what it has shown before.
+    revision_ = std::max(revision_, result.revision);
+    hasRevision_ = true;
+    awaitChange();
+}
+
+void CatalogFollower::retryLater()
+{
+    std::chrono::milliseconds half = retryDelay_ / 2;
+    std::chrono::milliseconds delay = half + std::chrono::milliseconds(random_.index(static_cast<std::size_t>(half.count()) + 1));
+    retryDelay_ = std::min(retryDelay_ * 2, settings_.maxRetryDelay);
+    retryTimer_ = loop_.after(delay, [this] {
+        if (hasRevision_)
+            awaitChange();
+        else
+            readAll();
+    });
+}
+
+void CatalogFollower::setReachable(bool isReachable)
+{
+    if (isReachable == isReachable_)
+        return;
+    isReachable_ = isReachable;
+    onReachable_(isReachable);
+}
+
+}
--- /dev/null
+++ b/Source/Catalog/CatalogFollower.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Catalog/CatalogSource.h"
+#include "Core/Random.h"
+#include "Transport/EventLoop.h"
+
+#include <memory>
+
+namespace Damaskgrade {
+
+struct CatalogFollowerSettings {
+    // A connection that has gone silent is noticed after this time, so it bounds how late a change can be.
+    std::chrono::milliseconds wait { 3000 };
+    std::chrono::milliseconds minRetryDelay { 150 };
+    std::chrono::milliseconds maxRetryDelay { 600 };
+};
+
+// Keeps a holder up to date with a source. Reads the catalog, then waits for changes.
+class CatalogFollower {
+public:
+    // onReachable is called when the source becomes reachable or unreachable.
+    CatalogFollower(EventLoop& loop, Random& random, CatalogSource& source, CatalogHolder& holder, CatalogFollowerSettings settings,
+        std::function<void(bool)> onReachable);
+
+    void start() { readAll(); }
+    bool isReachable() const { return isReachable_; }
+
+private:
+    void readAll();
+    void awaitChange();
+    void handle(const CatalogReadResult& result);
+    void retryLater();
+    void setReachable(bool isReachable);
+
+    EventLoop& loop_;
+    Random& random_;
+    CatalogSource& source_;
+    CatalogHolder& holder_;
+    CatalogFollowerSettings settings_;
+    std::function<void(bool)> onReachable_;
+    std::unique_ptr<Timer> retryTimer_;
+    std::chrono::milliseconds retryDelay_;
+    std::uint64_t revision_ { 0 };
+    bool hasRevision_ { false };
+    bool isReachable_ { false };
+};
+
+}
--- /dev/null
+++ b/Source/Catalog/CatalogHolder.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Catalog/Catalog.h"
+#include "Core/Clock.h"
+
+#include <functional>
+#include <string>
+
+namespace Damaskgrade {
+
+// A catalog with the text that it was decoded from, which is passed on to peers.
+struct CatalogVersion {
+    CatalogPointer catalog;
+    std::string text;
+};
+
+// Holds the newest catalog that this process has seen. It never goes back to a lower version.
+class CatalogHolder {
+public:
+    using Observer = std::function<void(const Catalog&)>;
+
+    explicit CatalogHolder(Observer onChange);
+
+    // Returns whether the version was newer and is now in force.
+    bool offer(CatalogVersion version);
+
+    // Returns null before the first catalog.
+    CatalogPointer current() const { return current_.catalog; }
+    std::uint64_t version() const { return current_.catalog ? current_.catalog->version() : 0; }
+    const std::string& text() const { return current_.text; }
+
+private:
+    Observer onChange_;
+    CatalogVersion current_;
+};
+
+}
--- a/Source/CommandLine/Program.cpp
+++ b/Source/CommandLine/Program.cpp
@@ -64,7 +64,7 @@
 
 }
 
-int runProgram(int argumentCount, char** arguments)
+int runProgram(int argumentCount, char** arguments, const CommandExtension& addFurtherCommands)
 {
     CLI::App app("Load balancer for expert-parallel model groups", "damaskgrade");
     app.set_version_flag("--version", DAMASKGRADE_VERSION);
@@ -81,6 +81,7 @@
     OperatorCommands commands(app, exitCode);
     TimelineCommand timeline(app);
     LoadCommand load(app, exitCode);
+    addFurtherCommands(app, exitCode);
     try {
         app.parse(argumentCount, arguments);
     } catch (const CLI::ParseError& error) {
--- /dev/null
+++ b/Source/Fleet/FleetView.cpp
@@ -0,0 +1,76 @@
+#include "Fleet/FleetView.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Damaskgrade {
+
+FleetView::FleetView(const Clock& clock, FleetViewSettings settings, LeaveObserver onLeave)
+    : clock_(clock)
+    , settings_(settings)
+    , onLeave_(std::move(onLeave))
+    , graceUntil_(clock.now())
+{
+}
+
+bool FleetView::apply(const FleetSnapshot& snapshot, TimePoint readAt)
+{
+    if (hasData_ && (snapshot.revision < last_.revision || readAt < asOf_))
+        return false;
+    if (hasData_ && hasFailed_ && readAt - asOf_ > settings_.outageThreshold)
+        graceUntil_ = clock_.now() + settings_.returnGrace;
+    hasFailed_ = false;
+    asOf_ = readAt;
+    hasData_ = true;
+    bool isChanged = !(last_.servers == snapshot.servers);
+    last_ = snapshot;
+
+    std::map<std::string, ServerRecord, std::less<>> next;
+    for (const ServerRecord& listed : snapshot.servers) {
+        ServerRecord record = listed;
+        auto known = servers_.find(record.id);
+        bool isSameStart = known != servers_.end() && known->second.address == record.address && known->second.startedAt == record.startedAt;
+        if (isSameStart && known->second.isDraining)
+            record.isDraining = true;
+        if (isSameStart && !known->second.isDraining && record.isDraining)
+            onLeave_(record);
+        next.emplace(record.id, std::move(record));
+    }
+    for (auto& [id, record] : servers_) {
+        if (next.count(id) != 0)
+            continue;
+        bool isAddressTaken = std::any_of(next.begin(), next.end(), [&record = record](const auto& entry) { return entry.second.address == record.address; });
+        if (clock_.now() < graceUntil_ && !isAddressTaken) {
+            next.emplace(id, record);
+            continue;
+        }
+        isChanged = true;
+        if (!record.isDraining)
+            onLeave_(record);
+    }
+    servers_ = std::move(next);
+    return isChanged;
+}
+
+void FleetView::readFailed()
+{
+    hasFailed_ = true;
+}
+
+const ServerRecord* FleetView::find(std::string_view id) const
+{
+    auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+std::vector<const ServerRecord*> FleetView::ready(std::string_view service) const
+{
+    std::vector<const ServerRecord*> result;
+    for (const auto& [id, record] : servers_) {
+        if (record.service == service && !record.isDraining)
+            result.push_back(&record);
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/Source/Forwarding/EventSplitter.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Damaskgrade {
+
+// One whole event of a stream with its bytes unchanged.
+struct RawEvent {
+    std::string_view bytes;
+    // Absent if the event has no numeric id.
+    std::optional<std::uint64_t> id;
+};
+
+// Splits the bytes of an event stream into whole events without changing them.
+class EventSplitter {
+public:
+    using Handler = std::function<void(const RawEvent&)>;
+
+    explicit EventSplitter(Handler handler);
+
+    // Passes on each event that the bytes complete. Returns false once an event exceeds the size limit.
+    bool feed(std::string_view bytes);
+
+    // Says whether the bytes so far end in the middle of an event.
+    bool isInsideEvent() const { return !pending_.empty(); }
+
+private:
+    void dispatch(std::string_view event);
+
+    Handler handler_;
+    std::string pending_;
+    std::size_t scanned_ { 0 };
+};
+
+}
--- /dev/null
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "Catalog/Catalog.h"
+#include "Core/ResultCode.h"
+#include "Forwarding/EventSplitter.h"
+#include "Forwarding/ForwardingContext.h"
+#include "Transport/HttpServer.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Damaskgrade {
+
+// What the catalog says of one request.
+struct RequestTerms {
+    // Keeps the route alive.
+    CatalogPointer catalog;
+    const Route* route { nullptr };
+    // The service chosen by the weights of the route.
+    std::string service;
+    // Empty without a key.
+    std::string customer;
+    std::int32_t priority { 0 };
+};
+
+// One request on its way to backend servers and its response on the way back. Sends it to one server at
+// a time, and again to another only where that can't execute a non-idempotent request twice: after proof
+// that it was not executed, or if its route permits a repeat.
+class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
+public:
+    // onDone is called once, when the request needs no further attention.
+    ForwardedRequest(ForwardingContext& context, std::shared_ptr<HttpExchange> exchange, RequestTerms terms, std::function<void(ForwardedRequest*)> onDone);
+    ~ForwardedRequest();
+    ForwardedRequest(const ForwardedRequest&) = delete;
+    ForwardedRequest& operator=(const ForwardedRequest&) = delete;
+
+    void start();
+
+    // Checks time limits, and sends a waiting request if a server is free. Call about 20 times a second.
+    void tick();
+
+    // Of the requests that wait for a server, the one with the lowest order goes first.
+    std::pair<std::int32_t, TimePoint> order() const { return { terms_.priority, arrivedAt_ }; }
+
+private:
+    enum class State {
+        // Waits for a server to become free.
+        Waiting,
+        Connecting,
+        // Sent; no response head of its own yet.
+        Sent,
+        // Receives a response that is kept back until it is whole.
+        Buffering,
+        // Receives events.
+        Streaming,
+        Done,
+    };
+
+    // Why an attempt did not lead to an answer.
+    enum class AttemptEnd {
+        NotConnected,
+        // The server stated that it did not execute the request.
+        Refused,
+        // The request may have been executed.
+        Unknown,
+        // The server answered with a failure of its own.
+        ServerFailure,
+    };
+
+    void send();
+    void sendTo(const ServerRecord& server);
+    void waitOrRefuse();
+    void connected(std::uint32_t attempt, std::shared_ptr<UpstreamConnection> connection, bool isReused);
+    std::string requestBytes() const;
+
+    bool takeHead(const HttpResponse& head);
+    void takeBody(std::string_view body);
+    void takeEvent(const RawEvent& event);
+    void takeEnd();
+    void endAttempt(AttemptEnd end, std::string_view reason);
+    void dropConnection();
+    void freeServer();
+    bool mayRepeat(AttemptEnd end);
+
+    bool isStreamStarted() const { return streamStarted_; }
+    bool isResponseOwn(const HttpResponse& head) const;
+    void deliver();
+    void finishStream();
+    void giveUp(std::string_view reason);
+    void answerRefusal(std::string_view reason);
+    void respondFailure(int status, ResultCode code, Executed executed, std::string_view reason);
+    void callerLeft();
+    void finish(std::string_view outcome, ResultCode code, std::string_view reason);
+
+    ForwardingContext& context_;
+    std::shared_ptr<HttpExchange> exchange_;
+    RequestTerms terms_;
+    std::function<void(ForwardedRequest*)> onDone_;
+    std::string requestId_;
+    TimePoint arrivedAt_;
+    // The caller or the route waits no longer than this.
+    TimePoint limit_;
+    bool isLimitOfRoute_ { false };
+    TimePoint waitUntil_;
+
+    State state_ { State::Waiting };
+    std::uint32_t attempt_ { 0 };
+    std::uint32_t sends_ { 0 };
+    // Sends that were executed or may have been.
+    std::uint32_t executions_ { 0 };
+    std::uint32_t failedConnections_ { 0 };
+    std::uint32_t refusals_ { 0 };
+    bool isFirstSend_ { true };
+    std::vector<std::string> tried_;
+    std::optional<ServerRecord> server_;
+    std::shared_ptr<UpstreamConnection> connection_;
+    bool isReusedConnection_ { false };
+    TimePoint sentAt_;
+    TimePoint progressAt_;
+
+    std::optional<HttpResponse> head_;
+    bool isRefusal_ { false };
+    // A failure that a server answered with; passed on if nothing better follows.
+    std::optional<HttpResponse> serverFailure_;
+    std::optional<EventSplitter> splitter_;
+    bool streamStarted_ { false };
+    std::optional<std::uint64_t> lastEventId_;
+    std::uint32_t events_ { 0 };
+    bool isCallerGone_ { false };
+    std::string lastReason_;
+};
+
+}
--- /dev/null
+++ b/Source/Forwarding/ForwardingContext.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Fleet/FleetView.h"
+#include "Forwarding/HeaderNames.h"
+#include "Forwarding/LoadBoard.h"
+#include "Forwarding/RetryAllowance.h"
+#include "Forwarding/ServerChooser.h"
+#include "Forwarding/UpstreamPool.h"
+#include "Logging/DecisionLog.h"
+#include "Routing/OutlierDetector.h"
+
+#include <cstdint>
+
+namespace Damaskgrade {
+
+struct ForwardingSettings {
+    // Longest time that a request waits for a free server before it is refused. Callers leave a stream
+    // without a first event after two seconds.
+    std::chrono::milliseconds maxWait { 1300 };
+    // The same as a share of the time that the caller waits, whichever is shorter.
+    double maxWaitShare { 0.4 };
+    // When a refused caller is to come back.
+    std::chrono::milliseconds retryAfter { 700 };
+    // An idempotent request is given to another server after this time without an answer; several times
+    // the usual service time of the applications.
+    std::chrono::milliseconds unarySilence { 350 };
+    // A stream moves to another server after this time without an event while other servers answer.
+    std::chrono::milliseconds streamSilence { 900 };
+    // A server that refused a request gets no other for this time.
+    std::chrono::milliseconds refusalPause { 150 };
+    // Sends beyond the permitted executions of a route after proven refusals.
+    std::uint32_t extraSendsAfterRefusal { 1 };
+    // Servers to which one request may fail to connect.
+    std::uint32_t maxFailedConnections { 4 };
+    // The answer to a request that is given up is sent this long before the caller's deadline.
+    std::chrono::milliseconds deadlineMargin { 40 };
+    // Largest buffered response.
+    std::size_t maxResponseBytes { 16U << 20U };
+};
+
+struct ForwardingCounters {
+    std::uint64_t requests { 0 };
+    std::uint64_t succeeded { 0 };
+    std::uint64_t serverFailures { 0 };
+    std::uint64_t refused { 0 };
+    std::uint64_t failed { 0 };
+    std::uint64_t timedOut { 0 };
+    std::uint64_t cutStreams { 0 };
+    std::uint64_t resumedStreams { 0 };
+    std::uint64_t repeatedSends { 0 };
+    std::uint64_t cancelled { 0 };
+    std::uint64_t events { 0 };
+    std::uint64_t foreignResponses { 0 };
+    std::uint64_t rejectedResponses { 0 };
+};
+
+// What all requests of an entry share.
+struct ForwardingContext {
+    const Clock& clock;
+    const HeaderNames& names;
+    LoadBoard& loads;
+    ServerChooser& chooser;
+    UpstreamPool& pool;
+    OutlierDetector& outliers;
+    RetryAllowance& allowance;
+    DecisionLog& log;
+    ForwardingCounters& counters;
+    ForwardingSettings settings;
+};
+
+}
--- /dev/null
+++ b/Source/Forwarding/LoadBoard.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Core/Clock.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace Damaskgrade {
+
+// Requests in flight by the id of the backend server.
+using InFlightCounts = std::map<std::string, std::uint32_t, std::less<>>;
+
+// Counts the requests in flight at each backend server, over this entry and its peers.
+class LoadBoard {
+public:
+    // Reports of peers older than maxReportAge are ignored.
+    LoadBoard(const Clock& clock, Duration maxReportAge);
+
+    void started(const std::string& serverId);
+    void finished(const std::string& serverId);
+
+    // Replaces what a peer reported before.
+    void setPeerCounts(const std::string& peer, InFlightCounts counts);
+
+    // Requests of this entry and of its peers at the server.
+    double inFlight(std::string_view serverId) const;
+    const InFlightCounts& own() const { return own_; }
+
+private:
+    struct PeerReport {
+        InFlightCounts counts;
+        TimePoint receivedAt;
+    };
+
+    const Clock& clock_;
+    Duration maxReportAge_;
+    InFlightCounts own_;
+    std::map<std::string, PeerReport> peers_;
+};
+
+}
--- /dev/null
+++ b/Source/Forwarding/MessageHeaders.cpp
@@ -0,0 +1,96 @@
+#include "Forwarding/MessageHeaders.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace Damaskgrade {
+
+namespace {
+
+// Headers that concern one connection only (RFC 9110, section 7.6.1), and those that the framing sets.
+constexpr std::array<std::string_view, 11> connectionHeaders { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+    "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect" };
+
+bool isConnectionHeader(std::string_view name)
+{
+    return std::any_of(connectionHeaders.begin(), connectionHeaders.end(), [name](std::string_view header) { return equalsIgnoringCase(header, name); });
+}
+
+// Says whether the Connection header of the message names this header.
+bool isNominated(const std::optional<std::string>& connection, std::string_view name)
+{
+    if (!connection)
+        return false;
+    std::size_t start = 0;
+    while (start <= connection->size()) {
+        std::size_t comma = std::min(connection->find(',', start), connection->size());
+        std::string_view token = std::string_view(*connection).substr(start, comma - start);
+        while (!token.empty() && token.front() == ' ')
+            token.remove_prefix(1);
+        while (!token.empty() && token.back() == ' ')
+            token.remove_suffix(1);
+        if (equalsIgnoringCase(token, name))
+            return true;
+        start = comma + 1;
+    }
+    return false;
+}
+
+void appendHeader(std::string& text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+}
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
+        return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
+    });
+}
+
+std::string serializeUpstreamRequest(const HttpRequest& request, const HeaderNames& names, const UpstreamIdentity& identity)
+{
+    auto isReplaced = [&](std::string_view name) {
+        return equalsIgnoringCase(name, names.deadline) || equalsIgnoringCase(name, names.customer) || equalsIgnoringCase(name, names.expectedServer)
+            || equalsIgnoringCase(name, names.credentials) || equalsIgnoringCase(name, names.engineUrgency)
+            || (identity.lastEventId && equalsIgnoringCase(name, names.lastEventId));
+    };
+    std::string text;
+    text.reserve(1024 + request.body.size());
+    text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    std::optional<std::string> connection = findHeader(request.headers, "Connection");
+    for (const HttpHeader& header : request.headers) {
+        if (!isConnectionHeader(header.name) && !isReplaced(header.name) && !isNominated(connection, header.name))
+            appendHeader(text, header.name, header.value);
+    }
+    appendHeader(text, names.deadline, std::to_string(identity.timeLeft.count()));
+    appendHeader(text, names.expectedServer, identity.serverId);
+    if (!identity.customer.empty())
+        appendHeader(text, names.customer, identity.customer);
+    if (identity.urgency)
+        appendHeader(text, names.engineUrgency, std::to_string(*identity.urgency));
+    if (identity.lastEventId)
+        appendHeader(text, names.lastEventId, std::to_string(*identity.lastEventId));
+    bool hasBody = !request.body.empty() || (request.method != "GET" && request.method != "HEAD" && request.method != "DELETE");
+    if (hasBody)
+        appendHeader(text, "Content-Length", std::to_string(request.body.size()));
+    text.append("\r\n").append(request.body);
+    return text;
+}
+
+std::vector<HttpHeader> callerHeaders(const HttpResponse& head, const HeaderNames& names)
+{
+    std::vector<HttpHeader> headers;
+    std::optional<std::string> connection = findHeader(head.headers, "Connection");
+    for (const HttpHeader& header : head.headers) {
+        bool isOwn = equalsIgnoringCase(header.name, names.serverLoad);
+        if (!isOwn && !isConnectionHeader(header.name) && !isNominated(connection, header.name))
+            headers.push_back(header);
+    }
+    return headers;
+}
+
+}
--- /dev/null
+++ b/Source/Forwarding/ResponseParser.cpp
@@ -0,0 +1,72 @@
+#include "Forwarding/ResponseParser.h"
+
+#include <boost/beast/http/error.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+namespace Damaskgrade {
+
+ResponseParser::ResponseParser(std::function<void(const HttpResponse&)> onHead, std::function<void(std::string_view)> onBody)
+    : onHead_(std::move(onHead))
+    , onBody_(std::move(onBody))
+{
+    eager(true);
+    // Beast 1.74 takes an absent limit for zero. The receiver bounds what it stores.
+    body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+void ResponseParser::on_request_impl(boost::beast::http::verb, Text, Text, int, ErrorCode& failure)
+{
+    failure = boost::beast::http::error::bad_version;
+}
+
+void ResponseParser::on_response_impl(int code, Text, int, ErrorCode& failure)
+{
+    failure = {};
+    head_.status = code;
+}
+
+void ResponseParser::on_field_impl(boost::beast::http::field, Text nameText, Text value, ErrorCode& failure)
+{
+    failure = {};
+    head_.headers.push_back({ std::string(nameText), std::string(value) });
+}
+
+void ResponseParser::on_header_impl(ErrorCode& failure)
+{
+    failure = {};
+    onHead_(head_);
+}
+
+void ResponseParser::on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode& failure)
+{
+    failure = {};
+}
+
+std::size_t ResponseParser::on_body_impl(Text body, ErrorCode& failure)
+{
+    failure = {};
+    onBody_(std::string_view(body.data(), body.size()));
+    return body.size();
+}
+
+void ResponseParser::on_chunk_header_impl(std::uint64_t, Text, ErrorCode& failure)
+{
+    failure = {};
+}
+
+std::size_t ResponseParser::on_chunk_body_impl(std::uint64_t, Text body, ErrorCode& failure)
+{
+    failure = {};
+    onBody_(std::string_view(body.data(), body.size()));
+    return body.size();
+}
+
+void ResponseParser::on_finish_impl(ErrorCode& failure)
+{
+    failure = {};
+}
+
+}
--- /dev/null
+++ b/Source/Forwarding/ServerChooser.cpp
@@ -0,0 +1,94 @@
+#include "Forwarding/ServerChooser.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace Damaskgrade {
+
+ServerChooser::ServerChooser(const Clock& clock, const FleetView& fleet, const LoadBoard& loads, const OutlierDetector& outliers, Random& random,
+    ServerChooserSettings settings)
+    : clock_(clock)
+    , fleet_(fleet)
+    , loads_(loads)
+    , outliers_(outliers)
+    , random_(random)
+    , settings_(std::move(settings))
+{
+}
+
+ServerChoice ServerChooser::choose(std::string_view service, gsl::span<const std::string> tried)
+{
+    std::vector<const ServerRecord*> ready = fleet_.ready(service);
+    if (ready.empty())
+        return {};
+    auto isTried = [tried](const ServerRecord* server) { return std::find(tried.begin(), tried.end(), server->id) != tried.end(); };
+    bool haveAllBeenTried = std::all_of(ready.begin(), ready.end(), isTried);
+    bool areAllEjected = std::all_of(ready.begin(), ready.end(), [this](const ServerRecord* server) { return outliers_.isEjected(server->id); });
+    const ServerRecord* best = nullptr;
+    double bestScore = std::numeric_limits<double>::max();
+    for (const ServerRecord* server : ready) {
+        if ((!haveAllBeenTried && isTried(server)) || isAvoided(*server))
+            continue;
+        double share = areAllEjected ? 1 : outliers_.admissionShare(server->id);
+        if (share <= 0 || (share < 1 && random_.fraction() > share))
+            continue;
+        double inFlight = loads_.inFlight(server->id);
+        if (inFlight >= slotsOf(*server) + settings_.queuedPerServer)
+            continue;
+        double zonePenalty = server->availabilityZone == settings_.ownZone ? 0 : settings_.zoneBias;
+        double score = (inFlight + zonePenalty + random_.fraction() * 0.1) / slotsOf(*server);
+        if (score < bestScore) {
+            bestScore = score;
+            best = server;
+        }
+    }
+    if (!best)
+        return { ChoiceKind::Busy, nullptr };
+    return { ChoiceKind::Server, best };
+}
+
+void ServerChooser::avoid(const std::string& serverId, TimePoint until)
+{
+    avoidedUntil_[serverId] = until;
+}
+
+void ServerChooser::noteHealthy(const std::string& serverId)
+{
+    avoidedUntil_.erase(serverId);
+}
+
+void ServerChooser::noteProgress(std::string_view service, const std::string& serverId)
+{
+    auto found = progress_.find(service);
+    if (found == progress_.end())
+        found = progress_.emplace(std::string(service), Progress {}).first;
+    Progress& progress = found->second;
+    if (progress.newest != serverId) {
+        progress.otherAt = progress.newestAt;
+        progress.newest = serverId;
+    }
+    progress.newestAt = clock_.now();
+}
+
+bool ServerChooser::hasProgressElsewhere(std::string_view service, std::string_view serverId, TimePoint since) const
+{
+    auto found = progress_.find(service);
+    if (found == progress_.end())
+        return false;
+    const Progress& progress = found->second;
+    return (progress.newest == serverId ? progress.otherAt : progress.newestAt) > since;
+}
+
+double ServerChooser::slotsOf(const ServerRecord& server) const
+{
+    return server.slots > 0 ? server.slots : settings_.assumedSlots;
+}
+
+bool ServerChooser::isAvoided(const ServerRecord& server) const
+{
+    auto found = avoidedUntil_.find(server.id);
+    return found != avoidedUntil_.end() && clock_.now() < found->second;
+}
+
+}
--- /dev/null
+++ b/Source/Forwarding/UpstreamConnection.cpp
@@ -0,0 +1,273 @@
+#include "Forwarding/UpstreamConnection.h"
+
+#include "Forwarding/ResponseParser.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <array>
+#include <cstdlib>
+#include <optional>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t readBytes = 16384;
+constexpr int firstFinalStatus = 200;
+
+bool hasToken(std::string_view list, std::string_view token)
+{
+    std::string lower;
+    for (char character : list)
+        lower += static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
+    return lower.find(token) != std::string::npos;
+}
+
+class TcpUpstreamConnection : public UpstreamConnection {
+public:
+    explicit TcpUpstreamConnection(EventLoop& loop)
+        : socket_(loop.context())
+        , timer_(loop.context())
+    {
+    }
+
+    void connect(const Endpoint& server, std::chrono::milliseconds timeout, std::function<void(bool)> done) override;
+    void exchange(std::string request, UpstreamHandlers handlers) override;
+    void close() override;
+    void watchIdle(std::function<void()> onLost) override;
+    bool isReusable() const override { return isOpen_ && isClean_ && !isExchanging_; }
+    std::chrono::milliseconds keepAliveTime() const override { return keepAliveTime_; }
+
+private:
+    std::shared_ptr<TcpUpstreamConnection> self() { return std::static_pointer_cast<TcpUpstreamConnection>(shared_from_this()); }
+
+    void startParser();
+    void takeHead(const HttpResponse& head);
+    void noteConnectionHeaders(const HttpResponse& head);
+    void read();
+    void handleRead(const boost::system::error_code& failure, std::size_t count);
+    void parse();
+    void finishMessage();
+    void fail();
+
+    Tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::string request_;
+    UpstreamHandlers handlers_;
+    std::function<void()> onIdleLost_;
+    std::optional<ResponseParser> parser_;
+    beast::flat_buffer buffer_;
+    std::chrono::milliseconds keepAliveTime_ { 0 };
+    bool isOpen_ { false };
+    bool isClean_ { true };
+    bool isWritten_ { true };
+    bool isExchanging_ { false };
+    bool isReading_ { false };
+    bool isSkipping_ { false };
+};
+
+void TcpUpstreamConnection::connect(const Endpoint& server, std::chrono::milliseconds timeout, std::function<void(bool)> done)
+{
+    auto connection = self();
+    auto finish = [connection, done = std::move(done)](bool isOpen) {
+        if (!connection->isOpen_)
+            return;
+        connection->timer_.cancel();
+        connection->isOpen_ = isOpen;
+        if (!isOpen)
+            connection->close();
+        done(isOpen);
+    };
+    isOpen_ = true;
+    timer_.expires_after(timeout);
+    timer_.async_wait([finish](boost::system::error_code failure) {
+        if (!failure)
+            finish(false);
+    });
+    Tcp::endpoint endpoint(asio::ip::make_address(server.address), server.port);
+    socket_.async_connect(endpoint, [connection, finish](boost::system::error_code failure) {
+        boost::system::error_code ignored;
+        connection->socket_.set_option(Tcp::no_delay(true), ignored);
+        if (failure != asio::error::operation_aborted)
+            finish(!failure);
+    });
+}
+
+void TcpUpstreamConnection::exchange(std::string request, UpstreamHandlers handlers)
+{
+    request_ = std::move(request);
+    handlers_ = std::move(handlers);
+    onIdleLost_ = nullptr;
+    isExchanging_ = true;
+    isWritten_ = false;
+    startParser();
+    auto connection = self();
+    asio::async_write(socket_, asio::buffer(request_), [connection](boost::system::error_code failure, std::size_t) {
+        if (!failure)
+            connection->isWritten_ = true;
+        // After a failed write the read shows whether the server has answered before it closed.
+    });
+    read();
+}
+
+void TcpUpstreamConnection::close()
+{
+    isOpen_ = false;
+    isExchanging_ = false;
+    handlers_ = {};
+    onIdleLost_ = nullptr;
+    timer_.cancel();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void TcpUpstreamConnection::watchIdle(std::function<void()> onLost)
+{
+    onIdleLost_ = std::move(onLost);
+    read();
+}
+
+void TcpUpstreamConnection::startParser()
+{
+    auto onHead = [this](const HttpResponse& head) { takeHead(head); };
+    auto onBody = [this](std::string_view body) {
+        if (!isSkipping_ && handlers_.onBody)
+            handlers_.onBody(body);
+    };
+    parser_.emplace(onHead, onBody);
+    isSkipping_ = false;
+}
+
+void TcpUpstreamConnection::takeHead(const HttpResponse& head)
+{
+    if (head.status < firstFinalStatus) {
+        isSkipping_ = true;
+        return;
+    }
+    noteConnectionHeaders(head);
+    if (!handlers_.onHead || handlers_.onHead(head))
+        return;
+    // A response to another request: the connection serves only to wait for the own one.
+    isSkipping_ = true;
+    isClean_ = false;
+}
+
+void TcpUpstreamConnection::noteConnectionHeaders(const HttpResponse& head)
+{
+    std::optional<std::string> connection = findHeader(head.headers, "Connection");
+    if (connection && hasToken(*connection, "close"))
+        isClean_ = false;
+    std::optional<std::string> keepAlive = findHeader(head.headers, "Keep-Alive");
+    std::size_t position = keepAlive ? keepAlive->find("timeout=") : std::string::npos;
+    if (position != std::string::npos)
+        keepAliveTime_ = std::chrono::seconds(std::strtol(keepAlive->c_str() + position + std::string_view("timeout=").size(), nullptr, 10));
+}
+
+void TcpUpstreamConnection::read()
+{
+    if (isReading_ || !isOpen_)
+        return;
+    isReading_ = true;
+    auto connection = self();
+    socket_.async_read_some(buffer_.prepare(readBytes), [connection](boost::system::error_code failure, std::size_t count) {
+        connection->isReading_ = false;
+        connection->handleRead(failure, count);
+    });
+}
+
+void TcpUpstreamConnection::handleRead(const boost::system::error_code& failure, std::size_t count)
+{
+    if (!isOpen_)
+        return;
+    buffer_.commit(count);
+    if (!isExchanging_) {
+        // The server closed the idle connection, or sent bytes that nobody asked for.
+        std::function<void()> onLost = std::move(onIdleLost_);
+        close();
+        if (onLost)
+            onLost();
+        return;
+    }
+    if (count > 0)
+        parse();
+    if (!isOpen_ || !isExchanging_)
+        return;
+    if (!failure) {
+        read();
+        return;
+    }
+    isClean_ = false;
+    bool endsWithConnection = failure == asio::error::eof && parser_->is_header_done() && parser_->need_eof();
+    if (!endsWithConnection || isSkipping_) {
+        fail();
+        return;
+    }
+    beast::error_code parseFailure;
+    parser_->put_eof(parseFailure);
+    if (parseFailure)
+        fail();
+    else
+        finishMessage();
+}
+
+void TcpUpstreamConnection::parse()
+{
+    while (isOpen_ && isExchanging_ && buffer_.size() > 0) {
+        beast::error_code failure;
+        std::size_t used = parser_->put(buffer_.data(), failure);
+        // A handler may have closed the connection.
+        if (!isOpen_)
+            return;
+        buffer_.consume(used);
+        if (failure == beast::http::error::need_more)
+            return;
+        if (failure) {
+            fail();
+            return;
+        }
+        if (parser_->is_done())
+            finishMessage();
+        else if (used == 0)
+            return;
+    }
+}
+
+void TcpUpstreamConnection::finishMessage()
+{
+    if (isSkipping_) {
+        startParser();
+        return;
+    }
+    if (buffer_.size() > 0 || !isWritten_ || !parser_->keep_alive())
+        isClean_ = false;
+    isExchanging_ = false;
+    UpstreamHandlers handlers = std::move(handlers_);
+    handlers_ = {};
+    handlers.onEnd();
+}
+
+void TcpUpstreamConnection::fail()
+{
+    UpstreamHandlers handlers = std::move(handlers_);
+    close();
+    if (handlers.onFailure)
+        handlers.onFailure();
+}
+
+}
+
+std::shared_ptr<UpstreamConnection> makeUpstreamConnection(EventLoop& loop)
+{
+    return std::make_shared<TcpUpstreamConnection>(loop);
+}
+
+}
--- /dev/null
+++ b/Source/Gateway/EntryRegistry.cpp
@@ -0,0 +1,78 @@
+#include "Gateway/EntryRegistry.h"
+
+#include "Core/Error.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::string_view rowPrefix = "entries/";
+
+}
+
+EntryRegistry::EntryRegistry(EventLoop& loop, Table& table, PeerGroup& peers, EntryRegistrySettings settings)
+    : loop_(loop)
+    , table_(table)
+    , peers_(peers)
+    , settings_(std::move(settings))
+{
+    read();
+}
+
+void EntryRegistry::withdraw()
+{
+    isWithdrawn_ = true;
+    table_.write({ { std::string(rowPrefix) + settings_.name, std::nullopt, std::nullopt } }, [](const TableWriteResult&) {});
+}
+
+void EntryRegistry::read()
+{
+    table_.scan(std::string(rowPrefix), [this](const TableReadResult& result) {
+        if (isWithdrawn_)
+            return;
+        if (result.status == ResultCode::Ok)
+            handleRows(result);
+        bool isAlone = result.status != ResultCode::Ok || peers_.addressCount() == 0;
+        scheduleRead(isAlone ? settings_.retryDelay * 2 : settings_.readPeriod);
+    });
+}
+
+void EntryRegistry::handleRows(const TableReadResult& result)
+{
+    bool hasOwnRow = false;
+    std::string own = formatEndpoint(settings_.link);
+    for (const TableRow& row : result.rows) {
+        std::string name = row.key.substr(rowPrefix.size());
+        if (name == settings_.name) {
+            hasOwnRow = row.value == own;
+            continue;
+        }
+        try {
+            peers_.addAddress(name, parseEndpoint(row.value));
+        } catch (const Error& error) {
+            // Anybody may write to the table; a row that names no address names no peer.
+            LOG(WARNING) << "row of entry " << name << " ignored: " << error.what();
+        }
+    }
+    if (!hasOwnRow)
+        write();
+}
+
+void EntryRegistry::write()
+{
+    table_.write({ { std::string(rowPrefix) + settings_.name, formatEndpoint(settings_.link), std::nullopt } }, [this](const TableWriteResult& result) {
+        if (result.status != ResultCode::Ok && !isWithdrawn_)
+            scheduleRead(settings_.retryDelay);
+    });
+}
+
+void EntryRegistry::scheduleRead(std::chrono::milliseconds delay)
+{
+    timer_ = loop_.after(delay, [this] { read(); });
+}
+
+}
--- /dev/null
+++ b/Source/Gateway/Forwarder.cpp
@@ -0,0 +1,118 @@
+#include "Gateway/Forwarder.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr int statusBadRequest = 400;
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+bool startsWith(std::string_view text, std::string_view prefix)
+{
+    return text.substr(0, prefix.size()) == prefix;
+}
+
+}
+
+Forwarder::Forwarder(ForwardingContext& context, const CatalogHolder& catalog, Random& random)
+    : context_(context)
+    , catalog_(catalog)
+    , random_(random)
+{
+}
+
+void Forwarder::handle(std::shared_ptr<HttpExchange> exchange)
+{
+    const HttpRequest& request = exchange->request();
+    CatalogPointer catalog = catalog_.current();
+    // Without a catalog nothing is known about routes, so that no request may be called unknown.
+    if (!catalog || isRefusing_) {
+        answer(*exchange, statusUnavailable, catalog ? ResultCode::InstanceDraining : ResultCode::NotReady, catalog ? "entry is shutting down" : "no catalog yet");
+        return;
+    }
+    if (!findHeader(request.headers, context_.names.requestId)) {
+        answer(*exchange, statusBadRequest, ResultCode::MalformedRequest, "request has no id");
+        return;
+    }
+    const Route* route = catalog->findRoute(findHeader(request.headers, "Host").value_or(""), pathOf(request.target));
+    if (!route) {
+        answer(*exchange, statusNotFound, ResultCode::UnknownRoute, "no route for this host and path");
+        return;
+    }
+    RequestTerms terms;
+    terms.priority = route->priority;
+    if (catalog->hasCustomers()) {
+        std::string credentials = findHeader(request.headers, context_.names.credentials).value_or("");
+        const CustomerKeys* customer = nullptr;
+        if (startsWith(credentials, context_.names.keyScheme))
+            customer = catalog->findCustomer(std::string_view(credentials).substr(context_.names.keyScheme.size()));
+        if (!customer && !route->isPublic) {
+            answer(*exchange, statusUnauthorized, ResultCode::UnknownCustomer, "unknown key");
+            return;
+        }
+        if (customer) {
+            terms.customer = customer->name;
+            terms.priority = customer->priority.value_or(route->priority);
+        }
+    }
+    terms.catalog = catalog;
+    terms.route = route;
+    terms.service = chooseService(*route);
+    auto forwarded = std::make_shared<ForwardedRequest>(context_, std::move(exchange), std::move(terms), [this](ForwardedRequest* done) { active_.erase(done); });
+    active_.emplace(forwarded.get(), forwarded);
+    forwarded->start();
+}
+
+void Forwarder::tick()
+{
+    std::vector<std::shared_ptr<ForwardedRequest>> requests;
+    requests.reserve(active_.size());
+    for (const auto& [pointer, request] : active_)
+        requests.push_back(request);
+    // The most urgent waiting request takes the next free server.
+    std::stable_sort(requests.begin(), requests.end(), [](const auto& left, const auto& right) { return left->order() < right->order(); });
+    for (const std::shared_ptr<ForwardedRequest>& request : requests)
+        request->tick();
+}
+
+void Forwarder::answer(HttpExchange& exchange, int status, ResultCode code, std::string_view detail)
+{
+    HttpResponse response;
+    response.status = status;
+    std::string id = findHeader(exchange.request().headers, context_.names.requestId).value_or("");
+    if (!id.empty())
+        response.headers.push_back({ context_.names.requestId, id });
+    if (status == statusUnavailable)
+        response.headers.push_back({ context_.names.retryAfter, "0.3" });
+    response.headers.push_back({ "Content-Type", "application/problem+json" });
+    response.body = "{\"code\":" + std::to_string(resultNumber(code)) + ",\"executed\":\"no\",\"detail\":\"" + std::string(detail) + "\"}";
+    LogLine line("requestRejected");
+    line.add("request", id).add("status", status).add("code", resultNumber(code)).add("reason", detail).add("catalog", catalog_.version());
+    line.add("host", findHeader(exchange.request().headers, "Host").value_or("")).add("path", pathOf(exchange.request().target));
+    context_.log.write(line);
+    exchange.respond(std::move(response));
+}
+
+std::string Forwarder::chooseService(const Route& route)
+{
+    std::uint64_t total = 0;
+    for (const WeightedService& service : route.services)
+        total += service.weight;
+    if (total == 0)
+        return route.services.empty() ? "" : route.services.front().service;
+    std::uint64_t draw = random_.index(total);
+    for (const WeightedService& service : route.services) {
+        if (draw < service.weight)
+            return service.service;
+        draw -= service.weight;
+    }
+    return route.services.back().service;
+}
+
+}
--- /dev/null
+++ b/Source/Gateway/Forwarder.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Catalog/CatalogHolder.h"
+#include "Forwarding/ForwardedRequest.h"
+#include "Forwarding/ForwardingContext.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace Damaskgrade {
+
+// Takes the requests of callers: finds route and customer in the catalog in force, and drives each
+// request to its end.
+class Forwarder {
+public:
+    Forwarder(ForwardingContext& context, const CatalogHolder& catalog, Random& random);
+
+    void handle(std::shared_ptr<HttpExchange> exchange);
+
+    // Checks the limits of all requests. Call about 20 times a second.
+    void tick();
+
+    // From now on requests are refused as not executed, because this process is about to end.
+    void refuseNewRequests() { isRefusing_ = true; }
+
+    std::size_t activeCount() const { return active_.size(); }
+
+private:
+    void answer(HttpExchange& exchange, int status, ResultCode code, std::string_view detail);
+    std::string chooseService(const Route& route);
+
+    ForwardingContext& context_;
+    const CatalogHolder& catalog_;
+    Random& random_;
+    bool isRefusing_ { false };
+    std::unordered_map<ForwardedRequest*, std::shared_ptr<ForwardedRequest>> active_;
+};
+
+}
--- /dev/null
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -0,0 +1,265 @@
+#include "Gateway/GatewayProcess.h"
+
+#include "Core/Error.h"
+#include "Metrics/MetricsPage.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickPeriod { 50 };
+constexpr std::chrono::milliseconds slowPeriod { 500 };
+constexpr std::chrono::milliseconds shutdownCheckPeriod { 100 };
+// Callers keep an address for up to three lifetimes, so a draining entry goes on serving for a while.
+constexpr std::chrono::milliseconds minDrainTime { 3000 };
+// Streams that start later than this before the end of the grace would be cut.
+constexpr std::chrono::milliseconds lastRequestMargin { 2500 };
+// Leaves the last answers time to be sent before the process is killed.
+constexpr std::chrono::milliseconds exitMargin { 400 };
+constexpr std::chrono::milliseconds catalogResendPeriod { 500 };
+constexpr std::chrono::milliseconds maxPeerReportAge { 1500 };
+
+// Each entry sees only a part of the requests to a server, so that few failures in a row have to suffice.
+OutlierSettings gatewayOutlierSettings()
+{
+    OutlierSettings settings;
+    settings.consecutiveFailures = 3;
+    settings.baseEjection = std::chrono::seconds(1);
+    settings.maximumEjection = std::chrono::seconds(5);
+    settings.returnTime = std::chrono::seconds(1);
+    settings.initialReturnShare = 0.3;
+    return settings;
+}
+
+std::uint64_t startTime(const Clock& clock)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
+}
+
+HttpResponse textResponse(int status, std::string body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.push_back({ "Content-Type", "text/plain; version=0.0.4" });
+    response.body = std::move(body);
+    return response;
+}
+
+}
+
+GatewayProcess::GatewayProcess(EventLoop& loop, const Clock& clock, Random& random, GatewaySettings settings, GatewayPlatform platform, DecisionLog& log)
+    : loop_(loop)
+    , clock_(clock)
+    , random_(random)
+    , settings_(std::move(settings))
+    , platform_(std::move(platform))
+    , log_(log)
+    , incarnation_(startTime(clock))
+    , catalog_([this](const Catalog& catalog) { catalogChanged(catalog); })
+    , fleet_(clock, {}, [this](const ServerRecord& server) { serverLeft(server); })
+    , loads_(clock, maxPeerReportAge)
+    , outliers_(clock, gatewayOutlierSettings())
+    , chooser_(clock, fleet_, loads_, outliers_, random, { settings_.availabilityZone })
+    , pool_(clock, {}, [&loop] { return makeUpstreamConnection(loop); })
+    , allowance_(clock, { settings_.retryShare, settings_.retryExtra, settings_.retryWindow })
+    , context_ { clock, platform_.names, loads_, chooser_, pool_, outliers_, allowance_, log, counters_, {} }
+    , forwarder_(context_, catalog_, random)
+{
+    PeerGroupSettings peerSettings;
+    peerSettings.name = settings_.name;
+    peerSettings.link = settings_.link;
+    peerSettings.keys = settings_.linkKeys;
+    PeerGroupHooks hooks;
+    hooks.ownState = [this] { return ownState(); };
+    hooks.onState = [this](const EntryStateMessage& state) { peerState(state); };
+    hooks.onCatalogText = [this](const std::string& text) { peerCatalog(text); };
+    hooks.onFleet = [this](const FleetMessage& message) {
+        fleetReader_->peerSnapshot(message);
+        updateFleet();
+    };
+    hooks.onPeerChange = [this](const std::string& name, bool isAlive) {
+        log_.write(LogLine(isAlive ? "peerGained" : "peerLost").add("peer", name));
+    };
+    peers_ = std::make_unique<PeerGroup>(loop_, clock_, random_, peerSettings, hooks);
+    for (const Endpoint& seed : settings_.seedLinks)
+        peers_->addAddress("seed " + formatEndpoint(seed), seed);
+    auto onFleetReachable = [this](bool isReachable) { log_.write(LogLine(isReachable ? "registryRegained" : "registryLost").add("fleetAgeMs", fleetReader_->age().count())); };
+    fleetReader_ = std::make_unique<FleetReader>(loop_, clock_, settings_.name, platform_.fleet, fleet_, *peers_, FleetReaderSettings {}, onFleetReachable);
+    EntryRegistrySettings registrySettings;
+    registrySettings.name = settings_.name;
+    registrySettings.link = settings_.link;
+    registry_ = std::make_unique<EntryRegistry>(loop_, platform_.table, *peers_, registrySettings);
+    auto onCatalogReachable = [this](bool isReachable) { log_.write(LogLine(isReachable ? "catalogSourceRegained" : "catalogSourceLost").add("catalog", catalog_.version())); };
+    catalogFollower_ = std::make_unique<CatalogFollower>(loop_, random_, platform_.catalog, catalog_, CatalogFollowerSettings {}, onCatalogReachable);
+    catalogFollower_->start();
+
+    HttpServerLimits limits;
+    limits.maxHeaderBytes = 65536;
+    limits.maxBodyBytes = CallerLimits {}.maxBodyBytes;
+    callerServer_ = std::make_unique<HttpServer>(loop_, settings_.callers, limits, [this](std::shared_ptr<HttpExchange> exchange) { forwarder_.handle(std::move(exchange)); });
+    readinessServer_ = std::make_unique<HttpServer>(loop_, settings_.readiness, HttpServerLimits {}, [this](std::shared_ptr<HttpExchange> exchange) {
+        exchange->respond(textResponse(isReady() ? 200 : 503, ""));
+    });
+    directoryServer_ = std::make_unique<HttpServer>(loop_, settings_.directory, HttpServerLimits {}, [this](std::shared_ptr<HttpExchange> exchange) { answerDirectory(*exchange); });
+    metricsServer_ = std::make_unique<HttpServer>(loop_, settings_.metrics, HttpServerLimits {}, [this](std::shared_ptr<HttpExchange> exchange) {
+        exchange->respond(textResponse(200, metricsText()));
+    });
+    tickTimer_ = loop_.every(tickPeriod, [this] { tick(); });
+    slowTimer_ = loop_.every(slowPeriod, [this] {
+        updateFleet();
+        outliers_.evaluate();
+        pool_.closeExpired();
+        log_.flush();
+    });
+    loop_.onTermination([this] { startShutdown(); });
+    log_.write(LogLine("started").add("role", "gateway").add("version", DAMASKGRADE_VERSION).add("callers", formatEndpoint(settings_.callers)).add("zone", settings_.availabilityZone));
+}
+
+GatewayProcess::~GatewayProcess() = default;
+
+EntryStateMessage GatewayProcess::ownState() const
+{
+    EntryStateMessage state;
+    state.incarnation = incarnation_;
+    state.callers = settings_.callers;
+    state.availabilityZone = settings_.availabilityZone;
+    state.isReady = isReady();
+    state.isDraining = isDraining_;
+    state.catalogVersion = catalog_.version();
+    state.inFlight = loads_.own();
+    if (fleetReader_) {
+        state.fleetDigest = fleetReader_->digest();
+        state.fleetRevision = fleet_.lastSnapshot().revision;
+        state.fleetAge = fleetReader_->age();
+    }
+    return state;
+}
+
+void GatewayProcess::peerState(const EntryStateMessage& state)
+{
+    loads_.setPeerCounts(state.name, state.inFlight);
+    fleetReader_->peerState(state);
+    if (state.catalogVersion >= catalog_.version())
+        return;
+    TimePoint& sentAt = catalogSentAt_[state.name];
+    if (clock_.now() - sentAt < catalogResendPeriod)
+        return;
+    sentAt = clock_.now();
+    peers_->sendCatalog(state.name, catalog_.text());
+}
+
+void GatewayProcess::peerCatalog(const std::string& text)
+{
+    catalog_.offer(platform_.catalog.decode(text));
+}
+
+void GatewayProcess::catalogChanged(const Catalog& catalog)
+{
+    log_.write(LogLine("catalogInForce").add("catalog", catalog.version()).add("routes", static_cast<std::int64_t>(catalog.routes().size())));
+    if (peers_)
+        peers_->sendState();
+}
+
+void GatewayProcess::serverLeft(const ServerRecord& server)
+{
+    log_.write(LogLine(server.isDraining ? "serverDrains" : "serverGone").add("server", server.id).add("service", server.service).add("address", formatEndpoint(server.address)));
+    pool_.drop(server.id);
+}
+
+bool GatewayProcess::isReady() const
+{
+    return !isDraining_ && catalog_.current() && fleet_.hasData();
+}
+
+void GatewayProcess::answerDirectory(HttpExchange& exchange)
+{
+    AddressAnswer answer;
+    answer.lifetime = settings_.addressLifetime;
+    if (isReady())
+        answer.addresses.push_back(settings_.callers);
+    for (const EntryStateMessage& peer : peers_->alive()) {
+        if (peer.isReady && !peer.isDraining)
+            answer.addresses.push_back(peer.callers);
+    }
+    exchange.respond(platform_.encodeAddresses(exchange.request(), answer));
+}
+
+std::string GatewayProcess::metricsText() const
+{
+    MetricsPage page;
+    page.addCounter("damaskgrade_requests_total", "Requests of callers.", static_cast<double>(counters_.requests));
+    page.addCounter("damaskgrade_requests_succeeded_total", "Requests that were answered with success.", static_cast<double>(counters_.succeeded));
+    page.addCounter("damaskgrade_requests_refused_total", "Requests that were refused as not executed.", static_cast<double>(counters_.refused));
+    page.addCounter("damaskgrade_requests_failed_total", "Requests that failed with an unknown outcome.", static_cast<double>(counters_.failed));
+    page.addCounter("damaskgrade_requests_cancelled_total", "Requests whose caller left.", static_cast<double>(counters_.cancelled));
+    page.addCounter("damaskgrade_streams_cut_total", "Streams that were broken off.", static_cast<double>(counters_.cutStreams));
+    page.addCounter("damaskgrade_streams_resumed_total", "Streams that were continued at another server.", static_cast<double>(counters_.resumedStreams));
+    page.addCounter("damaskgrade_repeated_sends_total", "Sends after the first of a request.", static_cast<double>(counters_.repeatedSends));
+    page.addCounter("damaskgrade_events_total", "Events of streams passed on.", static_cast<double>(counters_.events));
+    page.addCounter("damaskgrade_foreign_responses_total", "Responses that belonged to another request.", static_cast<double>(counters_.foreignResponses));
+    page.addCounter("damaskgrade_upstream_connections_total", "Connections opened to backend servers.", static_cast<double>(pool_.counters().opened));
+    page.addCounter("damaskgrade_upstream_connection_failures_total", "Connections to backend servers that failed.", static_cast<double>(pool_.counters().failed));
+    page.addCounter("damaskgrade_log_lines_dropped_total", "Log lines left out.", static_cast<double>(log_.droppedLines()));
+    page.addGauge("damaskgrade_requests_in_flight", "Requests that are not answered yet.", static_cast<double>(forwarder_.activeCount()));
+    page.addGauge("damaskgrade_catalog_version", "Version of the catalog in force.", static_cast<double>(catalog_.version()));
+    page.addGauge("damaskgrade_fleet_age_seconds", "Age of what is known of the backend servers.", std::chrono::duration<double>(fleetReader_->age()).count());
+    page.addGauge("damaskgrade_servers", "Backend servers listed.", static_cast<double>(fleet_.servers().size()));
+    page.addGauge("damaskgrade_servers_ejected", "Backend servers ejected.", static_cast<double>(outliers_.ejectedCount()));
+    page.addGauge("damaskgrade_peers_alive", "Other entries that are alive.", static_cast<double>(peers_->alive().size()));
+    return page.text();
+}
+
+void GatewayProcess::tick()
+{
+    allowance_.setEntryCount(std::max(peers_->knownCount(), peers_->addressCount()) + 1);
+    forwarder_.tick();
+}
+
+// Tells the outlier detection which servers there are.
+void GatewayProcess::updateFleet()
+{
+    std::set<std::string> present;
+    for (const auto& [id, server] : fleet_.servers()) {
+        present.insert(id);
+        if (knownServers_.count(id) == 0)
+            outliers_.add(id, server.service);
+    }
+    for (const std::string& id : knownServers_) {
+        if (present.count(id) == 0) {
+            outliers_.remove(id);
+            pool_.drop(id);
+        }
+    }
+    knownServers_ = std::move(present);
+}
+
+void GatewayProcess::startShutdown()
+{
+    if (isDraining_)
+        return;
+    isDraining_ = true;
+    drainStartedAt_ = clock_.now();
+    log_.write(LogLine("shutdownStarted").add("inFlight", static_cast<std::int64_t>(forwarder_.activeCount())));
+    callerServer_->closeAfterResponses();
+    registry_->withdraw();
+    peers_->sendState();
+    shutdownTimer_ = loop_.every(shutdownCheckPeriod, [this] { continueShutdown(); });
+}
+
+void GatewayProcess::continueShutdown()
+{
+    Duration elapsed = clock_.now() - drainStartedAt_;
+    if (elapsed >= settings_.shutdownGrace - lastRequestMargin)
+        forwarder_.refuseNewRequests();
+    bool isIdle = forwarder_.activeCount() == 0 && callerServer_->counters().openConnections == 0 && elapsed >= minDrainTime;
+    if (!isIdle && elapsed < settings_.shutdownGrace - exitMargin)
+        return;
+    log_.write(LogLine("stopped").add("inFlight", static_cast<std::int64_t>(forwarder_.activeCount())));
+    log_.flush();
+    loop_.stop();
+}
+
+}
--- /dev/null
+++ b/Source/Gateway/GatewayProcess.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Catalog/CatalogFollower.h"
+#include "Core/Clock.h"
+#include "Core/Random.h"
+#include "Forwarding/ForwardingContext.h"
+#include "Gateway/EntryRegistry.h"
+#include "Gateway/FleetReader.h"
+#include "Gateway/Forwarder.h"
+#include "Gateway/GatewaySettings.h"
+#include "Peers/PeerGroup.h"
+#include "Platform/Table.h"
+#include "Transport/HttpServer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Damaskgrade {
+
+// Answers a caller that asks where to connect.
+struct AddressAnswer {
+    std::vector<Endpoint> addresses;
+    std::chrono::milliseconds lifetime { 0 };
+};
+
+// What a gateway needs of the platform that it runs on.
+struct GatewayPlatform {
+    CatalogSource& catalog;
+    FleetSource& fleet;
+    Table& table;
+    HeaderNames names;
+    // Encodes an answer of the directory, or the refusal to give one if there is no address.
+    std::function<HttpResponse(const HttpRequest&, const AddressAnswer&)> encodeAddresses;
+};
+
+// An entry that forwards requests to backend servers itself: wires the slices together, and ends in
+// good order when it is told to.
+class GatewayProcess {
+public:
+    GatewayProcess(EventLoop& loop, const Clock& clock, Random& random, GatewaySettings settings, GatewayPlatform platform, DecisionLog& log);
+    ~GatewayProcess();
+    GatewayProcess(const GatewayProcess&) = delete;
+    GatewayProcess& operator=(const GatewayProcess&) = delete;
+
+private:
+    EntryStateMessage ownState() const;
+    void peerState(const EntryStateMessage& state);
+    void peerCatalog(const std::string& text);
+    void catalogChanged(const Catalog& catalog);
+    void serverLeft(const ServerRecord& server);
+    bool isReady() const;
+    void answerDirectory(HttpExchange& exchange);
+    std::string metricsText() const;
+    void tick();
+    void updateFleet();
+    void startShutdown();
+    void continueShutdown();
+
+    EventLoop& loop_;
+    const Clock& clock_;
+    Random& random_;
+    GatewaySettings settings_;
+    GatewayPlatform platform_;
+    DecisionLog& log_;
+    std::uint64_t incarnation_;
+
+    CatalogHolder catalog_;
+    FleetView fleet_;
+    LoadBoard loads_;
+    OutlierDetector outliers_;
+    ServerChooser chooser_;
+    UpstreamPool pool_;
+    RetryAllowance allowance_;
+    ForwardingCounters counters_;
+    ForwardingContext context_;
+    Forwarder forwarder_;
+
+    std::unique_ptr<PeerGroup> peers_;
+    std::unique_ptr<FleetReader> fleetReader_;
+    std::unique_ptr<EntryRegistry> registry_;
+    std::unique_ptr<CatalogFollower> catalogFollower_;
+    std::unique_ptr<HttpServer> callerServer_;
+    std::unique_ptr<HttpServer> readinessServer_;
+    std::unique_ptr<HttpServer> directoryServer_;
+    std::unique_ptr<HttpServer> metricsServer_;
+    std::unique_ptr<Timer> tickTimer_;
+    std::unique_ptr<Timer> slowTimer_;
+    std::unique_ptr<Timer> shutdownTimer_;
+    std::map<std::string, TimePoint> catalogSentAt_;
+    std::set<std::string> knownServers_;
+    bool isDraining_ { false };
+    TimePoint drainStartedAt_;
+};
+
+}
--- /dev/null
+++ b/Source/Logging/DecisionLog.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Core/Clock.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Damaskgrade {
+
+// One line of the log: a JSON object whose fields are added in order.
+class LogLine {
+public:
+    explicit LogLine(std::string_view event);
+
+    LogLine& add(std::string_view name, std::string_view value);
+    LogLine& add(std::string_view name, const char* value) { return add(name, std::string_view(value)); }
+    LogLine& add(std::string_view name, std::int64_t value);
+    LogLine& add(std::string_view name, std::uint64_t value) { return add(name, static_cast<std::int64_t>(value)); }
+    LogLine& add(std::string_view name, int value) { return add(name, static_cast<std::int64_t>(value)); }
+    LogLine& add(std::string_view name, unsigned value) { return add(name, static_cast<std::int64_t>(value)); }
+    LogLine& add(std::string_view name, bool value);
+
+    const std::string& fields() const { return text_; }
+
+private:
+    std::string text_;
+};
+
+struct DecisionLogSettings {
+    // Bounds the volume under load; beyond it lines are counted and left out.
+    double linesPerSecond { 200 };
+    double burstLines { 600 };
+    // Bytes that wait for a reader who is slower than the log.
+    std::size_t maxPendingBytes { 65536 };
+    // One in so many plain successes is written.
+    std::uint32_t successSampling { 20 };
+};
+
+// Writes structured lines to a file descriptor and never waits for its reader.
+class DecisionLog {
+public:
+    // Switches the descriptor to non-blocking mode.
+    DecisionLog(const Clock& clock, int descriptor, std::string process, DecisionLogSettings settings = {});
+
+    void write(const LogLine& line);
+
+    // Says whether the next plain success is to be written.
+    bool samplesSuccess();
+
+    // Passes on what the reader can take. Call now and then.
+    void flush();
+
+    std::uint64_t droppedLines() const { return dropped_; }
+    std::uint64_t writtenLines() const { return written_; }
+
+private:
+    bool takeToken();
+
+    const Clock& clock_;
+    int descriptor_;
+    std::string process_;
+    DecisionLogSettings settings_;
+    std::string pending_;
+    double tokens_;
+    TimePoint refilledAt_;
+    std::uint64_t dropped_ { 0 };
+    std::uint64_t reportedDropped_ { 0 };
+    std::uint64_t written_ { 0 };
+    std::uint32_t successes_ { 0 };
+};
+
+}
--- /dev/null
+++ b/Source/Peers/PeerMessages.cpp
@@ -0,0 +1,107 @@
+#include "Peers/PeerMessages.h"
+
+#include "Transport/CborBody.h"
+
+#include <xxhash.h>
+
+namespace Damaskgrade {
+
+using Json = nlohmann::json;
+
+namespace {
+
+Json serverToJson(const ServerRecord& server)
+{
+    return Json::array({ server.id, server.service, formatEndpoint(server.address), server.availabilityZone, server.slots, server.isDraining,
+        server.warmUpLeft.count(), server.startedAt });
+}
+
+ServerRecord serverFromJson(const Json& json)
+{
+    ServerRecord server;
+    server.id = json.at(0).get<std::string>();
+    server.service = json.at(1).get<std::string>();
+    server.address = parseEndpoint(json.at(2).get<std::string>());
+    server.availabilityZone = json.at(3).get<std::string>();
+    server.slots = json.at(4).get<std::uint32_t>();
+    server.isDraining = json.at(5).get<bool>();
+    server.warmUpLeft = std::chrono::milliseconds(json.at(6).get<std::int64_t>());
+    server.startedAt = json.at(7).get<std::int64_t>();
+    return server;
+}
+
+}
+
+Frame encodeMessage(const EntryStateMessage& message, HybridTime time)
+{
+    Json counts = Json::object();
+    for (const auto& [server, count] : message.inFlight)
+        counts[server] = count;
+    return makeFrame(EntryStateMessage::type, time,
+        { { "n", message.name }, { "i", message.incarnation }, { "l", formatEndpoint(message.link) }, { "c", formatEndpoint(message.callers) },
+            { "z", message.availabilityZone }, { "r", message.isReady }, { "d", message.isDraining }, { "v", message.catalogVersion },
+            { "fd", message.fleetDigest }, { "fr", message.fleetRevision }, { "fa", message.fleetAge.count() }, { "f", counts } });
+}
+
+Frame encodeMessage(const CatalogTextMessage& message, HybridTime time)
+{
+    return makeFrame(CatalogTextMessage::type, time, { { "t", message.text } });
+}
+
+Frame encodeMessage(const FleetMessage& message, HybridTime time)
+{
+    Json servers = Json::array();
+    for (const ServerRecord& server : message.snapshot.servers)
+        servers.push_back(serverToJson(server));
+    return makeFrame(FleetMessage::type, time, { { "r", message.snapshot.revision }, { "a", message.age.count() }, { "s", servers } });
+}
+
+EntryStateMessage decodeEntryState(ByteView body)
+{
+    return decodeBody(EntryStateMessage::type, body, [](const Json& json) {
+        EntryStateMessage message;
+        message.name = json.at("n").get<std::string>();
+        message.incarnation = json.at("i").get<std::uint64_t>();
+        message.link = parseEndpoint(json.at("l").get<std::string>());
+        message.callers = parseEndpoint(json.at("c").get<std::string>());
+        message.availabilityZone = json.at("z").get<std::string>();
+        message.isReady = json.at("r").get<bool>();
+        message.isDraining = json.at("d").get<bool>();
+        message.catalogVersion = json.at("v").get<std::uint64_t>();
+        message.fleetDigest = json.at("fd").get<std::uint64_t>();
+        message.fleetRevision = json.at("fr").get<std::uint64_t>();
+        message.fleetAge = std::chrono::milliseconds(json.at("fa").get<std::int64_t>());
+        for (const auto& [server, count] : json.at("f").items())
+            message.inFlight.emplace(server, count.get<std::uint32_t>());
+        return message;
+    });
+}
+
+CatalogTextMessage decodeCatalogText(ByteView body)
+{
+    return decodeBody(CatalogTextMessage::type, body, [](const Json& json) { return CatalogTextMessage { json.at("t").get<std::string>() }; });
+}
+
+FleetMessage decodeFleet(ByteView body)
+{
+    return decodeBody(FleetMessage::type, body, [](const Json& json) {
+        FleetMessage message;
+        message.snapshot.revision = json.at("r").get<std::uint64_t>();
+        message.age = std::chrono::milliseconds(json.at("a").get<std::int64_t>());
+        for (const Json& server : json.at("s"))
+            message.snapshot.servers.push_back(serverFromJson(server));
+        return message;
+    });
+}
+
+std::uint64_t fleetDigest(const FleetSnapshot& snapshot)
+{
+    std::string text;
+    for (const ServerRecord& server : snapshot.servers) {
+        text += server.id + ' ' + server.service + ' ' + formatEndpoint(server.address) + ' ' + server.availabilityZone + ' ' + std::to_string(server.slots);
+        text += ' ' + std::to_string(server.startedAt) + (server.isDraining ? " d\n" : " r\n");
+    }
+    return XXH64(text.data(), text.size(), 0);
+}
+
+}
--- a/Source/Transport/EventLoop.cpp
+++ b/Source/Transport/EventLoop.cpp
@@ -96,6 +96,11 @@
     state_->context.stop();
 }
 
+void EventLoop::restart()
+{
+    state_->context.restart();
+}
+
 void EventLoop::post(std::function<void()> task)
 {
     boost::asio::post(state_->context, std::move(task));
--- a/Source/Transport/EventLoop.h
+++ b/Source/Transport/EventLoop.h
@@ -29,6 +29,9 @@
 
     void stop();
 
+    // Lets run() be called again after stop().
+    void restart();
+
     // Runs the task once, after the handlers that already wait.
     void post(std::function<void()> task);
 
--- /dev/null
+++ b/Tests/Forwarding/ScriptedServer.cpp
@@ -0,0 +1,158 @@
+#include "Forwarding/ScriptedServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+
+namespace Damaskgrade {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = boost::asio::ip::tcp;
+
+struct ScriptedServer::State : std::enable_shared_from_this<ScriptedServer::State> {
+    State(EventLoop& loop, Script script)
+        : acceptor(loop.context(), Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , script(std::move(script))
+    {
+    }
+
+    void accept();
+
+    Tcp::acceptor acceptor;
+    Script script;
+    std::vector<HttpRequest> requests;
+    std::size_t connections { 0 };
+    std::size_t closed { 0 };
+};
+
+namespace {
+
+template <typename State>
+class ScriptedConnection : public std::enable_shared_from_this<ScriptedConnection<State>> {
+public:
+    ScriptedConnection(Tcp::socket socket, std::shared_ptr<State> state)
+        : socket_(std::move(socket))
+        , state_(std::move(state))
+    {
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        auto self = this->shared_from_this();
+        http::async_read(socket_, buffer_, *parser_, [self](boost::system::error_code failure, std::size_t) {
+            if (failure)
+                ++self->state_->closed;
+            else
+                self->handle();
+        });
+    }
+
+private:
+    void handle()
+    {
+        http::request<http::string_body> message = parser_->release();
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto& field : message)
+            request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        request.body = message.body();
+        state_->requests.push_back(request);
+        reply_ = state_->script(request);
+        sent_ = 0;
+        write();
+    }
+
+    void write()
+    {
+        if (sent_ == reply_.bytes.size()) {
+            finish();
+            return;
+        }
+        std::size_t count = reply_.isDribbled ? 1 : reply_.bytes.size();
+        auto self = this->shared_from_this();
+        asio::async_write(socket_, asio::buffer(reply_.bytes.data() + sent_, count), [self, count](boost::system::error_code failure, std::size_t) {
+            if (failure)
+                return;
+            self->sent_ += count;
+            self->write();
+        });
+    }
+
+    void finish()
+    {
+        boost::system::error_code ignored;
+        if (reply_.after == AfterReply::KeepOpen) {
+            read();
+            return;
+        }
+        if (reply_.after == AfterReply::Reset)
+            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        else
+            socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+        socket_.close(ignored);
+    }
+
+    Tcp::socket socket_;
+    std::shared_ptr<State> state_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    ScriptedReply reply_;
+    std::size_t sent_ { 0 };
+};
+
+}
+
+void ScriptedServer::State::accept()
+{
+    auto self = shared_from_this();
+    acceptor.async_accept([self](boost::system::error_code failure, Tcp::socket socket) {
+        if (failure)
+            return;
+        ++self->connections;
+        boost::system::error_code ignored;
+        socket.set_option(Tcp::no_delay(true), ignored);
+        std::make_shared<ScriptedConnection<State>>(std::move(socket), self)->read();
+        self->accept();
+    });
+}
+
+ScriptedServer::ScriptedServer(EventLoop& loop, Script script)
+    : state_(std::make_shared<State>(loop, std::move(script)))
+{
+    state_->accept();
+}
+
+ScriptedServer::~ScriptedServer()
+{
+    boost::system::error_code ignored;
+    state_->acceptor.close(ignored);
+}
+
+Endpoint ScriptedServer::endpoint() const
+{
+    return { "127.0.0.1", state_->acceptor.local_endpoint().port() };
+}
+
+std::size_t ScriptedServer::connectionCount() const
+{
+    return state_->connections;
+}
+
+const std::vector<HttpRequest>& ScriptedServer::requests() const
+{
+    return state_->requests;
+}
+
+std::size_t ScriptedServer::closedCount() const
+{
+    return state_->closed;
+}
+
+}
--- /dev/null
+++ b/Tests/Gateway/GatewayWorld.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "Core/SystemClock.h"
+#include "Forwarding/ScriptedServer.h"
+#include "FreeEndpoint.h"
+#include "Gateway/Forwarder.h"
+#include "Transport/HttpClient.h"
+#include "Transport/HttpServer.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Damaskgrade {
+
+// Header names of the tests.
+inline HeaderNames testHeaderNames()
+{
+    HeaderNames names;
+    names.requestId = "Request-Id";
+    names.deadline = "Deadline-Ms";
+    names.signature = "Signature";
+    names.customer = "Customer";
+    names.expectedServer = "Expected-Server";
+    names.serverLoad = "Server-Load";
+    names.notExecuted = "Not-Executed";
+    names.engineUrgency = "Urgency";
+    names.lastEventId = "Last-Event-Id";
+    names.retryAfter = "Retry-After";
+    names.credentials = "Authorization";
+    names.keyScheme = "Token ";
+    return names;
+}
+
+struct CallerResult {
+    int status { 0 };
+    std::vector<HttpHeader> headers;
+    std::string body;
+    // The response ended as its framing says.
+    bool isWhole { false };
+    bool isDone { false };
+
+    std::string header(std::string_view name) const { return findHeader(headers, name).value_or(""); }
+};
+
+// The forwarding part of a gateway before scripted servers, and callers that use it.
+class GatewayWorld {
+public:
+    static constexpr const char* service = "app";
+
+    GatewayWorld()
+        : catalog([](const Catalog&) {})
+        , fleet(clock, {}, [](const ServerRecord&) {})
+        , loads(clock, std::chrono::seconds(1))
+        , outliers(clock, OutlierSettings())
+        , chooser(clock, fleet, loads, outliers, random, {})
+        , pool(clock, {}, [this] { return makeUpstreamConnection(loop); })
+        , allowance(clock, RetryAllowanceSettings())
+        , log(clock, openNull(), "test")
+        , context { clock, names, loads, chooser, pool, outliers, allowance, log, counters, {} }
+        , forwarder(context, catalog, random)
+        , endpoint(freeEndpoint())
+        , front(loop, endpoint, HttpServerLimits(), [this](std::shared_ptr<HttpExchange> exchange) { forwarder.handle(std::move(exchange)); })
+        , client(loop, std::chrono::seconds(20))
+        , ticker(loop.every(std::chrono::milliseconds(20), [this] { forwarder.tick(); }))
+    {
+    }
+
+    ScriptedServer& addServer(ScriptedServer::Script script)
+    {
+        servers.push_back(std::make_unique<ScriptedServer>(loop, std::move(script)));
+        ServerRecord record;
+        record.id = "s" + std::to_string(servers.size());
+        record.service = service;
+        record.address = servers.back()->endpoint();
+        record.slots = 8;
+        snapshot.servers.push_back(record);
+        ++snapshot.revision;
+        fleet.apply(snapshot, clock.now());
+        return *servers.back();
+    }
+
+    void setRoute(Route route)
+    {
+        route.host = "host.example";
+        route.prefix = "/r/";
+        route.services = { { service, 1 } };
+        catalog.offer({ std::make_shared<Catalog>(catalog.version() + 1, std::vector<Route> { route }, std::vector<ServiceSpecification> {}, customers, CallerLimits()), "" });
+    }
+
+    HttpRequest request(const std::string& id) const
+    {
+        HttpRequest result;
+        result.method = "POST";
+        result.target = "/r/x";
+        result.headers = { { "Host", "host.example" }, { names.requestId, id }, { names.deadline, "3000" } };
+        result.body = "body of " + id;
+        return result;
+    }
+
+    // Sends a request without waiting for its response.
+    std::shared_ptr<CallerResult> start(const HttpRequest& request)
+    {
+        auto result = std::make_shared<CallerResult>();
+        HttpResponseHandlers handlers;
+        handlers.onHead = [result](const HttpResponse& head) {
+            result->status = head.status;
+            result->headers = head.headers;
+        };
+        handlers.onBody = [result](std::string_view part) { result->body += part; };
+        handlers.onEnd = [result] { result->isWhole = result->isDone = true; };
+        handlers.onFailure = [result](const HttpFailure&) { result->isDone = true; };
+        calls.push_back(client.stream(endpoint, request, handlers));
+        return result;
+    }
+
+    // Runs the world until the condition holds, for at most a generous time. Returns whether it holds.
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        bool holds = false;
+        std::unique_ptr<Timer> limit = loop.after(std::chrono::seconds(15), [this] { loop.stop(); });
+        std::unique_ptr<Timer> check = loop.every(std::chrono::milliseconds(2), [this, &condition, &holds] {
+            holds = condition();
+            if (holds)
+                loop.stop();
+        });
+        loop.restart();
+        loop.run();
+        return holds;
+    }
+
+    CallerResult call(const HttpRequest& request)
+    {
+        std::shared_ptr<CallerResult> result = start(request);
+        runUntil([&] { return result->isDone; });
+        return *result;
+    }
+
+    static std::string ownResponse(const HttpRequest& request, const std::string& body, int status = 200)
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + findHeader(request.headers, "Request-Id").value_or("") + "\r\nSignature: sig\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    static std::string streamHead(const HttpRequest& request)
+    {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + findHeader(request.headers, "Request-Id").value_or("")
+            + "\r\nSignature: sig\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
+    static std::string chunk(const std::string& data)
+    {
+        std::string digits = "0123456789abcdef";
+        std::string size;
+        for (std::size_t left = data.size(); left > 0; left /= 16)
+            size.insert(size.begin(), digits[left % 16]);
+        return size + "\r\n" + data + "\r\n";
+    }
+
+    static std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n"; }
+
+    SystemClock clock;
+    EventLoop loop;
+    Random random { 7 };
+    HeaderNames names { testHeaderNames() };
+    std::vector<CustomerKeys> customers;
+    CatalogHolder catalog;
+    FleetView fleet;
+    LoadBoard loads;
+    OutlierDetector outliers;
+    ServerChooser chooser;
+    UpstreamPool pool;
+    RetryAllowance allowance;
+    DecisionLog log;
+    ForwardingCounters counters;
+    ForwardingContext context;
+    Forwarder forwarder;
+    Endpoint endpoint;
+    HttpServer front;
+    HttpClient client;
+    std::unique_ptr<Timer> ticker;
+    FleetSnapshot snapshot;
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    std::vector<std::unique_ptr<HttpCall>> calls;
+
+private:
+    static int openNull() { return ::open("/dev/null", O_WRONLY); }
+};
+
+}
