--- a/Source/Forwarding/RetryAllowance.h
+++ b/Source/Forwarding/RetryAllowance.h
@@ -25,6 +25,9 @@
 public:
     RetryAllowance(const Clock& clock, RetryAllowanceSettings settings);
 
+    // Changes the settings from now on; what was spent in the window still counts.
+    void configure(RetryAllowanceSettings settings) { settings_ = settings; }
+
     // Number of entries that share the extra sends.
     void setEntryCount(std::size_t count) { entryCount_ = count; }
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -15,8 +15,9 @@
 constexpr std::chrono::milliseconds shutdownCheckPeriod { 100 };
 // Callers keep an address for up to three lifetimes, so a draining entry goes on serving for a while.
 constexpr std::chrono::milliseconds minDrainTime { 3000 };
-// Streams that start later than this before the end of the grace would be cut.
-constexpr std::chrono::milliseconds lastRequestMargin { 2500 };
+// Requests that arrive later than this after the start of a shutdown are refused, because their streams
+// could last beyond the grace. Callers have had three lifetimes of an address to move elsewhere.
+constexpr std::chrono::milliseconds acceptTime { 2900 };
 // Leaves the last answers time to be sent before the process is killed.
 constexpr std::chrono::milliseconds exitMargin { 400 };
 constexpr std::chrono::milliseconds catalogResendPeriod { 500 };
@@ -120,6 +121,14 @@
 
 GatewayProcess::~GatewayProcess() = default;
 
+void GatewayProcess::reload(const GatewaySettings& settings)
+{
+    settings_.addressLifetime = settings.addressLifetime;
+    settings_.shutdownGrace = settings.shutdownGrace;
+    allowance_.configure({ settings.retryShare, settings.retryExtra, settings.retryWindow });
+    log_.write(LogLine("reloaded").add("catalog", catalog_.version()).add("shutdownGraceMs", settings.shutdownGrace.count()));
+}
+
 EntryStateMessage GatewayProcess::ownState() const
 {
     EntryStateMessage state;
@@ -252,7 +261,7 @@
 void GatewayProcess::continueShutdown()
 {
     Duration elapsed = clock_.now() - drainStartedAt_;
-    if (elapsed >= settings_.shutdownGrace - lastRequestMargin)
+    if (elapsed >= acceptTime)
         forwarder_.refuseNewRequests();
     bool isIdle = forwarder_.activeCount() == 0 && callerServer_->counters().openConnections == 0 && elapsed >= minDrainTime;
     if (!isIdle && elapsed < settings_.shutdownGrace - exitMargin)
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -45,6 +45,9 @@
     GatewayProcess(const GatewayProcess&) = delete;
     GatewayProcess& operator=(const GatewayProcess&) = delete;
 
+    // Takes over settings that may change while the process runs; addresses to listen on stay.
+    void reload(const GatewaySettings& settings);
+
 private:
     EntryStateMessage ownState() const;
     void peerState(const EntryStateMessage& state);
--- a/Source/Placement/MapSearch.cpp
+++ b/Source/Placement/MapSearch.cpp
@@ -15,10 +15,13 @@
 
 }
 
-MapSearch::MapSearch(const ExpertMap& map, const std::vector<double>& expertLoads, const std::vector<double>& slowness, std::size_t slotsPerRank)
+MapSearch::MapSearch(const ExpertMap& map, const std::vector<double>& expertLoads, const std::vector<double>& slowness, std::size_t slotsPerRank,
+    std::size_t maxLoadsPerRank)
     : loads_(expertLoads)
     , slowness_(slowness)
     , slots_(slotsPerRank)
+    , maxLoadsPerRank_(maxLoadsPerRank)
+    , loadsOfRank_(map.rankCount(), 0)
     , experts_(map.rankCount())
     , times_(map.rankCount(), 0)
 {
@@ -121,7 +124,7 @@
     std::vector<ExpertIndex> sources = experts_[slowest];
     for (ExpertIndex expert : sources) {
         for (RankIndex target : targets) {
-            if (target == slowest || holds(target, expert))
+            if (target == slowest || holds(target, expert) || loadsOfRank_[target] >= maxLoadsPerRank_)
                 continue;
             Change change;
             change.expert = expert;
@@ -144,7 +147,7 @@
                     consider(change, best);
                     change.keepsSource = true;
                     consider(change, best);
-                } else if (!holds(slowest, partner)) {
+                } else if (!holds(slowest, partner) && loadsOfRank_[slowest] < maxLoadsPerRank_) {
                     change.isSwap = true;
                     change.loads = 2;
                     consider(change, best);
@@ -155,6 +158,9 @@
     if (best.gain <= threshold)
         return 0;
     apply(best);
+    ++loadsOfRank_[best.to];
+    if (best.isSwap)
+        ++loadsOfRank_[best.from];
     return best.loads;
 }
 
--- a/Source/Placement/MapSearch.h
+++ b/Source/Placement/MapSearch.h
@@ -2,13 +2,17 @@
 
 #include "Placement/ExpertMap.h"
 
+#include <limits>
+
 namespace Damaskgrade {
 
 // A map under change, which finds the next cheapest improvement: replicate an expert of the slowest
 // rank, move it, or swap it with another. Replicas that are not needed are dropped when their slot is.
 class MapSearch {
 public:
-    MapSearch(const ExpertMap& map, const std::vector<double>& expertLoads, const std::vector<double>& slowness, std::size_t slotsPerRank);
+    // No rank loads more replicas than maxLoadsPerRank over all changes.
+    MapSearch(const ExpertMap& map, const std::vector<double>& expertLoads, const std::vector<double>& slowness, std::size_t slotsPerRank,
+        std::size_t maxLoadsPerRank = std::numeric_limits<std::size_t>::max());
 
     // Makes the change that lowers the skew the most for each replica to load.
     // Returns the number of replicas to load, or zero if no change lowers the skew.
@@ -43,6 +47,8 @@
     std::vector<double> loads_;
     std::vector<double> slowness_;
     std::size_t slots_;
+    std::size_t maxLoadsPerRank_;
+    std::vector<std::size_t> loadsOfRank_;
     std::vector<std::vector<RankIndex>> replicas_;
     std::vector<std::vector<ExpertIndex>> experts_;
     std::vector<double> times_;
--- /dev/null
+++ b/Source/RankMaps/ControllerLease.cpp
@@ -0,0 +1,89 @@
+#include "RankMaps/ControllerLease.h"
+
+#include <cstdlib>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+struct LeaseRow {
+    std::uint64_t term { 0 };
+    std::string controller;
+    RowVersion version { absentVersion };
+};
+
+// The value is the term and the controller, separated by a space. What can't be read counts as term 0.
+LeaseRow parseRow(const TableReadResult& result)
+{
+    LeaseRow row;
+    if (result.rows.empty())
+        return row;
+    const std::string& value = result.rows.front().value;
+    row.version = result.rows.front().version;
+    row.term = std::strtoull(value.c_str(), nullptr, 10);
+    std::size_t space = value.find(' ');
+    if (space != std::string::npos)
+        row.controller = value.substr(space + 1);
+    return row;
+}
+
+}
+
+ControllerLease::ControllerLease(Table& table, const std::string& group, std::string name, Changed onChanged, Failed onFailed)
+    : table_(table)
+    , key_("mapControllers/" + group)
+    , name_(std::move(name))
+    , onChanged_(std::move(onChanged))
+    , onFailed_(std::move(onFailed))
+{
+}
+
+void ControllerLease::takeOver(std::uint64_t knownTerm)
+{
+    if (isBusy_)
+        return;
+    isBusy_ = true;
+    table_.read({ key_ }, [this, knownTerm](const TableReadResult& result) {
+        isBusy_ = false;
+        if (result.status != ResultCode::Ok) {
+            onFailed_();
+            return;
+        }
+        LeaseRow row = parseRow(result);
+        if (row.term > knownTerm)
+            onChanged_(row.term, row.controller);
+        else
+            write(knownTerm + 1, row.version);
+    });
+}
+
+void ControllerLease::read()
+{
+    if (isBusy_)
+        return;
+    isBusy_ = true;
+    table_.read({ key_ }, [this](const TableReadResult& result) {
+        isBusy_ = false;
+        LeaseRow row = parseRow(result);
+        if (result.status != ResultCode::Ok)
+            onFailed_();
+        else
+            onChanged_(row.term, row.controller);
+    });
+}
+
+void ControllerLease::write(std::uint64_t term, RowVersion version)
+{
+    isBusy_ = true;
+    // A write whose acknowledgement is lost shows in the next read; the term of this name is then taken as won.
+    table_.write({ { key_, std::to_string(term) + " " + name_, version } }, [this, term](const TableWriteResult& result) {
+        isBusy_ = false;
+        if (result.status == ResultCode::Ok)
+            onChanged_(term, name_);
+        else
+            onFailed_();
+    });
+}
+
+}
--- /dev/null
+++ b/Source/RankMaps/GroupControl.cpp
@@ -0,0 +1,245 @@
+#include "RankMaps/GroupControl.h"
+
+#include "Core/Error.h"
+#include "RankMaps/RankAgentRows.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickPeriod { 30 };
+// How often the rows of agents are read while some are missing, and otherwise.
+constexpr std::chrono::milliseconds missingMembersPeriod { 1000 };
+constexpr std::chrono::milliseconds membersPeriod { 15000 };
+constexpr std::chrono::milliseconds layoutRetry { 1000 };
+constexpr std::chrono::milliseconds planPeriod { 250 };
+constexpr int permille = 1000;
+
+}
+
+GroupControl::GroupControl(EventLoop& loop, const Clock& clock, Random& random, const RankAgentSettings& settings, const std::string& group, std::uint32_t ownRank,
+    std::uint64_t term, bool mayPlan, GroupControlPorts ports, DecisionLog& log)
+    : loop_(loop)
+    , clock_(clock)
+    , settings_(settings)
+    , group_(group)
+    , term_(term)
+    , mayPlan_(mayPlan)
+    , ports_(std::move(ports))
+    , log_(log)
+    , hybridClock_(clock)
+    , switch_(clock, {}, ownRank, [this](std::uint32_t rank, const RankOrder& order) { sendOrder(rank, order); },
+          [this](std::string_view decision, RankMapVersion version, std::uint64_t pass) {
+              log_.write(LogLine("mapChange").add("decision", decision).add("group", group_).add("version", version).add("pass", pass).add("term", term_).add("epoch", switch_.epoch()));
+          })
+    , links_(loop, random, settings.linkKeys,
+          { [](const std::string&) {}, [this](const std::string& name, const Frame& frame) { receive(name, frame); }, [](const std::string&) {} })
+    , nextQuestion_(clock.now())
+    , nextCounts_(clock.now())
+    , nextPlan_(clock.now())
+{
+    switch_.setFencingToken(term_);
+    readMembers();
+    if (mayPlan_)
+        readLayout();
+    timer_ = loop_.every(tickPeriod, [this] { tick(); });
+}
+
+GroupControl::~GroupControl()
+{
+    *alive_ = false;
+}
+
+void GroupControl::readMembers()
+{
+    std::shared_ptr<bool> alive = alive_;
+    ports_.table.scan(std::string(rankAgentRowPrefix), [this, alive](const TableReadResult& result) {
+        if (!*alive)
+            return;
+        std::map<std::string, Endpoint> targets;
+        for (const TableRow& row : result.rows) {
+            std::optional<RankAgentRow> agent = parseRankAgentRow(row);
+            if (!agent || agent->service != settings_.service)
+                continue;
+            Member& member = members_[agent->name];
+            member.link = agent->link;
+            member.engine = agent->engine;
+        }
+        for (const auto& [name, member] : members_)
+            targets[name] = member.link;
+        links_.setTargets(targets);
+        std::size_t size = switch_.reports().empty() ? 0 : switch_.reports().begin()->second.groupSize;
+        bool isComplete = size > 0 && switch_.reports().size() == size && links_.openCount() >= size;
+        memberTimer_ = loop_.after(isComplete ? membersPeriod : missingMembersPeriod, [this] { readMembers(); });
+    });
+}
+
+void GroupControl::readLayout()
+{
+    std::shared_ptr<bool> alive = alive_;
+    ports_.catalog.read([this, alive](const CatalogReadResult& result) {
+        if (!*alive)
+            return;
+        const ServiceSpecification* service = result.version.catalog ? result.version.catalog->findService(settings_.service) : nullptr;
+        std::size_t ranks = switch_.reports().empty() ? 0 : switch_.reports().begin()->second.groupSize;
+        if (!service || !service->engine || ranks == 0) {
+            layoutTimer_ = loop_.after(layoutRetry, [this] { readLayout(); });
+            return;
+        }
+        const EngineModel& engine = *service->engine;
+        ExpertLayout layout { static_cast<std::uint32_t>(ranks), engine.expertSets, engine.expertsPerSet, engine.expertSlotsPerRank, std::max(1U, engine.spareExpertSlots) };
+        if (layout.sets > 0 && layout.expertsPerSet > 0)
+            planner_ = std::make_unique<MapPlanner>(clock_, layout, MapPlannerSettings {});
+    });
+}
+
+void GroupControl::tick()
+{
+    TimePoint now = clock_.now();
+    if (now >= nextQuestion_) {
+        bool isBusy = switch_.stage() != SwitchStage::Watching;
+        nextQuestion_ = now + (isBusy ? settings_.busyQuestionPeriod : settings_.questionPeriod);
+        ask();
+    }
+    switch_.tick();
+    if (switch_.counters().completed != completedBefore_) {
+        completedBefore_ = switch_.counters().completed;
+        if (planner_ && !pendingMap_.empty())
+            planner_->setMap(switch_.mapVersion(), pendingMap_);
+        pendingMap_.clear();
+    }
+    if (planner_ && switch_.epoch() != plannedEpoch_) {
+        plannedEpoch_ = switch_.epoch();
+        pendingMap_.clear();
+    }
+    if (planner_ && now >= nextPlan_ && switch_.canStart()) {
+        nextPlan_ = now + planPeriod;
+        plan();
+    }
+}
+
+void GroupControl::ask()
+{
+    RankQuestion question;
+    question.term = term_;
+    question.controller = settings_.name;
+    question.wantsCounts = planner_ && clock_.now() >= nextCounts_;
+    question.wantsLists = planner_ && switch_.canStart() && !planner_->knowsMap(switch_.mapVersion());
+    if (question.wantsCounts)
+        nextCounts_ = clock_.now() + settings_.countPeriod;
+    Frame frame = encodeMessage(question, hybridClock_.tick());
+    bool isBusy = switch_.stage() != SwitchStage::Watching;
+    for (auto& [name, member] : members_) {
+        links_.send(name, frame);
+        if (!isBusy || isAnswering(name, member) || !member.isKnown || member.isRemoteAsked)
+            continue;
+        // The group may be held, so that it can't wait for the agent to return.
+        member.isRemoteAsked = true;
+        std::shared_ptr<bool> alive = alive_;
+        remoteEngine(member).report([this, alive, name = name](std::optional<RankReport> report) {
+            if (!*alive)
+                return;
+            members_[name].isRemoteAsked = false;
+            if (report)
+                switch_.observe(*report);
+        });
+    }
+}
+
+void GroupControl::receive(const std::string&, const Frame& frame)
+{
+    hybridClock_.observe(frame.time);
+    try {
+        if (frame.type == RankStatus::type) {
+            receiveStatus(decodeRankStatus(frame.body));
+        } else if (frame.type == RankOrderResultMessage::type) {
+            RankOrderResultMessage result = decodeRankOrderResult(frame.body);
+            auto member = members_.find(result.agent);
+            if (result.term > term_ || result.result == RankOrderResult::Fenced)
+                ports_.onDeposed(std::max(result.term, term_));
+            else if (member != members_.end())
+                switch_.orderEnded(member->second.rank, result.kind, result.version, result.pass, result.result);
+        }
+    } catch (const Error& error) {
+        LOG(WARNING) << "frame of a rank agent refused: " << error.what();
+    }
+}
+
+void GroupControl::receiveStatus(const RankStatus& status)
+{
+    if (status.term > term_) {
+        ports_.onDeposed(status.term);
+        return;
+    }
+    auto found = members_.find(status.agent);
+    if (found == members_.end() || !status.report || status.report->group != group_)
+        return;
+    Member& member = found->second;
+    member.heardAt = clock_.now();
+    member.rank = status.report->rank;
+    member.engine = status.engine;
+    member.isKnown = true;
+    switch_.observe(*status.report);
+    if (planner_ && !status.counts.empty()) {
+        std::vector<double> counts;
+        counts.reserve(status.counts.size());
+        for (std::uint16_t count : status.counts)
+            counts.push_back(count * status.countUnit);
+        planner_->addCounts(member.rank, counts);
+    }
+    if (planner_ && status.lists)
+        planner_->setExperts(member.rank, status.lists->version, status.lists->experts);
+    switch_.tick();
+}
+
+void GroupControl::sendOrder(std::uint32_t rank, const RankOrder& order)
+{
+    for (auto& [name, member] : members_) {
+        if (!member.isKnown || member.rank != rank)
+            continue;
+        if (isAnswering(name, member)) {
+            links_.send(name, encodeMessage(RankOrderMessage { term_, settings_.name, order }, hybridClock_.tick()));
+            return;
+        }
+        std::shared_ptr<bool> alive = alive_;
+        remoteEngine(member).order(order, [this, alive, rank, kind = order.kind, version = order.version, pass = order.pass](RankOrderResult result) {
+            if (!*alive)
+                return;
+            if (result == RankOrderResult::Fenced)
+                ports_.onDeposed(term_);
+            else
+                switch_.orderEnded(rank, kind, version, pass, result);
+        });
+        return;
+    }
+}
+
+void GroupControl::plan()
+{
+    std::optional<MapPlan> plan = planner_->plan(switch_.mapVersion());
+    if (!plan)
+        return;
+    log_.write(LogLine("mapPlanned").add("group", group_).add("skewBeforePermille", static_cast<std::int64_t>(plan->skewBefore * permille))
+                   .add("skewAfterPermille", static_cast<std::int64_t>(plan->skewAfter * permille)).add("loads", static_cast<std::int64_t>(plan->loads)));
+    pendingMap_ = plan->map;
+    switch_.start(plan->map);
+}
+
+bool GroupControl::isAnswering(const std::string& name, const Member& member) const
+{
+    return links_.isOpen(name) && clock_.now() - member.heardAt < settings_.agentPatience;
+}
+
+RankEngine& GroupControl::remoteEngine(Member& member)
+{
+    if (!member.remote)
+        member.remote = ports_.remoteEngine(member.engine);
+    return *member.remote;
+}
+
+}
--- /dev/null
+++ b/Source/RankMaps/GroupControl.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Catalog/CatalogSource.h"
+#include "Core/Random.h"
+#include "Logging/DecisionLog.h"
+#include "Platform/Table.h"
+#include "RankMaps/MapPlanner.h"
+#include "RankMaps/RankAgentSettings.h"
+#include "RankMaps/RankEngine.h"
+#include "RankMaps/RankMessages.h"
+#include "RankMaps/SwitchController.h"
+#include "Transport/LinkDirectory.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Damaskgrade {
+
+struct GroupControlPorts {
+    Table& table;
+    CatalogSource& catalog;
+    // Returns an engine that is reached over the network, for a rank whose agent does not answer.
+    std::function<std::unique_ptr<RankEngine>(const Endpoint&)> remoteEngine;
+    // Another controller has a higher term.
+    std::function<void(std::uint64_t term)> onDeposed;
+};
+
+// Controls the maps of one group for as long as it exists: asks the agents of all ranks, plans changes
+// and carries them out. Without the right to plan it only carries on with what was begun.
+class GroupControl {
+public:
+    GroupControl(EventLoop& loop, const Clock& clock, Random& random, const RankAgentSettings& settings, const std::string& group, std::uint32_t ownRank,
+        std::uint64_t term, bool mayPlan, GroupControlPorts ports, DecisionLog& log);
+    ~GroupControl();
+    GroupControl(const GroupControl&) = delete;
+    GroupControl& operator=(const GroupControl&) = delete;
+
+    std::uint64_t term() const { return term_; }
+    bool mayPlan() const { return mayPlan_; }
+    double skew() const { return planner_ ? planner_->skew() : 0; }
+    const SwitchCounters& counters() const { return switch_.counters(); }
+
+private:
+    // An agent of the group, by its name.
+    struct Member {
+        Endpoint link;
+        Endpoint engine;
+        std::uint32_t rank { 0 };
+        bool isKnown { false };
+        TimePoint heardAt;
+        std::unique_ptr<RankEngine> remote;
+        bool isRemoteAsked { false };
+    };
+
+    void readMembers();
+    void readLayout();
+    void tick();
+    void ask();
+    void receive(const std::string& agent, const Frame& frame);
+    void receiveStatus(const RankStatus& status);
+    void sendOrder(std::uint32_t rank, const RankOrder& order);
+    void plan();
+    bool isAnswering(const std::string& name, const Member& member) const;
+    RankEngine& remoteEngine(Member& member);
+
+    EventLoop& loop_;
+    const Clock& clock_;
+    const RankAgentSettings& settings_;
+    std::string group_;
+    std::uint64_t term_;
+    bool mayPlan_;
+    GroupControlPorts ports_;
+    DecisionLog& log_;
+    HybridClock hybridClock_;
+    SwitchController switch_;
+    std::unique_ptr<MapPlanner> planner_;
+    std::map<std::string, Member> members_;
+    LinkDirectory links_;
+    std::unique_ptr<Timer> timer_;
+    std::unique_ptr<Timer> memberTimer_;
+    std::unique_ptr<Timer> layoutTimer_;
+    TimePoint nextQuestion_;
+    TimePoint nextCounts_;
+    TimePoint nextPlan_;
+    std::uint64_t plannedEpoch_ { 0 };
+    GroupMap pendingMap_;
+    std::uint64_t completedBefore_ { 0 };
+    // Tells callbacks of the table and of engines that this object is gone.
+    std::shared_ptr<bool> alive_ { std::make_shared<bool>(true) };
+};
+
+}
--- /dev/null
+++ b/Source/RankMaps/MapPlanner.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Placement/ExpertMap.h"
+#include "RankMaps/RankReport.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Damaskgrade {
+
+// Size of the experts of a group.
+struct ExpertLayout {
+    std::uint32_t ranks { 0 };
+    std::uint32_t sets { 0 };
+    std::uint32_t expertsPerSet { 0 };
+    std::uint32_t slotsPerRank { 0 };
+    // Experts of a set that a rank can load in one change.
+    std::uint32_t spareSlots { 1 };
+};
+
+struct MapPlannerSettings {
+    // Counts older than this count for less than 1/e. Demand shifts every few seconds.
+    std::chrono::milliseconds memory { 900 };
+    // The load of the fullest rank, over all sets, that a change has to save at least.
+    double minimumGain { 0.04 };
+    // The same for each expert that is loaded, so that a load is worth its transfer.
+    double gainPerLoad { 0.0025 };
+    // Counts in a set below which nothing is decided.
+    double minimumCounts { 20000 };
+};
+
+struct MapPlan {
+    GroupMap map;
+    // Mean over the sets of the fullest rank's load over the mean load.
+    double skewBefore { 1 };
+    double skewAfter { 1 };
+    std::size_t loads { 0 };
+};
+
+// Estimates how much each expert is used and plans the next map of a group.
+class MapPlanner {
+public:
+    MapPlanner(const Clock& clock, const ExpertLayout& layout, MapPlannerSettings settings);
+
+    // Takes counts of all sets since the last call for this rank.
+    void addCounts(std::uint32_t rank, const std::vector<double>& counts);
+
+    // Takes the experts that a rank holds under the current map.
+    void setExperts(std::uint32_t rank, RankMapVersion version, const RankExperts& experts);
+
+    // A change to this map was completed.
+    void setMap(RankMapVersion version, const GroupMap& map);
+
+    // Says whether the experts of all ranks are known for this version.
+    bool knowsMap(RankMapVersion version) const;
+
+    // Returns the change that is worthwhile now, if any.
+    std::optional<MapPlan> plan(RankMapVersion version) const;
+
+    // Forgets the counts, for example after the group has formed anew.
+    void resetCounts();
+
+    // Mean over the sets of the fullest rank's load over the mean load under the current map.
+    double skew() const;
+
+    const ExpertLayout& layout() const { return layout_; }
+
+private:
+    ExpertMap mapOfSet(std::uint32_t set) const;
+    std::vector<double> loadsOfSet(std::uint32_t set) const;
+    void decay();
+
+    const Clock& clock_;
+    ExpertLayout layout_;
+    MapPlannerSettings settings_;
+    std::vector<double> counts_;
+    TimePoint decayedAt_;
+    RankMapVersion version_ { 0 };
+    // By rank, the experts by set.
+    std::map<std::uint32_t, RankExperts> experts_;
+};
+
+}
--- /dev/null
+++ b/Source/RankMaps/RankAgent.cpp
@@ -0,0 +1,142 @@
+#include "RankMaps/RankAgent.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+std::string_view kindName(RankOrderKind kind)
+{
+    switch (kind) {
+    case RankOrderKind::Prepare:
+        return "prepare";
+    case RankOrderKind::Arm:
+        return "arm";
+    case RankOrderKind::Hold:
+        return "hold";
+    case RankOrderKind::Go:
+        return "go";
+    }
+    return "";
+}
+
+std::string_view resultName(RankOrderResult result)
+{
+    switch (result) {
+    case RankOrderResult::Accepted:
+        return "accepted";
+    case RankOrderResult::Refused:
+        return "refused";
+    case RankOrderResult::Fenced:
+        return "fenced";
+    case RankOrderResult::Unknown:
+        return "unknown";
+    }
+    return "";
+}
+
+}
+
+RankAgent::RankAgent(const Clock& clock, std::string name, Endpoint engineAddress, RankEngine& engine, DecisionLog& log)
+    : clock_(clock)
+    , name_(std::move(name))
+    , engineAddress_(std::move(engineAddress))
+    , engine_(engine)
+    , log_(log)
+    , heardAt_(clock.now())
+{
+}
+
+void RankAgent::receive(const RankQuestion& question, SendStatus reply)
+{
+    if (question.term < term_) {
+        reply(emptyStatus());
+        return;
+    }
+    noteTerm(question.term);
+    heardAt_ = clock_.now();
+    auto status = std::make_shared<RankStatus>(emptyStatus());
+    engine_.report([this, question, status, reply = std::move(reply)](std::optional<RankReport> report) {
+        if (report)
+            report_ = report;
+        status->report = std::move(report);
+        answer(question, status, reply);
+    });
+}
+
+void RankAgent::receive(const RankOrderMessage& message, SendResult reply, SendStatus replyStatus)
+{
+    RankOrderResultMessage result { term_, name_, message.order.kind, message.order.version, message.order.pass, RankOrderResult::Fenced };
+    if (message.term < term_) {
+        reply(result);
+        return;
+    }
+    noteTerm(message.term);
+    heardAt_ = clock_.now();
+    engine_.order(message.order, [this, result, message, reply = std::move(reply), replyStatus = std::move(replyStatus)](RankOrderResult outcome) mutable {
+        result.term = term_;
+        result.result = outcome;
+        LogLine line("rankOrder");
+        line.add("kind", kindName(message.order.kind)).add("version", message.order.version).add("pass", message.order.pass).add("epoch", message.order.epoch);
+        line.add("term", message.term).add("controller", message.controller).add("result", resultName(outcome));
+        log_.write(line);
+        reply(result);
+        RankQuestion question;
+        question.term = message.term;
+        receive(question, replyStatus);
+    });
+}
+
+void RankAgent::noteTerm(std::uint64_t term)
+{
+    term_ = std::max(term_, term);
+}
+
+RankStatus RankAgent::emptyStatus() const
+{
+    RankStatus status;
+    status.term = term_;
+    status.agent = name_;
+    status.engine = engineAddress_;
+    return status;
+}
+
+void RankAgent::answer(const RankQuestion& question, std::shared_ptr<RankStatus> status, SendStatus reply)
+{
+    if (question.wantsLists) {
+        RankQuestion rest = question;
+        rest.wantsLists = false;
+        engine_.lists([this, rest, status, reply](std::optional<RankLists> lists) {
+            status->lists = std::move(lists);
+            answer(rest, status, reply);
+        });
+        return;
+    }
+    if (question.wantsCounts) {
+        engine_.counts([this, status, reply](std::optional<ExpertCounts> counts) {
+            if (counts)
+                takeCounts(*counts, *status);
+            reply(*status);
+        });
+        return;
+    }
+    reply(*status);
+}
+
+// Counts are reported as the difference to the last report. After a restart of the engine they begin anew.
+void RankAgent::takeCounts(const ExpertCounts& counts, RankStatus& status)
+{
+    bool isContinued = lastCounts_.size() == counts.counts.size()
+        && std::equal(lastCounts_.begin(), lastCounts_.end(), counts.counts.begin(), [](double last, double now) { return last <= now; });
+    if (isContinued) {
+        std::vector<double> differences(counts.counts.size());
+        for (std::size_t i = 0; i < differences.size(); ++i)
+            differences[i] = counts.counts[i] - lastCounts_[i];
+        packCounts(differences, status);
+    }
+    lastCounts_ = counts.counts;
+}
+
+}
--- /dev/null
+++ b/Source/RankMaps/RankAgent.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Logging/DecisionLog.h"
+#include "RankMaps/RankEngine.h"
+#include "RankMaps/RankMessages.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Damaskgrade {
+
+// Answers the controller of the group for one rank: reads its engine, and gives it orders of the
+// controller with the highest term that it has heard of.
+class RankAgent {
+public:
+    using SendStatus = std::function<void(const RankStatus&)>;
+    using SendResult = std::function<void(const RankOrderResultMessage&)>;
+
+    RankAgent(const Clock& clock, std::string name, Endpoint engineAddress, RankEngine& engine, DecisionLog& log);
+
+    void receive(const RankQuestion& question, SendStatus reply);
+    void receive(const RankOrderMessage& message, SendResult reply, SendStatus replyStatus);
+
+    // A controller with this term was heard of by other means.
+    void noteTerm(std::uint64_t term);
+
+    // A controller is known to be there, though it has not asked yet.
+    void noteController() { heardAt_ = clock_.now(); }
+
+    // The engine was read by the owner of the agent.
+    void noteReport(const RankReport& report) { report_ = report; }
+
+    std::uint64_t term() const { return term_; }
+    // When a controller was last heard of.
+    TimePoint heardAt() const { return heardAt_; }
+    // The last report of the engine.
+    const std::optional<RankReport>& report() const { return report_; }
+
+private:
+    RankStatus emptyStatus() const;
+    void answer(const RankQuestion& question, std::shared_ptr<RankStatus> status, SendStatus reply);
+    void takeCounts(const ExpertCounts& counts, RankStatus& status);
+
+    const Clock& clock_;
+    std::string name_;
+    Endpoint engineAddress_;
+    RankEngine& engine_;
+    DecisionLog& log_;
+    std::uint64_t term_ { 0 };
+    TimePoint heardAt_;
+    std::optional<RankReport> report_;
+    std::vector<double> lastCounts_;
+};
+
+}
--- /dev/null
+++ b/Source/RankMaps/RankAgentProcess.cpp
@@ -0,0 +1,182 @@
+#include "RankMaps/RankAgentProcess.h"
+
+#include "Core/Error.h"
+#include "Metrics/MetricsPage.h"
+#include "RankMaps/RankAgentRows.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickPeriod { 100 };
+constexpr std::chrono::milliseconds registerRetry { 800 };
+// How often an agent without a controller reads its own engine, to learn its group and rank.
+constexpr std::chrono::milliseconds ownReportPeriod { 500 };
+constexpr std::chrono::milliseconds leaseRetry { 1000 };
+
+}
+
+RankAgentProcess::RankAgentProcess(EventLoop& loop, const Clock& clock, Random& random, RankAgentSettings settings, RankAgentPlatform platform, DecisionLog& log)
+    : loop_(loop)
+    , clock_(clock)
+    , random_(random)
+    , settings_(std::move(settings))
+    , platform_(std::move(platform))
+    , log_(log)
+    , incarnationName_(settings_.name + "#" + random.identifier().substr(0, 12))
+    , hybridClock_(clock)
+    , engine_(platform_.engine(settings_.engine))
+    , agent_(clock, settings_.name, settings_.engine, *engine_, log)
+    , leaseTriedAt_(clock.now())
+    , reportAskedAt_(clock.now() - ownReportPeriod)
+{
+    LinkHandlers handlers;
+    handlers.onOpen = [](const std::shared_ptr<LinkSession>&) {};
+    handlers.onFrame = [this](const std::shared_ptr<LinkSession>& session, const Frame& frame) { receive(session, frame); };
+    handlers.onClose = [](const std::shared_ptr<LinkSession>&) {};
+    server_ = std::make_unique<LinkServer>(loop_, settings_.link, settings_.linkKeys, handlers);
+    metricsServer_ = std::make_unique<HttpServer>(loop_, settings_.metrics, HttpServerLimits {}, [this](std::shared_ptr<HttpExchange> exchange) {
+        exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText() });
+    });
+    registerSelf();
+    timer_ = loop_.every(tickPeriod, [this] { tick(); });
+    loop_.onTermination([this] {
+        log_.write(LogLine("stopped").add("role", "rankAgent"));
+        log_.flush();
+        loop_.stop();
+    });
+    log_.write(LogLine("started").add("role", "rankAgent").add("version", DAMASKGRADE_VERSION).add("engine", formatEndpoint(settings_.engine)));
+}
+
+RankAgentProcess::~RankAgentProcess() = default;
+
+void RankAgentProcess::registerSelf()
+{
+    RankAgentRow row { settings_.name, settings_.service, settings_.link, settings_.engine };
+    platform_.table.write({ writeRankAgentRow(row) }, [this](const TableWriteResult& result) {
+        if (result.status != ResultCode::Ok)
+            registerTimer_ = loop_.after(registerRetry + std::chrono::milliseconds(random_.index(200)), [this] { registerSelf(); });
+    });
+}
+
+void RankAgentProcess::receive(const std::shared_ptr<LinkSession>& session, const Frame& frame)
+{
+    hybridClock_.observe(frame.time);
+    auto sendStatus = [this, session](const RankStatus& status) { session->send(encodeMessage(status, hybridClock_.tick())); };
+    try {
+        if (frame.type == RankQuestion::type) {
+            RankQuestion question = decodeRankQuestion(frame.body);
+            if (control_ && question.term >= control_->term() && question.controller != settings_.name)
+                stopControl(question.term);
+            agent_.receive(question, sendStatus);
+        } else if (frame.type == RankOrderMessage::type) {
+            agent_.receive(
+                decodeRankOrder(frame.body), [this, session](const RankOrderResultMessage& result) { session->send(encodeMessage(result, hybridClock_.tick())); }, sendStatus);
+        }
+    } catch (const Error& error) {
+        LOG(WARNING) << "frame of a controller refused: " << error.what();
+    }
+}
+
+void RankAgentProcess::tick()
+{
+    log_.flush();
+    if (control_ && control_->mayPlan())
+        return;
+    takeOverIfSilent();
+}
+
+void RankAgentProcess::takeOverIfSilent()
+{
+    TimePoint now = clock_.now();
+    if (!agent_.report()) {
+        // Nothing is known of the group before the own engine has been read.
+        if (now - reportAskedAt_ >= ownReportPeriod) {
+            reportAskedAt_ = now;
+            engine_->report([this](std::optional<RankReport> report) {
+                if (report)
+                    agent_.noteReport(*report);
+            });
+        }
+        return;
+    }
+    const RankReport& report = *agent_.report();
+    bool isSilent = now - agent_.heardAt() >= settings_.silenceLimit + settings_.silencePerRank * report.rank;
+    // A controller without the right to plan hears itself, and tries for the lease now and then.
+    bool isRetryDue = control_ && now - leaseTriedAt_ >= leaseRetry;
+    if (control_ ? !isRetryDue : !isSilent)
+        return;
+    leaseTriedAt_ = now;
+    if (!lease_ || leaseGroup_ != report.group) {
+        leaseGroup_ = report.group;
+        lease_ = std::make_unique<ControllerLease>(
+            platform_.table, report.group, incarnationName_, [this](std::uint64_t term, const std::string& controller) { leaseChanged(term, controller); }, [this] { leaseFailed(); });
+    }
+    lease_->takeOver(agent_.term());
+}
+
+void RankAgentProcess::leaseChanged(std::uint64_t term, const std::string& controller)
+{
+    agent_.noteTerm(term);
+    if (controller == incarnationName_) {
+        control(term, true);
+        return;
+    }
+    // The new controller gets the time that it needs to make itself heard.
+    agent_.noteController();
+    if (control_ && control_->term() < term)
+        stopControl(term);
+}
+
+// Without the table nobody can take over, but a held group must not wait for it: what was begun is
+// carried on with under the old term.
+void RankAgentProcess::leaseFailed()
+{
+    if (!control_ && agent_.term() > 0 && agent_.report())
+        control(agent_.term(), false);
+}
+
+void RankAgentProcess::control(std::uint64_t term, bool mayPlan)
+{
+    GroupControlPorts ports { platform_.table, platform_.catalog, platform_.engine, [this](std::uint64_t newTerm) {
+                                 loop_.post([this, newTerm] { stopControl(newTerm); });
+                             } };
+    log_.write(LogLine("controlTaken").add("group", leaseGroup_).add("term", term).add("mayPlan", mayPlan));
+    control_ = std::make_unique<GroupControl>(loop_, clock_, random_, settings_, leaseGroup_, agent_.report()->rank, term, mayPlan, ports, log_);
+}
+
+void RankAgentProcess::stopControl(std::uint64_t term)
+{
+    if (!control_)
+        return;
+    log_.write(LogLine("controlLost").add("group", leaseGroup_).add("term", control_->term()).add("newTerm", term));
+    agent_.noteTerm(term);
+    agent_.noteController();
+    control_ = nullptr;
+}
+
+std::string RankAgentProcess::metricsText() const
+{
+    MetricsPage page;
+    page.addGauge("damaskgrade_controls_group", "1 if this agent controls its group.", control_ ? 1 : 0);
+    page.addGauge("damaskgrade_controller_term", "Highest term of a controller seen.", static_cast<double>(agent_.term()));
+    if (agent_.report()) {
+        page.addGauge("damaskgrade_map_version", "Version of the map in use.", static_cast<double>(agent_.report()->mapVersion));
+        page.addGauge("damaskgrade_group_epoch", "Epoch of the group.", static_cast<double>(agent_.report()->epoch));
+    }
+    if (control_) {
+        page.addGauge("damaskgrade_expert_skew", "Load of the fullest rank over the mean, averaged over the sets.", control_->skew());
+        page.addCounter("damaskgrade_map_changes_started_total", "Map changes started.", static_cast<double>(control_->counters().started));
+        page.addCounter("damaskgrade_map_changes_completed_total", "Map changes completed.", static_cast<double>(control_->counters().completed));
+        page.addCounter("damaskgrade_map_changes_given_up_total", "Map changes given up.", static_cast<double>(control_->counters().givenUp));
+    }
+    page.addCounter("damaskgrade_log_lines_dropped_total", "Log lines left out.", static_cast<double>(log_.droppedLines()));
+    return page.text();
+}
+
+}
--- /dev/null
+++ b/Source/RankMaps/RankAgentProcess.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "RankMaps/ControllerLease.h"
+#include "RankMaps/GroupControl.h"
+#include "RankMaps/RankAgent.h"
+#include "RankMaps/RankAgentSettings.h"
+#include "Transport/HttpServer.h"
+#include "Transport/LinkServer.h"
+
+#include <functional>
+#include <memory>
+
+namespace Damaskgrade {
+
+// What a rank agent needs of the platform that it runs on.
+struct RankAgentPlatform {
+    Table& table;
+    CatalogSource& catalog;
+    std::function<std::unique_ptr<RankEngine>(const Endpoint&)> engine;
+};
+
+// The process beside one rank: answers the controller of its group, and becomes the controller when
+// none is heard of.
+class RankAgentProcess {
+public:
+    RankAgentProcess(EventLoop& loop, const Clock& clock, Random& random, RankAgentSettings settings, RankAgentPlatform platform, DecisionLog& log);
+    ~RankAgentProcess();
+    RankAgentProcess(const RankAgentProcess&) = delete;
+    RankAgentProcess& operator=(const RankAgentProcess&) = delete;
+
+private:
+    void registerSelf();
+    void receive(const std::shared_ptr<LinkSession>& session, const Frame& frame);
+    void tick();
+    void takeOverIfSilent();
+    void leaseChanged(std::uint64_t term, const std::string& controller);
+    void leaseFailed();
+    void control(std::uint64_t term, bool mayPlan);
+    void stopControl(std::uint64_t term);
+    std::string metricsText() const;
+
+    EventLoop& loop_;
+    const Clock& clock_;
+    Random& random_;
+    RankAgentSettings settings_;
+    RankAgentPlatform platform_;
+    DecisionLog& log_;
+    // Name of this start of the process, by which it knows its own lease.
+    std::string incarnationName_;
+    HybridClock hybridClock_;
+    std::unique_ptr<RankEngine> engine_;
+    RankAgent agent_;
+    std::unique_ptr<LinkServer> server_;
+    std::unique_ptr<HttpServer> metricsServer_;
+    std::unique_ptr<ControllerLease> lease_;
+    std::string leaseGroup_;
+    std::unique_ptr<GroupControl> control_;
+    std::unique_ptr<Timer> timer_;
+    std::unique_ptr<Timer> registerTimer_;
+    TimePoint leaseTriedAt_;
+    TimePoint reportAskedAt_;
+};
+
+}
--- /dev/null
+++ b/Source/RankMaps/RankAgentRows.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Platform/Table.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Damaskgrade {
+
+constexpr std::string_view rankAgentRowPrefix = "rankAgents/";
+
+// Where an agent and its engine are found.
+struct RankAgentRow {
+    std::string name;
+    std::string service;
+    Endpoint link;
+    Endpoint engine;
+};
+
+// Returns nothing for a row that another writer left or that can't be read.
+std::optional<RankAgentRow> parseRankAgentRow(const TableRow& row);
+TableWrite writeRankAgentRow(const RankAgentRow& row);
+
+}
--- /dev/null
+++ b/Source/RankMaps/RankAgentSettings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "Transport/LinkKeys.h"
+
+#include <chrono>
+#include <string>
+
+namespace Damaskgrade {
+
+// Settings of the agent beside one rank of a model group.
+struct RankAgentSettings {
+    std::string name;
+    // The service of the engine in the catalog.
+    std::string service;
+    // Where other agents connect.
+    Endpoint link;
+    // Where metrics are served.
+    Endpoint metrics;
+    Endpoint engine;
+    LinkKeys linkKeys;
+    // How often the controller asks the agents while no change is under way, and while one is.
+    std::chrono::milliseconds questionPeriod { 250 };
+    std::chrono::milliseconds busyQuestionPeriod { 60 };
+    // How often it asks for counts; two samples in the time in which demand is estimated.
+    std::chrono::milliseconds countPeriod { 500 };
+    // An agent that has heard of no controller for this long, and a part of the second by its rank, takes over.
+    std::chrono::milliseconds silenceLimit { 800 };
+    std::chrono::milliseconds silencePerRank { 60 };
+    // An agent that does not answer for this long is passed over, and its engine is ordered from afar.
+    std::chrono::milliseconds agentPatience { 500 };
+};
+
+}
--- /dev/null
+++ b/Source/RankMaps/RankMessages.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Core/Endpoint.h"
+#include "RankMaps/RankReport.h"
+#include "Transport/Frame.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Damaskgrade {
+
+// The controller of a group asks the agent of a rank for its state.
+struct RankQuestion {
+    static constexpr const char* type = "rankQuestion";
+    std::uint64_t term { 0 };
+    std::string controller;
+    bool wantsCounts { false };
+    bool wantsLists { false };
+};
+
+// The answer of an agent to a question or an order.
+struct RankStatus {
+    static constexpr const char* type = "rankStatus";
+    // The highest term that the agent has seen.
+    std::uint64_t term { 0 };
+    std::string agent;
+    // Absent if the engine did not answer.
+    std::optional<RankReport> report;
+    // Where the engine takes orders from afar.
+    Endpoint engine;
+    // Chosen experts since the last answer to this controller, over all sets; each is a multiple of countUnit.
+    std::vector<std::uint16_t> counts;
+    double countUnit { 1 };
+    std::optional<RankLists> lists;
+};
+
+// The controller has the agent give its engine an order.
+struct RankOrderMessage {
+    static constexpr const char* type = "rankOrder";
+    std::uint64_t term { 0 };
+    std::string controller;
+    RankOrder order;
+};
+
+struct RankOrderResultMessage {
+    static constexpr const char* type = "rankOrderResult";
+    std::uint64_t term { 0 };
+    std::string agent;
+    RankOrderKind kind { RankOrderKind::Prepare };
+    RankMapVersion version { 0 };
+    std::uint64_t pass { 0 };
+    RankOrderResult result { RankOrderResult::Unknown };
+};
+
+// Each decode function throws Error(BadFrame) if the body does not fit the type.
+Frame encodeMessage(const RankQuestion& message, HybridTime time);
+Frame encodeMessage(const RankStatus& message, HybridTime time);
+Frame encodeMessage(const RankOrderMessage& message, HybridTime time);
+Frame encodeMessage(const RankOrderResultMessage& message, HybridTime time);
+RankQuestion decodeRankQuestion(ByteView body);
+RankStatus decodeRankStatus(ByteView body);
+RankOrderMessage decodeRankOrder(ByteView body);
+RankOrderResultMessage decodeRankOrderResult(ByteView body);
+
+// Packs counts into multiples of a unit, so that each takes two bytes.
+void packCounts(const std::vector<double>& counts, RankStatus& status);
+
+}
--- /dev/null
+++ b/Source/RankMaps/SwitchController.cpp
@@ -0,0 +1,309 @@
+#include "RankMaps/SwitchController.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+// Versions of one term stay apart from those of all others.
+constexpr RankMapVersion versionsPerTerm = 10000;
+
+}
+
+SwitchController::SwitchController(const Clock& clock, SwitchControllerSettings settings, std::uint32_t holdRank, SendOrder sendOrder, Note note)
+    : clock_(clock)
+    , settings_(settings)
+    , holdRank_(holdRank)
+    , sendOrder_(std::move(sendOrder))
+    , note_(std::move(note))
+    , stageSince_(clock.now())
+    , margin_(settings.passMargin)
+{
+}
+
+void SwitchController::observe(const RankReport& report)
+{
+    if (report.epoch < epoch_)
+        return;
+    if (report.epoch > epoch_) {
+        // A new epoch clears all that was prepared, armed or held in the old one.
+        reports_.clear();
+        epoch_ = report.epoch;
+        if (stage_ != SwitchStage::Watching) {
+            ++counters_.givenUp;
+            note_("group formed anew", version_, pass_);
+            enter(SwitchStage::Watching);
+        }
+    }
+    groupSize_ = report.groupSize;
+    reports_[report.rank] = report;
+}
+
+void SwitchController::orderEnded(std::uint32_t rank, RankOrderKind kind, RankMapVersion version, std::uint64_t pass, RankOrderResult result)
+{
+    // What the engine did shows in its report; only a refusal is of use before.
+    if (result != RankOrderResult::Refused || version != version_)
+        return;
+    if (stage_ == SwitchStage::Preparing && kind == RankOrderKind::Prepare) {
+        // The version may have been taken by an order that is carried out late and shows soon.
+        orderedAt_[rank] = clock_.now();
+        return;
+    }
+    if (stage_ == SwitchStage::Holding && kind == RankOrderKind::Hold && pass == pass_) {
+        // The pass had begun before the order arrived.
+        margin_ = std::min<std::uint64_t>(margin_ + 1, settings_.passMargin * 4);
+        pass_ = 0;
+        orderedAt_.clear();
+    }
+}
+
+void SwitchController::tick()
+{
+    if (!isComplete())
+        return;
+    switch (stage_) {
+    case SwitchStage::Watching:
+        adopt();
+        break;
+    case SwitchStage::Preparing:
+        prepare();
+        break;
+    case SwitchStage::Holding:
+        hold();
+        break;
+    case SwitchStage::Arming:
+        arm();
+        break;
+    case SwitchStage::Releasing:
+        release();
+        break;
+    }
+}
+
+bool SwitchController::canStart() const
+{
+    if (stage_ != SwitchStage::Watching || !isComplete())
+        return false;
+    RankMapVersion version = mapVersion();
+    return std::all_of(reports_.begin(), reports_.end(), [version](const auto& entry) {
+        const RankReport& report = entry.second;
+        return report.isOpen && report.mapVersion == version && !report.armed && !report.heldPass;
+    });
+}
+
+void SwitchController::start(const GroupMap& map)
+{
+    ++counters_.started;
+    map_ = map;
+    version_ = std::max(highestVersion() + 1, token_ * versionsPerTerm);
+    highestUsed_ = version_;
+    pass_ = 0;
+    enter(SwitchStage::Preparing);
+    note_("change started", version_, lastPass());
+    prepare();
+}
+
+void SwitchController::reset()
+{
+    reports_.clear();
+    epoch_ = 0;
+    enter(SwitchStage::Watching);
+}
+
+RankMapVersion SwitchController::mapVersion() const
+{
+    return reports_.empty() ? 0 : reports_.begin()->second.mapVersion;
+}
+
+bool SwitchController::isComplete() const
+{
+    return groupSize_ > 0 && reports_.size() == groupSize_;
+}
+
+void SwitchController::enter(SwitchStage stage)
+{
+    stage_ = stage;
+    stageSince_ = clock_.now();
+    orderedAt_.clear();
+}
+
+void SwitchController::prepare()
+{
+    bool isDone = true;
+    for (const auto& [rank, report] : reports_) {
+        if (report.prepared == version_)
+            continue;
+        isDone = false;
+        order(rank, RankOrderKind::Prepare, settings_.repeatPrepareAfter);
+    }
+    if (isDone) {
+        enter(SwitchStage::Holding);
+        hold();
+        return;
+    }
+    if (clock_.now() - stageSince_ > settings_.prepareTimeout) {
+        ++counters_.givenUp;
+        note_("map was not loaded everywhere in time", version_, 0);
+        enter(SwitchStage::Watching);
+    }
+}
+
+void SwitchController::hold()
+{
+    const RankReport& holder = reports_[holdRank_];
+    bool holdsOtherPass = holder.heldPass && *holder.heldPass > lastPass();
+    // An earlier hold was carried out late. It serves as well, as no rank has been armed yet.
+    if (holdsOtherPass)
+        pass_ = *holder.heldPass;
+    if (pass_ != 0 && holder.heldPass == pass_) {
+        enter(SwitchStage::Arming);
+        arm();
+        return;
+    }
+    if (pass_ != 0 && lastPass() >= pass_) {
+        margin_ = std::min<std::uint64_t>(margin_ + 1, settings_.passMargin * 4);
+        pass_ = 0;
+    }
+    if (clock_.now() - stageSince_ > settings_.holdTimeout) {
+        ++counters_.givenUp;
+        note_("pass was not held in time", version_, pass_);
+        enter(SwitchStage::Watching);
+        return;
+    }
+    if (pass_ == 0) {
+        pass_ = lastPass() + margin_;
+        orderedAt_.clear();
+    }
+    order(holdRank_, RankOrderKind::Hold, settings_.repeatAfter);
+}
+
+void SwitchController::arm()
+{
+    bool isDone = true;
+    ArmedMap wanted { version_, pass_ };
+    for (const auto& [rank, report] : reports_) {
+        if (report.armed == wanted)
+            continue;
+        isDone = false;
+        order(rank, RankOrderKind::Arm, settings_.repeatAfter);
+    }
+    // A pass that has begun was let go by another controller, which had seen all ranks armed.
+    if (!isDone && lastPass() < pass_)
+        return;
+    enter(SwitchStage::Releasing);
+    release();
+}
+
+void SwitchController::release()
+{
+    bool isSwitched = std::all_of(reports_.begin(), reports_.end(), [this](const auto& entry) { return entry.second.mapVersion == version_; });
+    if (isSwitched && lastPass() >= pass_) {
+        ++counters_.completed;
+        margin_ = std::max(settings_.passMargin, margin_ - (margin_ > settings_.passMargin ? 1 : 0));
+        note_("change completed", version_, pass_);
+        enter(SwitchStage::Watching);
+        return;
+    }
+    if (clock_.now() - stageSince_ > settings_.releaseTimeout && lastPass() >= pass_) {
+        ++counters_.givenUp;
+        note_("pass begun, but not all ranks report the map", version_, pass_);
+        enter(SwitchStage::Watching);
+        return;
+    }
+    for (const auto& [rank, report] : reports_) {
+        // A hold that was carried out late may keep the group from getting to the pass of the switch.
+        if (report.heldPass && *report.heldPass > lastPass() && *report.heldPass <= pass_)
+            orderGo(rank, *report.heldPass);
+    }
+}
+
+void SwitchController::orderGo(std::uint32_t rank, std::uint64_t pass)
+{
+    std::uint64_t switchPass = pass_;
+    pass_ = pass;
+    order(rank, RankOrderKind::Go, settings_.repeatAfter);
+    pass_ = switchPass;
+}
+
+// Carries on with what an earlier controller, or an order that was carried out late, has left.
+void SwitchController::adopt()
+{
+    std::optional<ArmedMap> armed;
+    std::optional<std::uint64_t> held;
+    std::uint32_t holder = holdRank_;
+    bool areAllArmed = true;
+    for (const auto& [rank, report] : reports_) {
+        if (report.armed && (!armed || report.armed->pass > armed->pass))
+            armed = report.armed;
+        areAllArmed = areAllArmed && report.armed;
+        if (report.heldPass && *report.heldPass > lastPass()) {
+            held = report.heldPass;
+            holder = rank;
+        }
+    }
+    if (!armed && !held)
+        return;
+    if (areAllArmed && !held)
+        return;
+    ++counters_.adopted;
+    pass_ = held ? *held : armed->pass;
+    if (armed) {
+        version_ = armed->version;
+    } else {
+        // No rank is armed. An earlier controller may have ordered it where all have loaded the same map, and
+        // such an order may be carried out at any moment, so that the change has to be carried through.
+        std::optional<RankMapVersion> prepared = reports_.begin()->second.prepared;
+        bool isSame = std::all_of(reports_.begin(), reports_.end(), [&](const auto& entry) { return entry.second.prepared == prepared; });
+        bool isNew = prepared && *prepared > mapVersion();
+        if (!isSame || !isNew) {
+            note_("stray hold released", mapVersion(), pass_);
+            version_ = mapVersion();
+            order(holder, RankOrderKind::Go, settings_.repeatAfter);
+            return;
+        }
+        version_ = *prepared;
+    }
+    note_("unfinished change adopted", version_, pass_);
+    enter(SwitchStage::Arming);
+    arm();
+}
+
+void SwitchController::order(std::uint32_t rank, RankOrderKind kind, std::chrono::milliseconds repeatAfter)
+{
+    auto ordered = orderedAt_.find(rank);
+    if (ordered != orderedAt_.end() && clock_.now() - ordered->second < repeatAfter)
+        return;
+    orderedAt_[rank] = clock_.now();
+    RankOrder order;
+    order.kind = kind;
+    order.fencingToken = token_;
+    order.epoch = epoch_;
+    order.version = version_;
+    order.pass = pass_;
+    if (kind == RankOrderKind::Prepare)
+        order.map = map_;
+    sendOrder_(rank, order);
+}
+
+std::uint64_t SwitchController::lastPass() const
+{
+    std::uint64_t pass = 0;
+    for (const auto& [rank, report] : reports_)
+        pass = std::max(pass, report.pass);
+    return pass;
+}
+
+RankMapVersion SwitchController::highestVersion() const
+{
+    RankMapVersion highest = highestUsed_;
+    for (const auto& [rank, report] : reports_) {
+        highest = std::max(highest, report.mapVersion);
+        highest = std::max(highest, report.prepared.value_or(0));
+        highest = std::max(highest, report.armed ? report.armed->version : 0);
+    }
+    return highest;
+}
+
+}
--- /dev/null
+++ b/Source/RankMaps/SwitchController.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "RankMaps/RankReport.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string_view>
+
+namespace Damaskgrade {
+
+struct SwitchControllerSettings {
+    // Passes between the last reported one and the switch, so that the orders arrive before it and the
+    // group does not have to wait.
+    std::uint64_t passMargin { 3 };
+    // An order that does not show in the rank's report is given again after this time. Below the time in
+    // which a caller notices a pause.
+    std::chrono::milliseconds repeatAfter { 120 };
+    std::chrono::milliseconds repeatPrepareAfter { 400 };
+    // A map that is not loaded everywhere by then is given up.
+    std::chrono::milliseconds prepareTimeout { 5000 };
+    std::chrono::milliseconds holdTimeout { 2000 };
+    std::chrono::milliseconds releaseTimeout { 3000 };
+};
+
+enum class SwitchStage {
+    // No change is under way.
+    Watching,
+    Preparing,
+    // Waits until one rank holds the pass of the switch.
+    Holding,
+    // The pass is held. All ranks are armed, whatever that takes.
+    Arming,
+    // All ranks are armed; the pass is let go.
+    Releasing,
+};
+
+struct SwitchCounters {
+    std::uint64_t started { 0 };
+    std::uint64_t completed { 0 };
+    std::uint64_t givenUp { 0 };
+    // Passes that were found held or armed by an earlier controller.
+    std::uint64_t adopted { 0 };
+};
+
+// Changes the map of a group in one pass on all ranks. A pass is held by one rank before any rank is
+// armed, and let go only after every rank has reported that it is armed for it. Once a rank may be armed
+// there is no way back: a change is carried through, by this controller or by the next one, which finds
+// it in the reports. So an order that is carried out late finds its pass begun, and has no effect.
+class SwitchController {
+public:
+    using SendOrder = std::function<void(std::uint32_t rank, const RankOrder& order)>;
+    // Gets what was decided and why, for the log.
+    using Note = std::function<void(std::string_view decision, RankMapVersion version, std::uint64_t pass)>;
+
+    SwitchController(const Clock& clock, SwitchControllerSettings settings, std::uint32_t holdRank, SendOrder sendOrder, Note note);
+
+    void setFencingToken(std::uint64_t token) { token_ = token; }
+
+    void observe(const RankReport& report);
+    void orderEnded(std::uint32_t rank, RankOrderKind kind, RankMapVersion version, std::uint64_t pass, RankOrderResult result);
+
+    // Gives orders that are due. Call often while a change is under way.
+    void tick();
+
+    // Says whether all ranks are known, in one open epoch, with one map and nothing under way.
+    bool canStart() const;
+
+    // Starts a change. Only if canStart().
+    void start(const GroupMap& map);
+
+    // Forgets everything about the group, for example when another controller has taken over.
+    void reset();
+
+    SwitchStage stage() const { return stage_; }
+    RankMapVersion mapVersion() const;
+    std::uint64_t epoch() const { return epoch_; }
+    const std::map<std::uint32_t, RankReport>& reports() const { return reports_; }
+    const SwitchCounters& counters() const { return counters_; }
+
+private:
+    bool isComplete() const;
+    void enter(SwitchStage stage);
+    void prepare();
+    void hold();
+    void arm();
+    void release();
+    void adopt();
+    void order(std::uint32_t rank, RankOrderKind kind, std::chrono::milliseconds repeatAfter);
+    void orderGo(std::uint32_t rank, std::uint64_t pass);
+    std::uint64_t lastPass() const;
+    RankMapVersion highestVersion() const;
+
+    const Clock& clock_;
+    SwitchControllerSettings settings_;
+    std::uint32_t holdRank_;
+    SendOrder sendOrder_;
+    Note note_;
+    std::uint64_t token_ { 0 };
+
+    std::uint64_t epoch_ { 0 };
+    std::uint32_t groupSize_ { 0 };
+    std::map<std::uint32_t, RankReport> reports_;
+
+    SwitchStage stage_ { SwitchStage::Watching };
+    TimePoint stageSince_;
+    RankMapVersion version_ { 0 };
+    RankMapVersion highestUsed_ { 0 };
+    std::uint64_t pass_ { 0 };
+    std::uint64_t margin_;
+    GroupMap map_;
+    std::map<std::uint32_t, TimePoint> orderedAt_;
+    SwitchCounters counters_;
+};
+
+}
--- a/Source/Transport/EventLoop.cpp
+++ b/Source/Transport/EventLoop.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <initializer_list>
 #include <utility>
 
 namespace Damaskgrade {
@@ -67,13 +68,26 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { context.get_executor() };
     boost::asio::signal_set signals { context };
     std::function<void()> terminationTask;
+    std::function<void()> reloadTask;
+    bool isWaitingForSignal { false };
+
+    void handleSignals(std::initializer_list<int> numbers)
+    {
+        for (int number : numbers)
+            signals.add(number);
+        if (!isWaitingForSignal)
+            waitForSignal();
+        isWaitingForSignal = true;
+    }
 
     void waitForSignal()
     {
-        signals.async_wait([this](boost::system::error_code failure, int) {
+        signals.async_wait([this](boost::system::error_code failure, int number) {
             if (failure)
                 return;
-            terminationTask();
+            const std::function<void()>& task = number == SIGHUP ? reloadTask : terminationTask;
+            if (task)
+                task();
             waitForSignal();
         });
     }
@@ -119,9 +133,13 @@
 void EventLoop::onTermination(std::function<void()> task)
 {
     state_->terminationTask = std::move(task);
-    state_->signals.add(SIGTERM);
-    state_->signals.add(SIGINT);
-    state_->waitForSignal();
+    state_->handleSignals({ SIGTERM, SIGINT });
+}
+
+void EventLoop::onReload(std::function<void()> task)
+{
+    state_->reloadTask = std::move(task);
+    state_->handleSignals({ SIGHUP });
 }
 
 boost::asio::io_context& EventLoop::context()
--- a/Source/Transport/EventLoop.h
+++ b/Source/Transport/EventLoop.h
@@ -44,6 +44,9 @@
     // Runs the task at each SIGTERM or SIGINT.
     void onTermination(std::function<void()> task);
 
+    // Runs the task at each SIGHUP.
+    void onReload(std::function<void()> task);
+
     boost::asio::io_context& context();
 
 private:
