--- /dev/null
+++ b/Source/Forwarding/PooledClient.cpp
@@ -0,0 +1,91 @@
+#include "Forwarding/PooledClient.h"
+
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+std::string requestBytes(const Endpoint& server, const HttpRequest& request)
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + formatEndpoint(server) + "\r\n";
+    for (const HttpHeader& header : request.headers)
+        text += header.name + ": " + header.value + "\r\n";
+    if (!request.body.empty() || request.method == "POST")
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    return text + "\r\n" + request.body;
+}
+
+}
+
+// One request under way. It ends once, by its response, its failure or its timeout.
+struct PooledClient::Call {
+    std::function<void(HttpResponse)> onResponse;
+    std::function<void(const HttpFailure&)> onFailure;
+    std::unique_ptr<Timer> timer;
+    std::shared_ptr<UpstreamConnection> connection;
+    HttpResponse response;
+    bool isDone { false };
+
+    void fail(ResultCode code)
+    {
+        if (isDone)
+            return;
+        isDone = true;
+        timer = nullptr;
+        bool wasSent = connection != nullptr;
+        if (connection)
+            connection->close();
+        onFailure({ code, wasSent });
+    }
+};
+
+PooledClient::PooledClient(EventLoop& loop, const Clock& clock, std::chrono::milliseconds timeout)
+    : loop_(loop)
+    , timeout_(timeout)
+    , pool_(clock, {}, [&loop] { return makeUpstreamConnection(loop); })
+{
+}
+
+void PooledClient::send(const Endpoint& server, const HttpRequest& request, std::function<void(HttpResponse)> onResponse, std::function<void(const HttpFailure&)> onFailure)
+{
+    auto call = std::make_shared<Call>();
+    call->onResponse = std::move(onResponse);
+    call->onFailure = std::move(onFailure);
+    std::weak_ptr<Call> weak = call;
+    call->timer = loop_.after(timeout_, [weak] {
+        if (std::shared_ptr<Call> late = weak.lock())
+            late->fail(ResultCode::Timeout);
+    });
+    std::string name = formatEndpoint(server);
+    pool_.acquire(name, server, [this, call, name, bytes = requestBytes(server, request)](std::shared_ptr<UpstreamConnection> connection, bool) {
+        if (call->isDone) {
+            if (connection)
+                pool_.release(name, std::move(connection));
+            return;
+        }
+        if (!connection) {
+            call->fail(ResultCode::ConnectionFailed);
+            return;
+        }
+        call->connection = connection;
+        UpstreamHandlers handlers;
+        handlers.onHead = [call](const HttpResponse& head) {
+            call->response = head;
+            return true;
+        };
+        handlers.onBody = [call](std::string_view body) { call->response.body.append(body); };
+        handlers.onEnd = [this, call, name] {
+            if (call->isDone)
+                return;
+            call->isDone = true;
+            call->timer = nullptr;
+            pool_.release(name, std::move(call->connection));
+            call->onResponse(std::move(call->response));
+        };
+        handlers.onFailure = [call] { call->fail(ResultCode::ConnectionFailed); };
+        connection->exchange(bytes, std::move(handlers));
+    });
+}
+
+}
