Forwarding, RankMaps: Refuse late streams early, plan by utilization, take over at once after a restart

Change: an agent takes over at once from its own earlier start; a stream waits 0.6 of its target for a server; a map change has to save more while slots are free. Ruled out: more time to wait, as callers leave after 2 s without an event.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -66,8 +66,10 @@
         limit_ = arrivedAt_ + *deadline;
         isLimitOfRoute_ = false;
     }
-    std::chrono::milliseconds byShare(static_cast<std::int64_t>(static_cast<double>(milliseconds(limit_ - arrivedAt_)) * context_.settings.maxWaitShare));
-    waitUntil_ = arrivedAt_ + std::min(byShare, context_.settings.maxWait);
+    bool isStream = terms_.route->kind == RequestKind::Streaming;
+    double wait = isStream ? static_cast<double>(terms_.route->targetLatency.count()) * context_.settings.maxStreamWait
+                           : static_cast<double>(milliseconds(limit_ - arrivedAt_)) * context_.settings.maxWait;
+    waitUntil_ = arrivedAt_ + std::chrono::milliseconds(static_cast<std::int64_t>(wait));
 }
 
 ForwardedRequest::~ForwardedRequest()
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -15,11 +15,12 @@
 namespace Damaskgrade {
 
 struct ForwardingSettings {
-    // Longest time that a request waits for a free server before it is refused. Callers leave a stream
-    // without a first event after two seconds.
-    std::chrono::milliseconds maxWait { 1300 };
-    // The same as a share of the time that the caller waits, whichever is shorter.
-    double maxWaitShare { 0.4 };
+    // Longest time that a stream waits for a free server before it is refused, as a share of the target
+    // latency of its route. The rest is needed to read the prompt. Streams that wait longer are late, and
+    // make those behind them late.
+    double maxStreamWait { 0.6 };
+    // Longest time that another request waits, as a share of the time that its caller waits.
+    double maxWait { 0.4 };
     // When a refused caller is to come back.
     std::chrono::milliseconds retryAfter { 700 };
     // An idempotent request is given to another server after this time without an answer; several times
--- a/Source/Forwarding/PooledClient.cpp
+++ b/Source/Forwarding/PooledClient.cpp
@@ -43,7 +43,7 @@
 PooledClient::PooledClient(EventLoop& loop, const Clock& clock, std::chrono::milliseconds timeout)
     : loop_(loop)
     , timeout_(timeout)
-    , pool_(clock, {}, [&loop] { return makeUpstreamConnection(loop); })
+    , pool_(std::make_shared<UpstreamPool>(clock, UpstreamPoolSettings {}, [&loop] { return makeUpstreamConnection(loop); }))
 {
 }
 
@@ -58,10 +58,10 @@
             late->fail(ResultCode::Timeout);
     });
     std::string name = formatEndpoint(server);
-    pool_.acquire(name, server, [this, call, name, bytes = requestBytes(server, request)](std::shared_ptr<UpstreamConnection> connection, bool) {
+    pool_->acquire(name, server, [pool = pool_, call, name, bytes = requestBytes(server, request)](std::shared_ptr<UpstreamConnection> connection, bool) {
         if (call->isDone) {
             if (connection)
-                pool_.release(name, std::move(connection));
+                pool->release(name, std::move(connection));
             return;
         }
         if (!connection) {
@@ -75,12 +75,12 @@
             return true;
         };
         handlers.onBody = [call](std::string_view body) { call->response.body.append(body); };
-        handlers.onEnd = [this, call, name] {
+        handlers.onEnd = [pool, call, name] {
             if (call->isDone)
                 return;
             call->isDone = true;
             call->timer = nullptr;
-            pool_.release(name, std::move(call->connection));
+            pool->release(name, std::move(call->connection));
             call->onResponse(std::move(call->response));
         };
         handlers.onFailure = [call] { call->fail(ResultCode::ConnectionFailed); };
--- a/Source/Forwarding/PooledClient.h
+++ b/Source/Forwarding/PooledClient.h
@@ -20,14 +20,15 @@
     void send(const Endpoint& server, const HttpRequest& request, std::function<void(HttpResponse)> onResponse, std::function<void(const HttpFailure&)> onFailure);
 
     // Closes connections that have been idle for too long. Call about once a second.
-    void closeExpired() { pool_.closeExpired(); }
+    void closeExpired() { pool_->closeExpired(); }
 
 private:
     struct Call;
 
     EventLoop& loop_;
     std::chrono::milliseconds timeout_;
-    UpstreamPool pool_;
+    // Shared with the calls under way, which may outlive this client.
+    std::shared_ptr<UpstreamPool> pool_;
 };
 
 }
--- a/Source/Forwarding/UpstreamPool.cpp
+++ b/Source/Forwarding/UpstreamPool.cpp
@@ -12,6 +12,14 @@
 {
 }
 
+UpstreamPool::~UpstreamPool()
+{
+    for (auto& [server, idle] : idle_) {
+        for (Idle& entry : idle)
+            entry.connection->close();
+    }
+}
+
 void UpstreamPool::acquire(const std::string& serverId, const Endpoint& address, Done done)
 {
     std::deque<Idle>& idle = idle_[serverId];
--- a/Source/Forwarding/UpstreamPool.h
+++ b/Source/Forwarding/UpstreamPool.h
@@ -37,6 +37,9 @@
     using Done = std::function<void(std::shared_ptr<UpstreamConnection>, bool isReused)>;
 
     UpstreamPool(const Clock& clock, UpstreamPoolSettings settings, Factory factory);
+    ~UpstreamPool();
+    UpstreamPool(const UpstreamPool&) = delete;
+    UpstreamPool& operator=(const UpstreamPool&) = delete;
 
     // The server is named by its id, so that a new server at a reused address gets connections of its own.
     // done may be called before acquire returns.
--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -86,21 +86,31 @@
         if (!*alive)
             return;
         const ServiceSpecification* service = result.version.catalog ? result.version.catalog->findService(settings_.service) : nullptr;
-        std::size_t ranks = switch_.reports().empty() ? 0 : switch_.reports().begin()->second.groupSize;
-        if (!service || !service->engine || ranks == 0) {
+        if (!service || !service->engine) {
             layoutTimer_ = loop_.after(layoutRetry, [this] { readLayout(); });
             return;
         }
-        const EngineModel& engine = *service->engine;
-        ExpertLayout layout { static_cast<std::uint32_t>(ranks), engine.expertSets, engine.expertsPerSet, engine.expertSlotsPerRank, std::max(1U, engine.spareExpertSlots) };
-        if (layout.sets > 0 && layout.expertsPerSet > 0)
-            planner_ = std::make_unique<MapPlanner>(clock_, layout, MapPlannerSettings {});
+        engineModel_ = *service->engine;
+        slotsPerRank_ = engineModel_->slots;
     });
 }
 
+// Needs the engine's model and the size of the group, which come in any order.
+void GroupControl::makePlanner()
+{
+    if (planner_ || !engineModel_ || switch_.reports().empty())
+        return;
+    const EngineModel& engine = *engineModel_;
+    std::uint32_t ranks = switch_.reports().begin()->second.groupSize;
+    ExpertLayout layout { ranks, engine.expertSets, engine.expertsPerSet, engine.expertSlotsPerRank, std::max(1U, engine.spareExpertSlots) };
+    if (layout.sets > 0 && layout.expertsPerSet > 0 && ranks > 0)
+        planner_ = std::make_unique<MapPlanner>(clock_, layout, MapPlannerSettings {});
+}
+
 void GroupControl::tick()
 {
     TimePoint now = clock_.now();
+    makePlanner();
     if (now >= nextQuestion_) {
         bool isBusy = switch_.stage() != SwitchStage::Watching;
         nextQuestion_ = now + (isBusy ? settings_.busyQuestionPeriod : settings_.questionPeriod);
@@ -221,7 +231,11 @@
 
 void GroupControl::plan()
 {
-    std::optional<MapPlan> plan = planner_->plan(switch_.mapVersion());
+    double running = 0;
+    for (const auto& [rank, report] : switch_.reports())
+        running += report.running;
+    double utilization = running / std::max(1.0, static_cast<double>(slotsPerRank_) * static_cast<double>(switch_.reports().size()));
+    std::optional<MapPlan> plan = planner_->plan(switch_.mapVersion(), utilization);
     if (!plan)
         return;
     log_.write(LogLine("mapPlanned").add("group", group_).add("skewBeforePermille", static_cast<std::int64_t>(plan->skewBefore * permille))
--- a/Source/RankMaps/GroupControl.h
+++ b/Source/RankMaps/GroupControl.h
@@ -62,6 +62,7 @@
     void receiveStatus(const RankStatus& status);
     void sendOrder(std::uint32_t rank, const RankOrder& order);
     void plan();
+    void makePlanner();
     bool isAnswering(const std::string& name, const Member& member) const;
     RankEngine& remoteEngine(Member& member);
 
@@ -75,6 +76,8 @@
     DecisionLog& log_;
     HybridClock hybridClock_;
     SwitchController switch_;
+    std::optional<EngineModel> engineModel_;
+    std::uint32_t slotsPerRank_ { 0 };
     std::unique_ptr<MapPlanner> planner_;
     std::map<std::string, Member> members_;
     LinkDirectory links_;
--- a/Source/RankMaps/MapPlanner.cpp
+++ b/Source/RankMaps/MapPlanner.cpp
@@ -70,8 +70,11 @@
     return version == version_ && experts_.size() == layout_.ranks;
 }
 
-std::optional<MapPlan> MapPlanner::plan(RankMapVersion version) const
+std::optional<MapPlan> MapPlanner::plan(RankMapVersion version, double utilization) const
 {
+    double idle = std::max(0.0, 1 - settings_.usualReserve - utilization);
+    double gainPerLoad = settings_.gainPerLoad + settings_.idleGainPerLoad * idle;
+    double minimumGain = settings_.minimumGain + settings_.idleGain * idle;
     if (!knowsMap(version))
         return std::nullopt;
     std::vector<double> even(layout_.ranks, 1);
@@ -98,7 +101,7 @@
             spent += loaded;
             // Several loads may be needed before the fullest rank changes, so the best point on the way is taken.
             double pays = (chosenSkew - search.skew()) / layout_.sets;
-            if (pays >= settings_.gainPerLoad * static_cast<double>(spent - chosenLoads)) {
+            if (pays >= gainPerLoad * static_cast<double>(spent - chosenLoads)) {
                 chosen = search.map(0);
                 chosenSkew = search.skew();
                 chosenLoads = spent;
@@ -109,7 +112,7 @@
         plan.skewAfter += chosenSkew / layout_.sets;
         writeSet(chosen, plan.map[set]);
     }
-    if (plan.skewBefore - plan.skewAfter < settings_.minimumGain)
+    if (plan.skewBefore - plan.skewAfter < minimumGain)
         return std::nullopt;
     return plan;
 }
--- a/Source/RankMaps/MapPlanner.h
+++ b/Source/RankMaps/MapPlanner.h
@@ -24,10 +24,16 @@
 struct MapPlannerSettings {
     // Counts older than this count for less than 1/e. Demand shifts every few seconds.
     std::chrono::milliseconds memory { 900 };
-    // The load of the fullest rank, over all sets, that a change has to save at least.
-    double minimumGain { 0.04 };
+    // The load of the fullest rank over the mean, averaged over the sets, that a change has to save at least
+    // while all slots are in use. A load of one expert takes some milliseconds of each pass.
+    double minimumGain { 0.06 };
     // The same for each expert that is loaded, so that a load is worth its transfer.
-    double gainPerLoad { 0.0025 };
+    double gainPerLoad { 0.003 };
+    // At a lower utilization passes are short anyway, so a change has to save more: these are added, times
+    // the share of slots that is free beyond the usual reserve.
+    double idleGain { 0.8 };
+    double idleGainPerLoad { 0.02 };
+    double usualReserve { 0.2 };
     // Counts in a set below which nothing is decided.
     double minimumCounts { 20000 };
 };
@@ -58,7 +64,8 @@
     bool knowsMap(RankMapVersion version) const;
 
     // Returns the change that is worthwhile now, if any.
-    std::optional<MapPlan> plan(RankMapVersion version) const;
+    // The utilization is the share of the group's slots that is in use.
+    std::optional<MapPlan> plan(RankMapVersion version, double utilization) const;
 
     // Forgets the counts, for example after the group has formed anew.
     void resetCounts();
--- a/Source/RankMaps/RankAgentProcess.cpp
+++ b/Source/RankMaps/RankAgentProcess.cpp
@@ -106,28 +106,39 @@
         return;
     }
     const RankReport& report = *agent_.report();
+    if (!lease_ || leaseGroup_ != report.group) {
+        leaseGroup_ = report.group;
+        lease_ = std::make_unique<ControllerLease>(
+            platform_.table, report.group, incarnationName_, [this](std::uint64_t term, const std::string& controller) { leaseChanged(term, controller); }, [this] { leaseFailed(); });
+        // Learns the term before it may be needed.
+        lease_->read();
+        return;
+    }
     bool isSilent = now - agent_.heardAt() >= settings_.silenceLimit + settings_.silencePerRank * report.rank;
     // A controller without the right to plan hears itself, and tries for the lease now and then.
     bool isRetryDue = control_ && now - leaseTriedAt_ >= leaseRetry;
     if (control_ ? !isRetryDue : !isSilent)
         return;
     leaseTriedAt_ = now;
-    if (!lease_ || leaseGroup_ != report.group) {
-        leaseGroup_ = report.group;
-        lease_ = std::make_unique<ControllerLease>(
-            platform_.table, report.group, incarnationName_, [this](std::uint64_t term, const std::string& controller) { leaseChanged(term, controller); }, [this] { leaseFailed(); });
-    }
     lease_->takeOver(agent_.term());
 }
 
 void RankAgentProcess::leaseChanged(std::uint64_t term, const std::string& controller)
 {
     agent_.noteTerm(term);
+    if (controller.empty())
+        return;
     if (controller == incarnationName_) {
         control(term, true);
         return;
     }
-    // The new controller gets the time that it needs to make itself heard.
+    // The last controller was an earlier start of this process, which will not be heard of again.
+    bool isOwnPredecessor = controller.substr(0, controller.find('#')) == settings_.name;
+    if (isOwnPredecessor && !control_) {
+        lease_->takeOver(term);
+        return;
+    }
+    // Another controller gets the time that it needs to make itself heard.
     agent_.noteController();
     if (control_ && control_->term() < term)
         stopControl(term);
