Forwarding: Wait for a service that is out of order, and try it with one request at a time

Entries of ended servers were used until they lapsed (421). Change: three refusals in a row that are not for want of a slot put a service out of order; it is tried once in 60 ms, and requests wait up to 1.7 s. Of two entries with one address the later start holds. Ruled out: a longer Retry-After alone, as a caller's only retry is often spent on the cut itself.

--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -27,6 +27,12 @@
 
     std::map<std::string, ServerRecord, std::less<>> next;
     for (const ServerRecord& listed : snapshot.servers) {
+        // The entry of a server that has ended lapses only after a while; a later start took its address.
+        bool isReplaced = std::any_of(snapshot.servers.begin(), snapshot.servers.end(), [&listed](const ServerRecord& other) {
+            return other.address == listed.address && other.startedAt > listed.startedAt;
+        });
+        if (isReplaced)
+            continue;
         ServerRecord record = listed;
         auto known = servers_.find(record.id);
         bool isSameStart = known != servers_.end() && known->second.address == record.address && known->second.startedAt == record.startedAt;
--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -135,7 +135,9 @@
 void ForwardedRequest::waitOrRefuse()
 {
     state_ = State::Waiting;
-    TimePoint until = isFirstSend_ || !executions_ ? waitUntil_ : limit_;
+    TimePoint until = executions_ > 0 ? limit_ : waitUntil_;
+    if (executions_ == 0 && context_.chooser.isOutOfOrder(terms_.service))
+        until = std::max(until, std::min(arrivedAt_ + context_.settings.maxOutageWait, limit_ - context_.settings.deadlineMargin));
     if (context_.clock.now() >= until)
         giveUp("no server is free");
 }
@@ -316,11 +318,10 @@
     case AttemptEnd::NotConnected:
         ++failedConnections_;
         context_.outliers.callFailed(serverId);
-        context_.chooser.avoid(serverId, context_.clock.now() + context_.settings.refusalPause);
+        context_.chooser.avoid(serverId, context_.clock.now() + context_.settings.unreachablePause);
         break;
     case AttemptEnd::Refused:
-        ++refusals_;
-        context_.chooser.avoid(serverId, context_.clock.now() + context_.settings.refusalPause);
+        noteRefusal(serverId);
         break;
     case AttemptEnd::Unknown:
         ++executions_;
@@ -352,14 +353,23 @@
     send();
 }
 
+void ForwardedRequest::noteRefusal(const std::string& serverId)
+{
+    bool isMisdirected = head_ && head_->status == statusMisdirected;
+    if (!isMisdirected)
+        context_.chooser.noteRefusal(terms_.service, serverId);
+    Duration pause = isMisdirected ? context_.settings.misdirectedPause : context_.settings.refusalPause;
+    context_.chooser.avoid(serverId, context_.clock.now() + pause);
+}
+
 bool ForwardedRequest::mayRepeat(AttemptEnd end)
 {
     const Route& route = *terms_.route;
     if (end == AttemptEnd::NotConnected)
         return failedConnections_ < context_.settings.maxFailedConnections && (executions_ == 0 || route.mayRepeat());
     if (end == AttemptEnd::Refused && executions_ == 0)
-        return sends_ < route.maxAttempts + context_.settings.extraSendsAfterRefusal;
-    if (!route.mayRepeat() || executions_ >= route.maxAttempts || sends_ >= route.maxAttempts + context_.settings.extraSendsAfterRefusal)
+        return sends_ < route.maxAttempts + context_.settings.maxRefusals;
+    if (!route.mayRepeat() || executions_ >= route.maxAttempts || sends_ >= route.maxAttempts + context_.settings.maxRefusals)
         return false;
     // Without ids there is no place to continue a started stream at.
     return !isStreamStarted() || lastEventId_.has_value();
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -82,6 +82,7 @@
     void takeEvent(const RawEvent& event);
     void takeEnd();
     void endAttempt(AttemptEnd end, std::string_view reason);
+    void noteRefusal(const std::string& serverId);
     void dropConnection();
     void freeServer();
     bool mayRepeat(AttemptEnd end);
@@ -113,7 +114,6 @@
     // Sends that were executed or may have been.
     std::uint32_t executions_ { 0 };
     std::uint32_t failedConnections_ { 0 };
-    std::uint32_t refusals_ { 0 };
     bool isFirstSend_ { true };
     std::vector<std::string> tried_;
     std::optional<ServerRecord> server_;
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -21,6 +21,9 @@
     double maxStreamWait { 0.6 };
     // Longest time that another request waits, as a share of the time that its caller waits.
     double maxWait { 0.4 };
+    // Longest time that a request waits for a service that is out of order. Callers leave a stream without
+    // a first event after two seconds, and come back once only.
+    std::chrono::milliseconds maxOutageWait { 1700 };
     // When a refused caller is to come back.
     std::chrono::milliseconds retryAfter { 700 };
     // An idempotent request is given to another server after this time without an answer; several times
@@ -30,8 +33,12 @@
     std::chrono::milliseconds streamSilence { 900 };
     // A server that refused a request gets no other for this time.
     std::chrono::milliseconds refusalPause { 150 };
-    // Sends beyond the permitted executions of a route after proven refusals.
-    std::uint32_t extraSendsAfterRefusal { 1 };
+    // The same after the address was found to belong to another server, until the registry drops the entry.
+    std::chrono::milliseconds misdirectedPause { 2000 };
+    // The same after a connection was refused.
+    std::chrono::milliseconds unreachablePause { 400 };
+    // Sends beyond the permitted executions of a route after proven refusals. Each draws on the retry allowance.
+    std::uint32_t maxRefusals { 3 };
     // Servers to which one request may fail to connect.
     std::uint32_t maxFailedConnections { 4 };
     // The answer to a request that is given up is sent this long before the caller's deadline.
--- a/Source/Forwarding/ServerChooser.cpp
+++ b/Source/Forwarding/ServerChooser.cpp
@@ -22,6 +22,10 @@
     std::vector<const ServerRecord*> ready = fleet_.ready(service);
     if (ready.empty())
         return {};
+    auto outage = outages_.find(service);
+    bool isProbe = outage != outages_.end() && outage->second.refusalsInRow >= settings_.refusalsUntilOutage;
+    if (isProbe && clock_.now() < outage->second.nextProbe)
+        return { ChoiceKind::Busy, nullptr };
     auto isTried = [tried](const ServerRecord* server) { return std::find(tried.begin(), tried.end(), server->id) != tried.end(); };
     bool haveAllBeenTried = std::all_of(ready.begin(), ready.end(), isTried);
     bool areAllEjected = std::all_of(ready.begin(), ready.end(), [this](const ServerRecord* server) { return outliers_.isEjected(server->id); });
@@ -45,6 +49,8 @@
     }
     if (!best)
         return { ChoiceKind::Busy, nullptr };
+    if (isProbe)
+        outage->second.nextProbe = clock_.now() + settings_.probePeriod;
     return { ChoiceKind::Server, best };
 }
 
@@ -69,6 +75,26 @@
         progress.newest = serverId;
     }
     progress.newestAt = clock_.now();
+    auto outage = outages_.find(service);
+    if (outage != outages_.end())
+        outages_.erase(outage);
+}
+
+void ServerChooser::noteRefusal(std::string_view service, const std::string& serverId)
+{
+    const ServerRecord* server = fleet_.find(serverId);
+    bool isFull = server && loads_.inFlight(serverId) > slotsOf(*server);
+    if (isFull)
+        return;
+    Outage& outage = outages_.emplace(std::string(service), Outage { 0, clock_.now() }).first->second;
+    ++outage.refusalsInRow;
+}
+
+bool ServerChooser::isOutOfOrder(std::string_view service) const
+{
+    auto outage = outages_.find(service);
+    bool isRefusing = outage != outages_.end() && outage->second.refusalsInRow >= settings_.refusalsUntilOutage;
+    return isRefusing || fleet_.ready(service).empty();
 }
 
 bool ServerChooser::hasProgressElsewhere(std::string_view service, std::string_view serverId, TimePoint since) const
--- a/Source/Forwarding/ServerChooser.h
+++ b/Source/Forwarding/ServerChooser.h
@@ -22,6 +22,11 @@
     std::uint32_t assumedSlots { 8 };
     // A server in another zone is taken if it has this many requests less; ties stay in the zone.
     double zoneBias { 0.5 };
+    // After this many refusals in a row, none of them for want of a slot, a service counts as out of order,
+    // for example because its group is forming anew.
+    std::uint32_t refusalsUntilOutage { 3 };
+    // A service that is out of order is tried with one request in this time.
+    std::chrono::milliseconds probePeriod { 60 };
 };
 
 enum class ChoiceKind {
@@ -56,6 +61,12 @@
     // The server has sent part of a response.
     void noteProgress(std::string_view service, const std::string& serverId);
 
+    // The server refused a request.
+    void noteRefusal(std::string_view service, const std::string& serverId);
+
+    // Says whether the service refuses all requests, or the registry lists no ready server of it.
+    bool isOutOfOrder(std::string_view service) const;
+
     // Says whether another server of the service has sent something since then.
     bool hasProgressElsewhere(std::string_view service, std::string_view serverId, TimePoint since) const;
 
@@ -67,6 +78,12 @@
         TimePoint otherAt;
     };
 
+    // How the servers of a service have answered since the last success.
+    struct Outage {
+        std::uint32_t refusalsInRow { 0 };
+        TimePoint nextProbe;
+    };
+
     double slotsOf(const ServerRecord& server) const;
     bool isAvoided(const ServerRecord& server) const;
 
@@ -78,6 +95,7 @@
     ServerChooserSettings settings_;
     std::map<std::string, TimePoint, std::less<>> avoidedUntil_;
     std::map<std::string, Progress, std::less<>> progress_;
+    std::map<std::string, Outage, std::less<>> outages_;
 };
 
 }
