RankMaps: Choose the pass of a switch by time, and follow shifts of demand twice as fast

Change: the lead of a switch is a time, longer while orders are lost; counts every 250 ms with a memory of 500 ms. Ended requests that were late say their longest pause.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -278,11 +278,33 @@
     }
     if (event.id)
         lastEventId_ = event.id;
+    notePause();
     ++events_;
     ++context_.counters.events;
     exchange_->write(event.bytes);
 }
 
+void ForwardedRequest::notePause()
+{
+    if (events_ == 0) {
+        firstEventAt_ = progressAt_;
+    } else if (progressAt_ - lastEventAt_ > longestPause_) {
+        longestPause_ = progressAt_ - lastEventAt_;
+        longestPauseAt_ = progressAt_;
+    }
+    lastEventAt_ = progressAt_;
+}
+
+// Says whether the response, as far as it has come, missed a target of its route.
+bool ForwardedRequest::isLate() const
+{
+    const Route& route = *terms_.route;
+    if (route.kind != RequestKind::Streaming)
+        return context_.clock.now() - arrivedAt_ > route.targetLatency;
+    bool isPaused = route.targetGap > std::chrono::milliseconds::zero() && longestPause_ > route.targetGap;
+    return events_ == 0 || firstEventAt_ - arrivedAt_ > route.targetLatency || isPaused;
+}
+
 void ForwardedRequest::takeEnd()
 {
     if (isRefusal_) {
@@ -487,13 +509,19 @@
 
 void ForwardedRequest::finish(std::string_view outcome, ResultCode code, std::string_view reason)
 {
-    bool isPlain = code == ResultCode::Ok && sends_ == 1;
+    bool isPlain = code == ResultCode::Ok && sends_ == 1 && !isLate();
+    if (code == ResultCode::Ok && isLate())
+        ++context_.counters.late;
     if (!isPlain || context_.log.samplesSuccess()) {
         LogLine line("requestEnded");
         line.add("request", requestId_).add("outcome", outcome).add("code", resultNumber(code)).add("reason", reason);
         line.add("route", terms_.route->name).add("customer", terms_.customer).add("service", terms_.service);
         line.add("catalog", terms_.catalog->version()).add("sends", sends_).add("executions", executions_).add("events", events_);
         line.add("server", server_ ? server_->id : (tried_.empty() ? "" : tried_.back()));
+        if (events_ > 0) {
+            line.add("firstEventMs", milliseconds(firstEventAt_ - arrivedAt_)).add("longestPauseMs", milliseconds(longestPause_));
+            line.add("pauseEndedMs", longestPause_ > Duration::zero() ? milliseconds(longestPauseAt_ - arrivedAt_) : 0);
+        }
         line.add("elapsedMs", milliseconds(context_.clock.now() - arrivedAt_));
         context_.log.write(line);
     }
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -80,6 +80,8 @@
     bool takeHead(const HttpResponse& head);
     void takeBody(std::string_view body);
     void takeEvent(const RawEvent& event);
+    void notePause();
+    bool isLate() const;
     void takeEnd();
     void endAttempt(AttemptEnd end, std::string_view reason);
     void noteRefusal(const std::string& serverId);
@@ -130,6 +132,10 @@
     bool streamStarted_ { false };
     std::optional<std::uint64_t> lastEventId_;
     std::uint32_t events_ { 0 };
+    TimePoint firstEventAt_;
+    TimePoint lastEventAt_;
+    Duration longestPause_ { 0 };
+    TimePoint longestPauseAt_;
     bool isCallerGone_ { false };
     std::string lastReason_;
 };
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -50,6 +50,8 @@
 struct ForwardingCounters {
     std::uint64_t requests { 0 };
     std::uint64_t succeeded { 0 };
+    // Answered, but after the target latency or with a longer pause than the target.
+    std::uint64_t late { 0 };
     std::uint64_t serverFailures { 0 };
     std::uint64_t refused { 0 };
     std::uint64_t failed { 0 };
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -201,6 +201,7 @@
     MetricsPage page;
     page.addCounter("damaskgrade_requests_total", "Requests of callers.", static_cast<double>(counters_.requests));
     page.addCounter("damaskgrade_requests_succeeded_total", "Requests that were answered with success.", static_cast<double>(counters_.succeeded));
+    page.addCounter("damaskgrade_requests_late_total", "Requests that were answered after a target of their route.", static_cast<double>(counters_.late));
     page.addCounter("damaskgrade_requests_refused_total", "Requests that were refused as not executed.", static_cast<double>(counters_.refused));
     page.addCounter("damaskgrade_requests_failed_total", "Requests that failed with an unknown outcome.", static_cast<double>(counters_.failed));
     page.addCounter("damaskgrade_requests_cancelled_total", "Requests whose caller left.", static_cast<double>(counters_.cancelled));
--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds missingMembersPeriod { 1000 };
 constexpr std::chrono::milliseconds membersPeriod { 15000 };
 constexpr std::chrono::milliseconds layoutRetry { 1000 };
-constexpr std::chrono::milliseconds planPeriod { 250 };
+constexpr std::chrono::milliseconds planPeriod { 120 };
 constexpr int permille = 1000;
 
 }
--- a/Source/RankMaps/MapPlanner.h
+++ b/Source/RankMaps/MapPlanner.h
@@ -23,7 +23,7 @@
 
 struct MapPlannerSettings {
     // Counts older than this count for less than 1/e. Demand shifts every few seconds.
-    std::chrono::milliseconds memory { 900 };
+    std::chrono::milliseconds memory { 500 };
     // The load of the fullest rank over the mean, averaged over the sets, that a change has to save at least
     // while all slots are in use. A load of one expert takes some milliseconds of each pass.
     double minimumGain { 0.06 };
--- a/Source/RankMaps/RankAgentSettings.h
+++ b/Source/RankMaps/RankAgentSettings.h
@@ -23,7 +23,7 @@
     std::chrono::milliseconds questionPeriod { 250 };
     std::chrono::milliseconds busyQuestionPeriod { 60 };
     // How often it asks for counts; two samples in the time in which demand is estimated.
-    std::chrono::milliseconds countPeriod { 500 };
+    std::chrono::milliseconds countPeriod { 250 };
     // An agent that has heard of no controller for this long, and a part of the second by its rank, takes over.
     std::chrono::milliseconds silenceLimit { 800 };
     std::chrono::milliseconds silencePerRank { 60 };
--- a/Source/RankMaps/SwitchController.cpp
+++ b/Source/RankMaps/SwitchController.cpp
@@ -1,6 +1,7 @@
 #include "RankMaps/SwitchController.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Damaskgrade {
@@ -19,7 +20,7 @@
     , sendOrder_(std::move(sendOrder))
     , note_(std::move(note))
     , stageSince_(clock.now())
-    , margin_(settings.passMargin)
+    , markedAt_(clock.now())
 {
 }
 
@@ -39,10 +40,13 @@
     }
     groupSize_ = report.groupSize;
     reports_[report.rank] = report;
+    measurePasses();
 }
 
 void SwitchController::orderEnded(std::uint32_t rank, RankOrderKind kind, RankMapVersion version, std::uint64_t pass, RankOrderResult result)
 {
+    if (result == RankOrderResult::Unknown)
+        lostOrderAt_ = clock_.now();
     // What the engine did shows in its report; only a refusal is of use before.
     if (result != RankOrderResult::Refused || version != version_)
         return;
@@ -53,7 +57,7 @@
     }
     if (stage_ == SwitchStage::Holding && kind == RankOrderKind::Hold && pass == pass_) {
         // The pass had begun before the order arrived.
-        margin_ = std::min<std::uint64_t>(margin_ + 1, settings_.passMargin * 4);
+        ++extraPasses_;
         pass_ = 0;
         orderedAt_.clear();
     }
@@ -163,7 +167,7 @@
         return;
     }
     if (pass_ != 0 && lastPass() >= pass_) {
-        margin_ = std::min<std::uint64_t>(margin_ + 1, settings_.passMargin * 4);
+        ++extraPasses_;
         pass_ = 0;
     }
     if (clock_.now() - stageSince_ > settings_.holdTimeout) {
@@ -173,7 +177,7 @@
         return;
     }
     if (pass_ == 0) {
-        pass_ = lastPass() + margin_;
+        pass_ = lastPass() + leadPasses();
         orderedAt_.clear();
     }
     order(holdRank_, RankOrderKind::Hold, settings_.repeatAfter);
@@ -201,7 +205,7 @@
     bool isSwitched = std::all_of(reports_.begin(), reports_.end(), [this](const auto& entry) { return entry.second.mapVersion == version_; });
     if (isSwitched && lastPass() >= pass_) {
         ++counters_.completed;
-        margin_ = std::max(settings_.passMargin, margin_ - (margin_ > settings_.passMargin ? 1 : 0));
+        extraPasses_ = 0;
         note_("change completed", version_, pass_);
         enter(SwitchStage::Watching);
         return;
@@ -295,6 +299,27 @@
     return pass;
 }
 
+std::uint64_t SwitchController::leadPasses() const
+{
+    bool isLossy = lostOrderAt_ && clock_.now() - *lostOrderAt_ < settings_.lossMemory;
+    double seconds = std::chrono::duration<double>(isLossy ? settings_.leadAfterLoss : settings_.lead).count();
+    auto passes = static_cast<std::uint64_t>(std::ceil(seconds / passSeconds_));
+    return std::clamp(passes, settings_.minPasses, settings_.maxPasses) + extraPasses_;
+}
+
+void SwitchController::measurePasses()
+{
+    constexpr double measuredSeconds = 0.2;
+    std::uint64_t pass = lastPass();
+    double elapsed = std::chrono::duration<double>(clock_.now() - markedAt_).count();
+    if (elapsed < measuredSeconds)
+        return;
+    if (pass > markedPass_ && markedPass_ > 0)
+        passSeconds_ = elapsed / static_cast<double>(pass - markedPass_);
+    markedPass_ = pass;
+    markedAt_ = clock_.now();
+}
+
 RankMapVersion SwitchController::highestVersion() const
 {
     RankMapVersion highest = highestUsed_;
--- a/Source/RankMaps/SwitchController.h
+++ b/Source/RankMaps/SwitchController.h
@@ -11,9 +11,16 @@
 namespace Damaskgrade {
 
 struct SwitchControllerSettings {
-    // Passes between the last reported one and the switch, so that the orders arrive before it and the
-    // group does not have to wait.
-    std::uint64_t passMargin { 3 };
+    // Time between the choice of the pass of the switch and its begin, so that all orders arrive before it
+    // and the group does not have to wait: a few round trips to agents and engines.
+    std::chrono::milliseconds lead { 130 };
+    // The same while engines leave orders unanswered: time for two repetitions of an order.
+    std::chrono::milliseconds leadAfterLoss { 420 };
+    // How long an unanswered order counts for that.
+    std::chrono::milliseconds lossMemory { 10000 };
+    // Bounds of the lead in passes.
+    std::uint64_t minPasses { 3 };
+    std::uint64_t maxPasses { 40 };
     // An order that does not show in the rank's report is given again after this time. Below the time in
     // which a caller notices a pause.
     std::chrono::milliseconds repeatAfter { 120 };
@@ -90,6 +97,8 @@
     void order(std::uint32_t rank, RankOrderKind kind, std::chrono::milliseconds repeatAfter);
     void orderGo(std::uint32_t rank, std::uint64_t pass);
     std::uint64_t lastPass() const;
+    std::uint64_t leadPasses() const;
+    void measurePasses();
     RankMapVersion highestVersion() const;
 
     const Clock& clock_;
@@ -108,7 +117,13 @@
     RankMapVersion version_ { 0 };
     RankMapVersion highestUsed_ { 0 };
     std::uint64_t pass_ { 0 };
-    std::uint64_t margin_;
+    // Added after a pass that was chosen had begun too early.
+    std::uint64_t extraPasses_ { 0 };
+    std::optional<TimePoint> lostOrderAt_;
+    // For the time of a pass.
+    std::uint64_t markedPass_ { 0 };
+    TimePoint markedAt_;
+    double passSeconds_ { 0.05 };
     GroupMap map_;
     std::map<std::uint32_t, TimePoint> orderedAt_;
     SwitchCounters counters_;
