Tests: Cover map switches with orders that are carried out late, and the planner

The model of the group follows the published rules for orders and knows nothing of controllers; it notes each pass that begins with two maps.

--- /dev/null
+++ b/Tests/RankMaps/MapPlannerTest.cpp
@@ -0,0 +1,98 @@
+#include "RankMaps/MapPlanner.h"
+
+#include "Core/ManualClock.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr ExpertLayout layout { 8, 2, 32, 5, 2 };
+
+// The map that a group starts with: the experts in turn.
+RankExperts startingExperts(std::uint32_t rank)
+{
+    RankExperts experts(layout.sets);
+    for (std::vector<std::uint32_t>& set : experts) {
+        for (std::uint32_t expert = rank; expert < layout.expertsPerSet; expert += layout.ranks)
+            set.push_back(expert);
+    }
+    return experts;
+}
+
+// Counts of one rank with a few experts that are used far more than the others.
+std::vector<double> skewedCounts()
+{
+    std::vector<double> counts;
+    for (std::uint32_t set = 0; set < layout.sets; ++set) {
+        for (std::uint32_t expert = 0; expert < layout.expertsPerSet; ++expert)
+            counts.push_back(expert < 3 ? 20000 : 1000);
+    }
+    return counts;
+}
+
+}
+
+// Guards against maps that engines refuse: an expert without a rank, too many on a rank, or too many new ones.
+TEST_CASE("a plan lowers the skew within the slots of each rank and the loads of one change")
+{
+    ManualClock clock;
+    MapPlanner planner(clock, layout, MapPlannerSettings {});
+    for (std::uint32_t rank = 0; rank < layout.ranks; ++rank) {
+        planner.setExperts(rank, 0, startingExperts(rank));
+        planner.addCounts(rank, skewedCounts());
+    }
+    REQUIRE(planner.knowsMap(0));
+    std::optional<MapPlan> plan = planner.plan(0, 1);
+    REQUIRE(plan);
+    CHECK(plan->skewAfter < plan->skewBefore * 0.6);
+    for (std::uint32_t set = 0; set < layout.sets; ++set) {
+        std::set<std::uint32_t> placed;
+        for (std::uint32_t rank = 0; rank < layout.ranks; ++rank) {
+            const std::vector<std::uint32_t>& experts = plan->map[set][rank];
+            CHECK(experts.size() <= layout.slotsPerRank);
+            std::vector<std::uint32_t> before = startingExperts(rank)[set];
+            auto isNew = [&before](std::uint32_t expert) { return std::find(before.begin(), before.end(), expert) == before.end(); };
+            CHECK(std::count_if(experts.begin(), experts.end(), isNew) <= layout.spareSlots);
+            placed.insert(experts.begin(), experts.end());
+        }
+        CHECK(placed.size() == layout.expertsPerSet);
+    }
+}
+
+// Guards against changes that cost more than they save.
+TEST_CASE("an even load is left alone, and a small gain is left alone while slots are free")
+{
+    ManualClock clock;
+    MapPlanner planner(clock, layout, MapPlannerSettings {});
+    std::vector<double> even(static_cast<std::size_t>(layout.sets) * layout.expertsPerSet, 5000);
+    for (std::uint32_t rank = 0; rank < layout.ranks; ++rank) {
+        planner.setExperts(rank, 0, startingExperts(rank));
+        planner.addCounts(rank, even);
+    }
+    CHECK(!planner.plan(0, 1));
+    std::vector<double> slight = even;
+    slight[0] = 13000;
+    for (std::uint32_t rank = 0; rank < layout.ranks; ++rank)
+        planner.addCounts(rank, slight);
+    CHECK(planner.plan(0, 1));
+    CHECK(!planner.plan(0, 0.1));
+}
+
+// Guards against plans on the map of another version.
+TEST_CASE("nothing is planned for a map that is not known")
+{
+    ManualClock clock;
+    MapPlanner planner(clock, layout, MapPlannerSettings {});
+    for (std::uint32_t rank = 0; rank < layout.ranks; ++rank) {
+        planner.setExperts(rank, 0, startingExperts(rank));
+        planner.addCounts(rank, skewedCounts());
+    }
+    CHECK(!planner.plan(7, 1));
+}
+
+}
--- /dev/null
+++ b/Tests/RankMaps/SwitchControllerTest.cpp
@@ -0,0 +1,305 @@
+#include "RankMaps/SwitchController.h"
+
+#include "Core/ManualClock.h"
+#include "Core/Random.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::uint32_t rankCount = 4;
+
+struct DelayedOrder {
+    std::uint32_t rank { 0 };
+    RankOrder order;
+    TimePoint dueAt;
+};
+
+// A lock-step group that follows the published rules for orders, with orders that are carried out late.
+// It knows nothing of controllers, and notes each pass that begins with two maps.
+class GroupModel {
+public:
+    GroupModel(const ManualClock& clock, Random& random)
+        : clock_(clock)
+        , random_(random)
+        , ranks_(rankCount)
+    {
+    }
+
+    RankOrderResult give(std::uint32_t rank, const RankOrder& order)
+    {
+        if (random_.fraction() < lateShare) {
+            late_.push_back({ rank, order, clock_.now() + std::chrono::milliseconds(2000 + random_.index(10000)) });
+            return RankOrderResult::Unknown;
+        }
+        return carryOut(rank, order);
+    }
+
+    void carryOutLate()
+    {
+        for (std::size_t i = 0; i < late_.size();) {
+            if (late_[i].dueAt > clock_.now()) {
+                ++i;
+                continue;
+            }
+            DelayedOrder due = late_[i];
+            late_.erase(late_.begin() + static_cast<std::ptrdiff_t>(i));
+            carryOut(due.rank, due.order);
+        }
+    }
+
+    // Begins the next pass unless a rank holds it.
+    void step()
+    {
+        std::uint64_t next = pass_ + 1;
+        for (const Rank& rank : ranks_) {
+            if (rank.held == next)
+                return;
+        }
+        pass_ = next;
+        for (Rank& rank : ranks_) {
+            if (rank.armed && rank.armed->pass == pass_) {
+                rank.map = rank.armed->version;
+                rank.armed.reset();
+            }
+        }
+        bool isMixed = std::any_of(ranks_.begin(), ranks_.end(), [this](const Rank& rank) { return rank.map != ranks_.front().map; });
+        mixedPasses += isMixed ? 1 : 0;
+    }
+
+    // The group forms anew.
+    void reform()
+    {
+        ++epoch_;
+        for (Rank& rank : ranks_) {
+            RankMapVersion highest = rank.highest;
+            rank = Rank();
+            rank.highest = highest;
+        }
+    }
+
+    RankReport report(std::uint32_t number) const
+    {
+        const Rank& rank = ranks_[number];
+        RankReport report;
+        report.group = "g";
+        report.rank = number;
+        report.groupSize = rankCount;
+        report.epoch = epoch_;
+        report.isOpen = true;
+        report.pass = pass_;
+        report.mapVersion = rank.map;
+        report.prepared = rank.prepared;
+        report.armed = rank.armed;
+        report.heldPass = rank.held;
+        return report;
+    }
+
+    bool isHeld() const
+    {
+        return std::any_of(ranks_.begin(), ranks_.end(), [this](const Rank& rank) { return rank.held == pass_ + 1; });
+    }
+
+    std::uint64_t pass() const { return pass_; }
+
+    double lateShare { 0 };
+    std::uint32_t mixedPasses { 0 };
+
+private:
+    struct Rank {
+        RankMapVersion map { 0 };
+        RankMapVersion highest { 0 };
+        std::uint64_t token { 0 };
+        std::optional<RankMapVersion> prepared;
+        std::optional<ArmedMap> armed;
+        std::optional<std::uint64_t> held;
+    };
+
+    RankOrderResult carryOut(std::uint32_t number, const RankOrder& order)
+    {
+        Rank& rank = ranks_[number];
+        if (order.epoch != epoch_)
+            return RankOrderResult::Refused;
+        if (order.fencingToken < rank.token)
+            return RankOrderResult::Fenced;
+        rank.token = order.fencingToken;
+        switch (order.kind) {
+        case RankOrderKind::Prepare:
+            if (order.version <= rank.highest || rank.armed)
+                return RankOrderResult::Refused;
+            rank.highest = order.version;
+            rank.prepared = order.version;
+            return RankOrderResult::Accepted;
+        case RankOrderKind::Arm:
+            if (rank.prepared != order.version || order.pass <= pass_)
+                return RankOrderResult::Refused;
+            rank.armed = ArmedMap { order.version, order.pass };
+            return RankOrderResult::Accepted;
+        case RankOrderKind::Hold:
+            if (order.pass <= pass_ || (rank.held && *rank.held > pass_ && *rank.held != order.pass))
+                return RankOrderResult::Refused;
+            rank.held = order.pass;
+            return RankOrderResult::Accepted;
+        case RankOrderKind::Go:
+            if (rank.held != order.pass)
+                return RankOrderResult::Refused;
+            rank.held.reset();
+            return RankOrderResult::Accepted;
+        }
+        return RankOrderResult::Refused;
+    }
+
+    const ManualClock& clock_;
+    Random& random_;
+    std::vector<Rank> ranks_;
+    std::vector<DelayedOrder> late_;
+    std::uint64_t epoch_ { 1 };
+    std::uint64_t pass_ { 0 };
+};
+
+// Controllers of one group, of which a new one takes over when the last one has stopped.
+class ControlledGroup {
+public:
+    explicit ControlledGroup(std::uint64_t seed)
+        : random(seed)
+        , group(clock, random)
+    {
+        takeOver();
+    }
+
+    void takeOver()
+    {
+        std::uint64_t token = ++token_;
+        std::uint32_t holdRank = static_cast<std::uint32_t>(random.index(rankCount));
+        controller = std::make_unique<SwitchController>(
+            clock, SwitchControllerSettings {}, holdRank, [this, token](std::uint32_t rank, const RankOrder& order) { give(token, rank, order); },
+            [](std::string_view, RankMapVersion, std::uint64_t) {});
+        controller->setFencingToken(token);
+    }
+
+    // Lets 20 ms pass: reports arrive, orders are given, and the group makes a pass every 40 ms.
+    void run(int ticks)
+    {
+        for (int i = 0; i < ticks; ++i) {
+            clock.advance(std::chrono::milliseconds(20));
+            group.carryOutLate();
+            if (++tick_ % 2 == 0)
+                group.step();
+            for (std::uint32_t rank = 0; rank < rankCount; ++rank) {
+                if (random.fraction() < reportShare)
+                    controller->observe(group.report(rank));
+            }
+            controller->tick();
+            if (!group.isHeld())
+                heldSince_ = clock.now();
+            longestHold = std::max(longestHold, clock.now() - heldSince_);
+        }
+    }
+
+    void give(std::uint64_t token, std::uint32_t rank, const RankOrder& order)
+    {
+        RankOrderResult result = group.give(rank, order);
+        if (token == token_)
+            controller->orderEnded(rank, order.kind, order.version, order.pass, result);
+    }
+
+    GroupMap someMap() const { return GroupMap(1, std::vector<std::vector<std::uint32_t>>(rankCount, { 0 })); }
+
+    ManualClock clock;
+    Random random;
+    GroupModel group;
+    std::unique_ptr<SwitchController> controller;
+    double reportShare { 1 };
+    Duration longestHold { 0 };
+
+private:
+    std::uint64_t token_ { 0 };
+    int tick_ { 0 };
+    TimePoint heldSince_ { clock.now() };
+};
+
+}
+
+// Guards against a change that stalls the group or never ends when all goes well.
+TEST_CASE("a change reaches all ranks in one pass and holds the group for no longer than a pass")
+{
+    ControlledGroup world(1);
+    world.run(10);
+    REQUIRE(world.controller->canStart());
+    world.controller->start(world.someMap());
+    world.run(50);
+    CHECK(world.controller->counters().completed == 1);
+    CHECK(world.controller->canStart());
+    CHECK(world.group.mixedPasses == 0);
+    CHECK(world.longestHold <= std::chrono::milliseconds(60));
+}
+
+// Guards against an arm order that is carried out late and switches one rank alone.
+TEST_CASE("no pass begins with two maps while orders are carried out late")
+{
+    std::uint64_t completed = 0;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        ControlledGroup world(seed);
+        world.group.lateShare = 0.4;
+        world.reportShare = 0.6;
+        for (int change = 0; change < 12; ++change) {
+            world.run(60);
+            if (world.controller->canStart())
+                world.controller->start(world.someMap());
+        }
+        world.run(800);
+        completed += world.controller->counters().completed;
+        CHECK_MESSAGE(world.group.mixedPasses == 0, "seed " << seed);
+        CHECK_MESSAGE(world.group.report(0).mapVersion == world.group.report(rankCount - 1).mapVersion, "seed " << seed);
+    }
+    CHECK(completed > 60);
+}
+
+// Guards against a group that stays held, or switches in part, when its controller ends in the middle of a change.
+TEST_CASE("the next controller carries through what the last one began")
+{
+    for (std::uint64_t seed = 1; seed <= 80; ++seed) {
+        ControlledGroup world(seed);
+        world.group.lateShare = seed % 2 == 0 ? 0.3 : 0;
+        for (int change = 0; change < 10; ++change) {
+            world.run(20);
+            if (world.controller->canStart())
+                world.controller->start(world.someMap());
+            world.run(static_cast<int>(world.random.index(16)));
+            world.takeOver();
+        }
+        std::uint64_t before = world.group.pass();
+        world.run(900);
+        CHECK_MESSAGE(world.group.mixedPasses == 0, "seed " << seed);
+        CHECK_MESSAGE(world.group.pass() > before + 300, "seed " << seed);
+    }
+}
+
+// Guards against orders of an old epoch that reach a group that has formed anew.
+TEST_CASE("a group that forms anew in the middle of a change keeps one map")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        ControlledGroup world(seed);
+        world.group.lateShare = 0.3;
+        for (int change = 0; change < 10; ++change) {
+            world.run(30);
+            if (world.controller->canStart())
+                world.controller->start(world.someMap());
+            world.run(static_cast<int>(world.random.index(20)));
+            world.group.reform();
+        }
+        world.run(900);
+        CHECK_MESSAGE(world.group.mixedPasses == 0, "seed " << seed);
+        CHECK_MESSAGE(world.controller->canStart(), "seed " << seed);
+    }
+}
+
+}
