RankMaps: Ask agents only where the next step waits for them

Change: during a change only those ranks are asked whose report is still missing; the lead of a switch grows with the time that the last one took to arm all ranks.

--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -145,6 +145,9 @@
     Frame frame = encodeMessage(question, hybridClock_.tick());
     bool isBusy = switch_.stage() != SwitchStage::Watching;
     for (auto& [name, member] : members_) {
+        bool isAsked = question.wantsCounts || !member.isKnown || switch_.awaits(member.rank);
+        if (!isAsked)
+            continue;
         links_.send(name, frame);
         if (!isBusy || isAnswering(name, member) || !member.isKnown || member.isRemoteAsked)
             continue;
--- a/Source/RankMaps/SwitchController.cpp
+++ b/Source/RankMaps/SwitchController.cpp
@@ -116,6 +116,26 @@
     enter(SwitchStage::Watching);
 }
 
+bool SwitchController::awaits(std::uint32_t rank) const
+{
+    auto found = reports_.find(rank);
+    if (stage_ == SwitchStage::Watching || found == reports_.end())
+        return true;
+    const RankReport& report = found->second;
+    switch (stage_) {
+    case SwitchStage::Preparing:
+        return report.prepared != version_;
+    case SwitchStage::Holding:
+        return rank == holdRank_;
+    case SwitchStage::Arming:
+        return !(report.armed == ArmedMap { version_, pass_ });
+    case SwitchStage::Watching:
+    case SwitchStage::Releasing:
+        break;
+    }
+    return report.mapVersion != version_ || report.heldPass;
+}
+
 RankMapVersion SwitchController::mapVersion() const
 {
     return reports_.empty() ? 0 : reports_.begin()->second.mapVersion;
@@ -178,6 +198,7 @@
     }
     if (pass_ == 0) {
         pass_ = lastPass() + leadPasses();
+        passChosenAt_ = clock_.now();
         orderedAt_.clear();
     }
     order(holdRank_, RankOrderKind::Hold, settings_.repeatAfter);
@@ -196,6 +217,8 @@
     // A pass that has begun was let go by another controller, which had seen all ranks armed.
     if (!isDone && lastPass() < pass_)
         return;
+    if (isDone)
+        armTime_ = clock_.now() - passChosenAt_;
     enter(SwitchStage::Releasing);
     release();
 }
@@ -269,6 +292,7 @@
         }
         version_ = *prepared;
     }
+    passChosenAt_ = clock_.now();
     note_("unfinished change adopted", version_, pass_);
     enter(SwitchStage::Arming);
     arm();
@@ -303,6 +327,7 @@
 {
     bool isLossy = lostOrderAt_ && clock_.now() - *lostOrderAt_ < settings_.lossMemory;
     double seconds = std::chrono::duration<double>(isLossy ? settings_.leadAfterLoss : settings_.lead).count();
+    seconds = std::max(seconds, std::chrono::duration<double>(armTime_).count() * settings_.leadPerArmTime);
     auto passes = static_cast<std::uint64_t>(std::ceil(seconds / passSeconds_));
     return std::clamp(passes, settings_.minPasses, settings_.maxPasses) + extraPasses_;
 }
--- a/Source/RankMaps/SwitchController.h
+++ b/Source/RankMaps/SwitchController.h
@@ -14,6 +14,9 @@
     // Time between the choice of the pass of the switch and its begin, so that all orders arrive before it
     // and the group does not have to wait: a few round trips to agents and engines.
     std::chrono::milliseconds lead { 130 };
+    // The last change may have taken longer from the choice to the last rank that was armed. The lead is
+    // this times as long.
+    double leadPerArmTime { 1.4 };
     // The same while engines leave orders unanswered: time for two repetitions of an order.
     std::chrono::milliseconds leadAfterLoss { 420 };
     // How long an unanswered order counts for that.
@@ -80,6 +83,9 @@
     // Forgets everything about the group, for example when another controller has taken over.
     void reset();
 
+    // Says whether the next step of the change waits for a report of this rank.
+    bool awaits(std::uint32_t rank) const;
+
     SwitchStage stage() const { return stage_; }
     RankMapVersion mapVersion() const;
     std::uint64_t epoch() const { return epoch_; }
@@ -120,6 +126,9 @@
     // Added after a pass that was chosen had begun too early.
     std::uint64_t extraPasses_ { 0 };
     std::optional<TimePoint> lostOrderAt_;
+    // Time from the choice of the pass to the last rank that was armed, of the last change.
+    Duration armTime_ { 0 };
+    TimePoint passChosenAt_;
     // For the time of a pass.
     std::uint64_t markedPass_ { 0 };
     TimePoint markedAt_;
