--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -126,7 +126,10 @@
         return;
     }
     if (!isFirstSend_ && !context_.allowance.trySpend(terms_.service)) {
-        giveUp("retry budget is spent");
+        if (executions_ == 0)
+            waitOrRefuse();
+        else
+            giveUp("retry budget is spent");
         return;
     }
     sendTo(*choice.server);
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -43,8 +44,9 @@
     // Checks time limits, and sends a waiting request if a server is free. Call about 20 times a second.
     void tick();
 
-    // Of the requests that wait for a server, the one with the lowest order goes first.
-    std::pair<std::int32_t, TimePoint> order() const { return { terms_.priority, arrivedAt_ }; }
+    // Of the requests that wait for a server, the one with the lowest order goes first. Among equally urgent
+    // ones those come first that were sent least often, as first sends cost nothing of the retry allowance.
+    std::tuple<std::int32_t, std::uint32_t, TimePoint> order() const { return { terms_.priority, sends_, arrivedAt_ }; }
 
 private:
     enum class State {
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -38,7 +38,7 @@
     // The same after a connection was refused.
     std::chrono::milliseconds unreachablePause { 400 };
     // Sends beyond the permitted executions of a route after proven refusals. Each draws on the retry allowance.
-    std::uint32_t maxRefusals { 3 };
+    std::uint32_t maxRefusals { 8 };
     // Servers to which one request may fail to connect.
     std::uint32_t maxFailedConnections { 4 };
     // The answer to a request that is given up is sent this long before the caller's deadline.
--- a/Source/Forwarding/ServerChooser.cpp
+++ b/Source/Forwarding/ServerChooser.cpp
@@ -76,8 +76,23 @@
     }
     progress.newestAt = clock_.now();
     auto outage = outages_.find(service);
-    if (outage != outages_.end())
+    if (outage == outages_.end())
+        return;
+    if (outage->second.refusalsInRow >= settings_.refusalsUntilOutage)
+        endOutage(service, outage->second);
+    else if (clock_.now() >= outage->second.recoveringUntil)
         outages_.erase(outage);
+    else
+        outage->second.refusalsInRow = 0;
+}
+
+void ServerChooser::endOutage(std::string_view service, Outage& outage)
+{
+    outage.refusalsInRow = 0;
+    outage.recoveringUntil = clock_.now() + settings_.recoveryTime;
+    // The servers were avoided for refusals that are over now.
+    for (const ServerRecord* server : fleet_.ready(service))
+        avoidedUntil_.erase(server->id);
 }
 
 void ServerChooser::noteRefusal(std::string_view service, const std::string& serverId)
@@ -86,7 +101,7 @@
     bool isFull = server && loads_.inFlight(serverId) > slotsOf(*server);
     if (isFull)
         return;
-    Outage& outage = outages_.emplace(std::string(service), Outage { 0, clock_.now() }).first->second;
+    Outage& outage = outages_.emplace(std::string(service), Outage { 0, clock_.now(), clock_.now() }).first->second;
     ++outage.refusalsInRow;
 }
 
@@ -94,7 +109,8 @@
 {
     auto outage = outages_.find(service);
     bool isRefusing = outage != outages_.end() && outage->second.refusalsInRow >= settings_.refusalsUntilOutage;
-    return isRefusing || fleet_.ready(service).empty();
+    bool isRecovering = outage != outages_.end() && clock_.now() < outage->second.recoveringUntil;
+    return isRefusing || isRecovering || fleet_.ready(service).empty();
 }
 
 bool ServerChooser::hasProgressElsewhere(std::string_view service, std::string_view serverId, TimePoint since) const
--- a/Source/Forwarding/ServerChooser.h
+++ b/Source/Forwarding/ServerChooser.h
@@ -27,6 +27,8 @@
     std::uint32_t refusalsUntilOutage { 3 };
     // A service that is out of order is tried with one request in this time.
     std::chrono::milliseconds probePeriod { 60 };
+    // After its first success, requests that waited for the service are given this time to find a server.
+    std::chrono::milliseconds recoveryTime { 400 };
 };
 
 enum class ChoiceKind {
@@ -64,7 +66,7 @@
     // The server refused a request.
     void noteRefusal(std::string_view service, const std::string& serverId);
 
-    // Says whether the service refuses all requests, or the registry lists no ready server of it.
+    // Says whether the service refuses all requests, has just begun to answer again, or has no ready server.
     bool isOutOfOrder(std::string_view service) const;
 
     // Says whether another server of the service has sent something since then.
@@ -82,8 +84,10 @@
     struct Outage {
         std::uint32_t refusalsInRow { 0 };
         TimePoint nextProbe;
+        TimePoint recoveringUntil;
     };
 
+    void endOutage(std::string_view service, Outage& outage);
     double slotsOf(const ServerRecord& server) const;
     bool isAvoided(const ServerRecord& server) const;
 
--- /dev/null
+++ b/Tests/Catalog/CatalogTest.cpp
@@ -0,0 +1,49 @@
+#include "Catalog/CatalogHolder.h"
+
+#include <doctest/doctest.h>
+
+namespace Damaskgrade {
+
+namespace {
+
+Route route(const std::string& host, const std::string& prefix)
+{
+    Route result;
+    result.name = host + prefix;
+    result.host = host;
+    result.prefix = prefix;
+    return result;
+}
+
+CatalogVersion version(std::uint64_t number)
+{
+    return { std::make_shared<Catalog>(number, std::vector<Route> {}, std::vector<ServiceSpecification> {}, std::vector<CustomerKeys> {}, CallerLimits()), "" };
+}
+
+}
+
+// Guards against requests that take the route of another host or a shorter prefix.
+TEST_CASE("the route with the longest prefix of the host is found")
+{
+    Catalog catalog(1, { route("h", "/a/"), route("h", "/a/b/"), route("other", "/a/b/c/") }, {}, {}, {});
+    CHECK(catalog.findRoute("h", "/a/b/c/d")->prefix == "/a/b/");
+    CHECK(catalog.findRoute("h:80", "/a/x")->prefix == "/a/");
+    CHECK(!catalog.findRoute("h", "/ab"));
+    CHECK(!catalog.findRoute("unknown", "/a/"));
+}
+
+// Guards against a configuration that goes back.
+TEST_CASE("a holder never goes back to a lower version")
+{
+    int changes = 0;
+    CatalogHolder holder([&changes](const Catalog&) { ++changes; });
+    CHECK(holder.offer(version(5)));
+    CHECK(!holder.offer(version(5)));
+    CHECK(!holder.offer(version(3)));
+    CHECK(!holder.offer({}));
+    CHECK(holder.version() == 5);
+    CHECK(holder.offer(version(9)));
+    CHECK(changes == 2);
+}
+
+}
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace Damaskgrade {
 
 namespace {
@@ -44,4 +46,269 @@
     CHECK(world.pool.counters().reused > 100);
 }
 
+// Guards against a truncated response that is taken for a whole one.
+TEST_CASE("a response that ends early goes to another server if it may be repeated, and fails otherwise")
+{
+    for (RequestKind kind : { RequestKind::Idempotent, RequestKind::NonIdempotent }) {
+        GatewayWorld world;
+        world.setRoute(routeOf(kind));
+        int sent = 0;
+        auto script = [&sent](const HttpRequest& request) {
+            bool isFirst = sent++ == 0;
+            std::string whole = GatewayWorld::ownResponse(request, "whole answer");
+            return ScriptedReply { isFirst ? whole.substr(0, whole.size() - 4) : whole, isFirst ? AfterReply::Close : AfterReply::KeepOpen, false };
+        };
+        world.addServer(script);
+        world.addServer(script);
+        CallerResult result = world.call(world.request("a"));
+        if (kind == RequestKind::Idempotent) {
+            CHECK(result.status == 200);
+            CHECK(result.body == "whole answer");
+            CHECK(sent == 2);
+        } else {
+            CHECK(result.status == 502);
+            CHECK(result.header("Signature").empty());
+            CHECK(sent == 1);
+        }
+    }
+}
+
+// Guards against a late response to an earlier request that is delivered in place of the own one.
+TEST_CASE("a response with another id is skipped, and its connection is not used again")
+{
+    GatewayWorld world;
+    world.setRoute(routeOf(RequestKind::NonIdempotent, 1));
+    ScriptedServer& server = world.addServer([](const HttpRequest& request) {
+        HttpRequest other = request;
+        for (HttpHeader& header : other.headers) {
+            if (header.name == "Request-Id")
+                header.value = "of another";
+        }
+        return ScriptedReply { GatewayWorld::ownResponse(other, "wrong") + GatewayWorld::ownResponse(request, "right"), AfterReply::KeepOpen, false };
+    });
+    CHECK(world.call(world.request("a")).body == "right");
+    CHECK(world.call(world.request("b")).body == "right");
+    CHECK(server.connectionCount() == 2);
+}
+
+// Guards against bytes behind a response that become the start of the next one.
+TEST_CASE("a connection with bytes behind a response is not used again")
+{
+    GatewayWorld world;
+    world.setRoute(routeOf(RequestKind::NonIdempotent, 1));
+    ScriptedServer& server = world.addServer([](const HttpRequest& request) {
+        return ScriptedReply { GatewayWorld::ownResponse(request, "right") + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", AfterReply::KeepOpen, false };
+    });
+    for (const char* id : { "a", "b", "c" })
+        CHECK(world.call(world.request(id)).body == "right");
+    CHECK(server.connectionCount() == 3);
+}
+
+// Guards against a success that no server has signed.
+TEST_CASE("a success without a signature, or with an encoding, is not passed on")
+{
+    for (const char* header : { "", "Signature: sig\r\nContent-Encoding: gzip\r\n" }) {
+        GatewayWorld world;
+        world.setRoute(routeOf(RequestKind::NonIdempotent, 1));
+        world.addServer([header](const HttpRequest& request) {
+            std::string id = findHeader(request.headers, "Request-Id").value_or("");
+            return ScriptedReply { "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + header + "Content-Length: 2\r\n\r\nno", AfterReply::KeepOpen, false };
+        });
+        CHECK(world.call(world.request("a")).status == 502);
+    }
+}
+
+// Guards against a promise that a request was not executed though it may have been.
+TEST_CASE("only a marked refusal becomes a refusal, and an unmarked 503 becomes a failure")
+{
+    for (bool isMarked : { true, false }) {
+        GatewayWorld world;
+        world.setRoute(routeOf(RequestKind::NonIdempotent, 1));
+        int sent = 0;
+        for (int i = 0; i < 2; ++i) {
+            world.addServer([&sent, isMarked](const HttpRequest& request) {
+                ++sent;
+                std::string id = findHeader(request.headers, "Request-Id").value_or("");
+                return ScriptedReply { "HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\n" + (isMarked ? "Not-Executed: 1\r\n" : "") + "Content-Length: 0\r\n\r\n", AfterReply::KeepOpen, false };
+            });
+        }
+        CallerResult result = world.call(world.request("a"));
+        CHECK(result.status == (isMarked ? 503 : 502));
+        CHECK(result.header("Retry-After").empty() != isMarked);
+        CHECK((sent == 1) != isMarked);
+    }
+}
+
+// Guards against a failure of a server that is replaced, or that loses its signature.
+TEST_CASE("a failure that a server answered with is passed on unchanged")
+{
+    GatewayWorld world;
+    world.setRoute(routeOf(RequestKind::NonIdempotent, 1));
+    world.addServer([](const HttpRequest& request) { return ScriptedReply { GatewayWorld::ownResponse(request, "broken", 500), AfterReply::KeepOpen, false }; });
+    CallerResult result = world.call(world.request("a"));
+    CHECK(result.status == 500);
+    CHECK(result.body == "broken");
+    CHECK(result.header("Signature") == "sig");
+}
+
+// Guards against a lost, doubled or mixed event when a server breaks off.
+TEST_CASE("a stream that breaks in the middle of an event is continued at another server in one response")
+{
+    for (AfterReply end : { AfterReply::Reset, AfterReply::Close }) {
+        GatewayWorld world;
+        world.setRoute(routeOf(RequestKind::Streaming));
+        std::vector<std::string> lastIds;
+        auto script = [&lastIds, end](const HttpRequest& request) {
+            std::string last = findHeader(request.headers, "Last-Event-Id").value_or("");
+            lastIds.push_back(last);
+            std::string bytes = GatewayWorld::streamHead(request);
+            int first = last.empty() ? 1 : std::stoi(last) + 1;
+            bool isFirst = last.empty();
+            for (int id = first; id <= (isFirst ? 3 : 6); ++id)
+                bytes += GatewayWorld::chunk(GatewayWorld::event(id));
+            if (isFirst)
+                return ScriptedReply { bytes + GatewayWorld::chunk("id: 4\ndata: pie"), end, true };
+            return ScriptedReply { bytes + "0\r\n\r\n", AfterReply::KeepOpen, false };
+        };
+        world.addServer(script);
+        world.addServer(script);
+        CallerResult result = world.call(world.request("a"));
+        std::string expected;
+        for (int id = 1; id <= 6; ++id)
+            expected += GatewayWorld::event(id);
+        CHECK(result.isWhole);
+        CHECK(result.body == expected);
+        CHECK(lastIds == std::vector<std::string> { "", "3" });
+    }
+}
+
+// Guards against a stream that was cut and looks complete.
+TEST_CASE("a stream that can't be continued ends without its last chunk")
+{
+    GatewayWorld world;
+    Route route = routeOf(RequestKind::Streaming);
+    route.isResumable = false;
+    world.setRoute(route);
+    int sent = 0;
+    for (int i = 0; i < 2; ++i) {
+        world.addServer([&sent](const HttpRequest& request) {
+            ++sent;
+            return ScriptedReply { GatewayWorld::streamHead(request) + GatewayWorld::chunk(GatewayWorld::event(1)), AfterReply::Close, false };
+        });
+    }
+    CallerResult result = world.call(world.request("a"));
+    CHECK(!result.isWhole);
+    CHECK(result.body == GatewayWorld::event(1));
+    CHECK(sent == 1);
+}
+
+// Guards against a response without a length that is cut by a reset and taken for complete.
+TEST_CASE("a stream without framing is complete when its connection ends in good order")
+{
+    GatewayWorld world;
+    world.setRoute(routeOf(RequestKind::Streaming, 1));
+    AfterReply end = AfterReply::Close;
+    world.addServer([&end](const HttpRequest& request) {
+        std::string id = findHeader(request.headers, "Request-Id").value_or("");
+        return ScriptedReply { "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSignature: sig\r\nContent-Type: text/event-stream\r\n\r\n" + GatewayWorld::event(1), end, true };
+    });
+    CHECK(world.call(world.request("a")).isWhole);
+    end = AfterReply::Reset;
+    CHECK(!world.call(world.request("b")).isWhole);
+}
+
+// Guards against engines that go on working for a caller who has left.
+TEST_CASE("when the caller leaves, the connection to the server is closed unless the request may not be repeated")
+{
+    for (RequestKind kind : { RequestKind::Streaming, RequestKind::Idempotent, RequestKind::NonIdempotent }) {
+        GatewayWorld world;
+        world.setRoute(routeOf(kind));
+        ScriptedServer& server = world.addServer([](const HttpRequest&) { return ScriptedReply { "", AfterReply::KeepOpen, false }; });
+        world.start(world.request("a"));
+        REQUIRE(world.runUntil([&] { return server.requests().size() == 1; }));
+        world.calls.clear();
+        bool isKept = kind == RequestKind::NonIdempotent;
+        if (isKept)
+            CHECK(world.runUntil([&] { return world.counters.cancelled == 1; }));
+        else
+            CHECK(world.runUntil([&] { return server.closedCount() == 1 && world.forwarder.activeCount() == 0; }));
+        CHECK(server.closedCount() == (isKept ? 0 : 1));
+    }
+}
+
+// Guards against requests that are held past the time that the operator allows.
+TEST_CASE("at the timeout of the route a request is answered: 504 once it was sent, 503 before")
+{
+    for (bool hasServer : { true, false }) {
+        GatewayWorld world;
+        Route route = routeOf(RequestKind::NonIdempotent, 1);
+        route.timeout = std::chrono::milliseconds(300);
+        world.setRoute(route);
+        if (hasServer)
+            world.addServer([](const HttpRequest&) { return ScriptedReply { "", AfterReply::KeepOpen, false }; });
+        CHECK(world.call(world.request("a")).status == (hasServer ? 504 : 503));
+    }
+}
+
+// Guards against keys that reach servers, and against customers that callers name themselves.
+TEST_CASE("a key selects the customer and is not passed on")
+{
+    GatewayWorld world;
+    world.customers = { { "acme", { "k1" }, std::nullopt } };
+    world.setRoute(routeOf(RequestKind::NonIdempotent, 1));
+    ScriptedServer& server = world.addServer([](const HttpRequest& request) { return ScriptedReply { GatewayWorld::ownResponse(request, "ok"), AfterReply::KeepOpen, false }; });
+    HttpRequest request = world.request("a");
+    request.headers.push_back({ "Customer", "other" });
+    CHECK(world.call(request).status == 401);
+    request.headers.push_back({ "Authorization", "Token k1" });
+    CHECK(world.call(request).status == 200);
+    REQUIRE(server.requests().size() == 1);
+    const HttpRequest& seen = server.requests().front();
+    CHECK(findHeader(seen.headers, "Customer") == "acme");
+    CHECK(!findHeader(seen.headers, "Authorization"));
+    CHECK(findHeader(seen.headers, "Expected-Server") == "s1");
+    CHECK(std::stoi(findHeader(seen.headers, "Deadline-Ms").value_or("0")) <= 3000);
+    CHECK(seen.body == request.body);
+    CHECK(seen.target == request.target);
+}
+
+// Guards against a process without a catalog that calls routes unknown.
+TEST_CASE("without a catalog requests are refused, and with one only unknown routes are")
+{
+    GatewayWorld world;
+    CHECK(world.call(world.request("a")).status == 503);
+    world.setRoute(routeOf(RequestKind::NonIdempotent, 1));
+    HttpRequest request = world.request("b");
+    request.target = "/other/x";
+    CHECK(world.call(request).status == 404);
+}
+
+// Guards against a service whose group forms anew and takes up every caller's retry with its refusals.
+TEST_CASE("a service that refuses all requests is waited for")
+{
+    GatewayWorld world;
+    Route route = routeOf(RequestKind::Streaming);
+    route.targetLatency = std::chrono::milliseconds(100);
+    world.setRoute(route);
+    bool isForming = true;
+    int refused = 0;
+    for (int i = 0; i < 4; ++i) {
+        world.addServer([&](const HttpRequest& request) {
+            std::string id = findHeader(request.headers, "Request-Id").value_or("");
+            if (isForming) {
+                ++refused;
+                return ScriptedReply { "HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", AfterReply::KeepOpen, false };
+            }
+            return ScriptedReply { GatewayWorld::streamHead(request) + GatewayWorld::chunk(GatewayWorld::event(1)) + "0\r\n\r\n", AfterReply::KeepOpen, false };
+        });
+    }
+    std::vector<std::shared_ptr<CallerResult>> results;
+    for (const char* id : { "a", "b", "c", "d", "e", "f" })
+        results.push_back(world.start(world.request(id)));
+    std::unique_ptr<Timer> formed = world.loop.after(std::chrono::milliseconds(700), [&isForming] { isForming = false; });
+    CHECK(world.runUntil([&] { return std::all_of(results.begin(), results.end(), [](const auto& result) { return result->isDone; }); }));
+    CHECK(std::all_of(results.begin(), results.end(), [](const auto& result) { return result->status == 200; }));
+    CHECK(refused <= 24);
+}
+
 }
--- /dev/null
+++ b/Tests/UsersPlatform/CodecsTest.cpp
@@ -0,0 +1,81 @@
+#include "platform/Codecs.h"
+#include "platform/SettingsFile.h"
+
+#include "Core/Error.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+namespace Damaskgrade::Platform {
+
+// Guards against a change of the platform's names that goes unnoticed.
+TEST_CASE("a configuration is decoded into routes, services and customers")
+{
+    Catalog catalog = decodeCatalog(R"({"Version":7,"Routes":[
+        {"Name":"r1","Host":"h","Prefix":"/a/","Kind":"streaming","TimeoutMs":8000,"TargetLatencyMs":400,"Priority":1,
+         "TrafficSplit":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],"MaxAttempts":2,"StreamResume":true,"TargetGapMs":120},
+        {"Name":"r2","Host":"h","Prefix":"/b/","Kind":"something new","Service":"s2"}],
+        "Services":[{"Name":"s1","HealthPath":"/health","MaxConnections":4,"Engine":{"Slots":12,"Sets":4,"Experts":64,"Placements":5,"Spare":2}}],
+        "Limits":{"IdleTimeoutMs":15000},"Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Priority":1}]})");
+    CHECK(catalog.version() == 7);
+    const Route* first = catalog.findRoute("h", "/a/x");
+    REQUIRE(first);
+    CHECK(first->kind == RequestKind::Streaming);
+    CHECK(first->mayRepeat());
+    CHECK(first->services.size() == 2);
+    CHECK(first->targetGap == std::chrono::milliseconds(120));
+    // What is not known to be repeatable is not repeated.
+    CHECK(catalog.findRoute("h", "/b/x")->kind == RequestKind::NonIdempotent);
+    CHECK(catalog.findCustomer("k2")->name == "t");
+    CHECK(!catalog.findCustomer("k3"));
+    REQUIRE(catalog.findService("s1")->engine);
+    CHECK(catalog.findService("s1")->engine->expertSlotsPerRank == 5);
+    CHECK_THROWS_AS(decodeCatalog("{\"Version\":\"x\"}"), Error);
+    CHECK_THROWS_AS(decodeCatalog("not json"), Error);
+}
+
+// Guards against entries of other writers that name a server to use.
+TEST_CASE("an entry that lacks a field, or has a field of another type or state, names no server")
+{
+    std::string good = R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":12,"State":"draining","ColdRemainingMs":0,"Sequence":4,"born":5})";
+    std::optional<ServerRecord> server = decodeServer("i-1", good);
+    REQUIRE(server);
+    CHECK(server->isDraining);
+    CHECK(server->startedAt == 5);
+    CHECK(!decodeServer("i-2", R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":"many","State":"ready"})"));
+    CHECK(!decodeServer("i-3", R"({"Service":"s","Address":"nowhere","Zone":"z","Slots":1,"State":"ready"})"));
+    CHECK(!decodeServer("i-4", R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1,"State":"asleep"})"));
+    CHECK(!decodeServer("i-5", "\xff\xfe"));
+}
+
+// Guards against settings that are taken for others or fail without a word.
+TEST_CASE("settings are read by their dotted names, and a missing one is named")
+{
+    std::istringstream input("NodeName=n\nZone=z\nIp=10.1.0.40\nListen.Front=10.1.0.40:8227\nListen.Readiness=10.1.0.40:8220\n"
+                             "Listen.Directory=10.1.0.40:8224\nInternalPorts=7340,7355\nSeedNodes=10.1.0.40:8229,10.2.0.29:8229\nBounds.GraceS=9\nUnknown=1\n");
+    GatewaySettings settings = gatewaySettings(SettingsFile::read(input));
+    CHECK(settings.callers == Endpoint { "10.1.0.40", 8227 });
+    CHECK(settings.link == Endpoint { "10.1.0.40", 7340 });
+    CHECK(settings.seedLinks.size() == 2);
+    CHECK(settings.seedLinks[1] == Endpoint { "10.2.0.29", 7340 });
+    CHECK(settings.shutdownGrace == std::chrono::milliseconds(9000));
+    std::istringstream empty("Zone=z\n");
+    SettingsFile file = SettingsFile::read(empty);
+    CHECK_THROWS_WITH_AS(file.text("NodeName"), "settings field NodeName is missing", Error);
+    std::istringstream broken("no equals sign\n");
+    CHECK_THROWS_AS(SettingsFile::read(broken), Error);
+}
+
+// Guards against a directory that names nobody and looks like an answer.
+TEST_CASE("a directory without addresses refuses")
+{
+    HttpRequest request;
+    request.target = "/-/resolve?Name=h";
+    CHECK(encodeAddresses(request, {}).status == 503);
+    HttpResponse response = encodeAddresses(request, { { { "10.0.0.1", 80 } }, std::chrono::milliseconds(2000) });
+    CHECK(response.status == 200);
+    CHECK(response.body == R"({"Addresses":["10.0.0.1:80"],"TtlS":2.0})");
+}
+
+}
