Logging, Forwarding: Explain a request from the logs; spare its attempts on stale connections

Change: 'damaskgrade explain' merges logs; a send on a kept connection that breaks before any response is not counted once, the next send takes a new connection, and the server's other ones are dropped.

--- a/Source/CommandLine/Program.cpp
+++ b/Source/CommandLine/Program.cpp
@@ -1,6 +1,7 @@
 #include "CommandLine/Program.h"
 
 #include "Agent/AgentProcess.h"
+#include "CommandLine/ExplainCommand.h"
 #include "CommandLine/LoadCommand.h"
 #include "CommandLine/OperatorCommands.h"
 #include "CommandLine/SettingsOptions.h"
@@ -81,6 +82,7 @@
     OperatorCommands commands(app, exitCode);
     TimelineCommand timeline(app);
     LoadCommand load(app, exitCode);
+    ExplainCommand explain(app, exitCode);
     addFurtherCommands(app, exitCode);
     try {
         app.parse(argumentCount, arguments);
--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -17,6 +17,7 @@
 constexpr int firstFailureStatus = 300;
 constexpr int firstServerFailureStatus = 500;
 constexpr int lowestUrgency = 9;
+constexpr std::string_view brokenConnection = "connection broke";
 
 // These statuses tell a caller that the request was not executed, which only a marked refusal proves.
 bool promisesNoExecution(int status)
@@ -152,7 +153,8 @@
     std::uint32_t attempt = ++attempt_;
     context_.loads.started(server.id);
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
-    context_.pool.acquire(server.id, server.address, [weak, attempt, serverId = server.id, &pool = context_.pool](std::shared_ptr<UpstreamConnection> connection, bool isReused) {
+    bool mayReuse = staleConnections_ == 0;
+    context_.pool.acquire(server.id, server.address, mayReuse, [weak, attempt, serverId = server.id, &pool = context_.pool](std::shared_ptr<UpstreamConnection> connection, bool isReused) {
         std::shared_ptr<ForwardedRequest> request = weak.lock();
         if (request && request->attempt_ == attempt && request->state_ == State::Connecting)
             request->connected(attempt, std::move(connection), isReused);
@@ -195,7 +197,7 @@
     handlers.onFailure = [guarded] {
         guarded([](ForwardedRequest& request) {
             bool wasRefusal = request.head_ && request.isRefusal_;
-            request.endAttempt(wasRefusal ? AttemptEnd::Refused : AttemptEnd::Unknown, "connection broke");
+            request.endAttempt(wasRefusal ? AttemptEnd::Refused : AttemptEnd::Unknown, brokenConnection);
         });
     };
     connection_->exchange(requestBytes(), std::move(handlers));
@@ -350,7 +352,7 @@
         break;
     case AttemptEnd::Unknown:
         ++executions_;
-        context_.outliers.callFailed(serverId);
+        noteBrokenConnection(serverId);
         break;
     case AttemptEnd::ServerFailure:
         ++executions_;
@@ -387,6 +389,19 @@
     context_.chooser.avoid(serverId, context_.clock.now() + pause);
 }
 
+// A kept connection that breaks before any response was most likely closed while it was idle. This says
+// nothing of the server, and its other kept connections may be as old.
+void ForwardedRequest::noteBrokenConnection(const std::string& serverId)
+{
+    bool isStale = isReusedConnection_ && !head_ && lastReason_ == brokenConnection;
+    if (!isStale) {
+        context_.outliers.callFailed(serverId);
+        return;
+    }
+    ++staleConnections_;
+    context_.pool.drop(serverId);
+}
+
 bool ForwardedRequest::mayRepeat(AttemptEnd end)
 {
     const Route& route = *terms_.route;
@@ -394,7 +409,9 @@
         return failedConnections_ < context_.settings.maxFailedConnections && (executions_ == 0 || route.mayRepeat());
     if (end == AttemptEnd::Refused && executions_ == 0)
         return sends_ < route.maxAttempts + context_.settings.maxRefusals;
-    if (!route.mayRepeat() || executions_ >= route.maxAttempts || sends_ >= route.maxAttempts + context_.settings.maxRefusals)
+    // One send on a stale connection is not counted, as it reached a server hardly ever.
+    std::uint32_t counted = executions_ - std::min(staleConnections_, 1U);
+    if (!route.mayRepeat() || counted >= route.maxAttempts || sends_ >= route.maxAttempts + context_.settings.maxRefusals)
         return false;
     // Without ids there is no place to continue a started stream at.
     return !isStreamStarted() || lastEventId_.has_value();
@@ -452,6 +469,8 @@
     }
     if (isStreamStarted()) {
         ++context_.counters.cutStreams;
+        // The caller has not left; the connection is closed here.
+        exchange_->setCloseHandler(nullptr);
         exchange_->abort();
         finish("streamCut", ResultCode::StreamInterrupted, reason);
         return;
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -87,6 +87,7 @@
     void takeEnd();
     void endAttempt(AttemptEnd end, std::string_view reason);
     void noteRefusal(const std::string& serverId);
+    void noteBrokenConnection(const std::string& serverId);
     void dropConnection();
     void freeServer();
     bool mayRepeat(AttemptEnd end);
@@ -117,6 +118,8 @@
     std::uint32_t sends_ { 0 };
     // Sends that were executed or may have been.
     std::uint32_t executions_ { 0 };
+    // Of the executions, those on a kept connection that broke before any response.
+    std::uint32_t staleConnections_ { 0 };
     std::uint32_t failedConnections_ { 0 };
     bool isFirstSend_ { true };
     std::vector<std::string> tried_;
--- a/Source/Forwarding/PooledClient.cpp
+++ b/Source/Forwarding/PooledClient.cpp
@@ -58,7 +58,7 @@
             late->fail(ResultCode::Timeout);
     });
     std::string name = formatEndpoint(server);
-    pool_->acquire(name, server, [pool = pool_, call, name, bytes = requestBytes(server, request)](std::shared_ptr<UpstreamConnection> connection, bool) {
+    pool_->acquire(name, server, true, [pool = pool_, call, name, bytes = requestBytes(server, request)](std::shared_ptr<UpstreamConnection> connection, bool) {
         if (call->isDone) {
             if (connection)
                 pool->release(name, std::move(connection));
--- a/Source/Forwarding/UpstreamPool.cpp
+++ b/Source/Forwarding/UpstreamPool.cpp
@@ -20,10 +20,10 @@
     }
 }
 
-void UpstreamPool::acquire(const std::string& serverId, const Endpoint& address, Done done)
+void UpstreamPool::acquire(const std::string& serverId, const Endpoint& address, bool mayReuse, Done done)
 {
     std::deque<Idle>& idle = idle_[serverId];
-    while (!idle.empty()) {
+    while (mayReuse && !idle.empty()) {
         Idle candidate = std::move(idle.back());
         idle.pop_back();
         if (candidate.connection->isReusable() && clock_.now() < candidate.until) {
--- a/Source/Forwarding/UpstreamPool.h
+++ b/Source/Forwarding/UpstreamPool.h
@@ -42,8 +42,8 @@
     UpstreamPool& operator=(const UpstreamPool&) = delete;
 
     // The server is named by its id, so that a new server at a reused address gets connections of its own.
-    // done may be called before acquire returns.
-    void acquire(const std::string& serverId, const Endpoint& address, Done done);
+    // done may be called before acquire returns. Without mayReuse the connection is a new one.
+    void acquire(const std::string& serverId, const Endpoint& address, bool mayReuse, Done done);
 
     // Takes a connection back after an exchange; it is closed unless it may be used again.
     void release(const std::string& serverId, std::shared_ptr<UpstreamConnection> connection);
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -311,4 +311,40 @@
     CHECK(refused <= 24);
 }
 
+// Guards against a request that is lost because the kept connections of two servers were reset while idle.
+TEST_CASE("stale connections do not use up the attempts of a request that may be repeated")
+{
+    GatewayWorld world;
+    world.setRoute(routeOf(RequestKind::Idempotent, 2));
+    bool isStale = false;
+    int reset = 0;
+    for (int i = 0; i < 3; ++i) {
+        world.addServer([&](const HttpRequest& request) {
+            bool isOld = isStale && reset < 2;
+            reset += isOld ? 1 : 0;
+            return ScriptedReply { isOld ? "" : GatewayWorld::ownResponse(request, "ok"), isOld ? AfterReply::Reset : AfterReply::KeepOpen, false };
+        });
+    }
+    std::vector<std::shared_ptr<CallerResult>> results;
+    for (int i = 0; i < 6; ++i)
+        results.push_back(world.start(world.request(std::to_string(i))));
+    REQUIRE(world.runUntil([&] { return std::all_of(results.begin(), results.end(), [](const auto& result) { return result->isDone; }); }));
+    isStale = true;
+    CHECK(world.call(world.request("a")).body == "ok");
+}
+
+// Guards against a request that ends twice when its own stream is cut.
+TEST_CASE("a cut stream ends once, and not as left by its caller")
+{
+    GatewayWorld world;
+    Route route = routeOf(RequestKind::Streaming, 1);
+    world.setRoute(route);
+    world.addServer([](const HttpRequest& request) {
+        return ScriptedReply { GatewayWorld::streamHead(request) + GatewayWorld::chunk(GatewayWorld::event(1)), AfterReply::Reset, true };
+    });
+    CHECK(!world.call(world.request("a")).isWhole);
+    CHECK(world.counters.cutStreams == 1);
+    CHECK(world.counters.cancelled == 0);
+}
+
 }
