--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -33,7 +33,8 @@
     , ports_(std::move(ports))
     , log_(log)
     , hybridClock_(clock)
-    , switch_(clock, {}, ownRank, [this](std::uint32_t rank, const RankOrder& order) { sendOrder(rank, order); },
+    , switch_(
+          clock, {}, ownRank, [this](std::uint32_t rank, const RankOrder& order) { sendOrder(rank, order); },
           [this](std::string_view decision, RankMapVersion version, std::uint64_t pass) {
               log_.write(LogLine("mapChange").add("decision", decision).add("group", group_).add("version", version).add("pass", pass).add("term", term_).add("epoch", switch_.epoch()));
           })
@@ -241,8 +242,7 @@
     std::optional<MapPlan> plan = planner_->plan(switch_.mapVersion(), utilization);
     if (!plan)
         return;
-    log_.write(LogLine("mapPlanned").add("group", group_).add("skewBeforePermille", static_cast<std::int64_t>(plan->skewBefore * permille))
-                   .add("skewAfterPermille", static_cast<std::int64_t>(plan->skewAfter * permille)).add("loads", static_cast<std::int64_t>(plan->loads)));
+    log_.write(LogLine("mapPlanned").add("group", group_).add("skewBeforePermille", static_cast<std::int64_t>(plan->skewBefore * permille)).add("skewAfterPermille", static_cast<std::int64_t>(plan->skewAfter * permille)).add("loads", static_cast<std::int64_t>(plan->loads)));
     pendingMap_ = plan->map;
     switch_.start(plan->map);
 }
--- a/Utilities/format.sh
+++ b/Utilities/format.sh
@@ -7,4 +7,4 @@
 if [ "${1:-}" = "--check" ]; then
   mode=(--dry-run -Werror)
 fi
-find Source StandIns Tests Benchmarks \( -name '*.h' -o -name '*.cpp' \) -print0 | xargs -0 -r clang-format "${mode[@]}"
+find Source platform StandIns Tests Benchmarks \( -name '*.h' -o -name '*.cpp' \) -print0 | xargs -0 -r clang-format "${mode[@]}"
