--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -140,7 +140,8 @@
     question.term = term_;
     question.controller = settings_.name;
     question.wantsCounts = planner_ && clock_.now() >= nextCounts_;
-    question.wantsLists = planner_ && switch_.canStart() && !planner_->knowsMap(switch_.mapVersion());
+    // A group that forms anew is asked before it opens, so that its first map can be planned at once.
+    question.wantsLists = planner_ && switch_.stage() == SwitchStage::Watching && !planner_->knowsMap(switch_.mapVersion());
     if (question.wantsCounts)
         nextCounts_ = clock_.now() + settings_.countPeriod;
     Frame frame = encodeMessage(question, hybridClock_.tick());
--- a/Source/RankMaps/MapPlanner.h
+++ b/Source/RankMaps/MapPlanner.h
@@ -35,7 +35,7 @@
     double idleGainPerLoad { 0.02 };
     double usualReserve { 0.2 };
     // Counts in a set below which nothing is decided.
-    double minimumCounts { 20000 };
+    double minimumCounts { 5000 };
 };
 
 struct MapPlan {
--- a/Source/RankMaps/RankAgent.cpp
+++ b/Source/RankMaps/RankAgent.cpp
@@ -128,9 +128,12 @@
 // Counts are reported as the difference to the last report. After a restart of the engine they begin anew.
 void RankAgent::takeCounts(const ExpertCounts& counts, RankStatus& status)
 {
-    bool isContinued = lastCounts_.size() == counts.counts.size()
-        && std::equal(lastCounts_.begin(), lastCounts_.end(), counts.counts.begin(), [](double last, double now) { return last <= now; });
-    if (isContinued) {
+    bool isKnown = lastCounts_.size() == counts.counts.size();
+    bool hasRestarted = isKnown
+        && !std::equal(lastCounts_.begin(), lastCounts_.end(), counts.counts.begin(), [](double last, double now) { return last <= now; });
+    if (hasRestarted)
+        std::fill(lastCounts_.begin(), lastCounts_.end(), 0);
+    if (isKnown) {
         std::vector<double> differences(counts.counts.size());
         for (std::size_t i = 0; i < differences.size(); ++i)
             differences[i] = counts.counts[i] - lastCounts_[i];
