RankMaps: Keep the controllers of several groups of a service apart

Cause: found by reading: a question of one group's controller raised the term at the agents of another group of the same service, and kept them from electing their own. No deployment at hand has two groups.

--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -71,8 +71,10 @@
             member.link = agent->link;
             member.engine = agent->engine;
         }
-        for (const auto& [name, member] : members_)
-            targets[name] = member.link;
+        for (const auto& [name, member] : members_) {
+            if (!member.isForeign)
+                targets[name] = member.link;
+        }
         links_.setTargets(targets);
         std::size_t size = switch_.reports().empty() ? 0 : switch_.reports().begin()->second.groupSize;
         bool isComplete = size > 0 && switch_.reports().size() == size && links_.openCount() >= size;
@@ -137,6 +139,7 @@
 void GroupControl::ask()
 {
     RankQuestion question;
+    question.group = group_;
     question.term = term_;
     question.controller = settings_.name;
     question.wantsCounts = planner_ && clock_.now() >= nextCounts_;
@@ -147,7 +150,7 @@
     Frame frame = encodeMessage(question, hybridClock_.tick());
     bool isBusy = switch_.stage() != SwitchStage::Watching;
     for (auto& [name, member] : members_) {
-        bool isAsked = question.wantsCounts || !member.isKnown || switch_.awaits(member.rank);
+        bool isAsked = !member.isForeign && (question.wantsCounts || !member.isKnown || switch_.awaits(member.rank));
         if (!isAsked)
             continue;
         links_.send(name, frame);
@@ -187,12 +190,17 @@
 
 void GroupControl::receiveStatus(const RankStatus& status)
 {
+    auto found = members_.find(status.agent);
+    if (status.report && status.report->group != group_) {
+        if (found != members_.end())
+            found->second.isForeign = true;
+        return;
+    }
     if (status.term > term_) {
         ports_.onDeposed(status.term);
         return;
     }
-    auto found = members_.find(status.agent);
-    if (found == members_.end() || !status.report || status.report->group != group_)
+    if (found == members_.end() || !status.report)
         return;
     Member& member = found->second;
     member.heardAt = clock_.now();
@@ -218,7 +226,7 @@
         if (!member.isKnown || member.rank != rank)
             continue;
         if (isAnswering(name, member)) {
-            links_.send(name, encodeMessage(RankOrderMessage { term_, settings_.name, order }, hybridClock_.tick()));
+            links_.send(name, encodeMessage(RankOrderMessage { group_, term_, settings_.name, order }, hybridClock_.tick()));
             return;
         }
         std::shared_ptr<bool> alive = alive_;
--- a/Source/RankMaps/GroupControl.h
+++ b/Source/RankMaps/GroupControl.h
@@ -49,6 +49,8 @@
         Endpoint engine;
         std::uint32_t rank { 0 };
         bool isKnown { false };
+        // Its rank belongs to another group of the service.
+        bool isForeign { false };
         TimePoint heardAt;
         std::unique_ptr<RankEngine> remote;
         bool isRemoteAsked { false };
--- a/Source/RankMaps/RankAgent.cpp
+++ b/Source/RankMaps/RankAgent.cpp
@@ -49,8 +49,20 @@
 {
 }
 
+bool RankAgent::isOfOtherGroup(const std::string& group) const
+{
+    return report_ && report_->group != group;
+}
+
 void RankAgent::receive(const RankQuestion& question, SendStatus reply)
 {
+    if (isOfOtherGroup(question.group)) {
+        // The controller learns from the report that this rank is not one of its own.
+        RankStatus status = emptyStatus();
+        status.report = report_;
+        reply(status);
+        return;
+    }
     if (question.term < term_) {
         reply(emptyStatus());
         return;
@@ -69,6 +81,8 @@
 void RankAgent::receive(const RankOrderMessage& message, SendResult reply, SendStatus replyStatus)
 {
     RankOrderResultMessage result { term_, name_, message.order.kind, message.order.version, message.order.pass, RankOrderResult::Fenced };
+    if (isOfOtherGroup(message.group))
+        return;
     if (message.term < term_) {
         reply(result);
         return;
@@ -84,6 +98,7 @@
         log_.write(line);
         reply(result);
         RankQuestion question;
+        question.group = message.group;
         question.term = message.term;
         receive(question, replyStatus);
     });
--- a/Source/RankMaps/RankAgent.h
+++ b/Source/RankMaps/RankAgent.h
@@ -35,6 +35,10 @@
     std::uint64_t term() const { return term_; }
     // When a controller was last heard of.
     TimePoint heardAt() const { return heardAt_; }
+    // Says whether messages of this group's controller are meant for another rank. The group of the own rank
+    // is known once its engine was read.
+    bool isOfOtherGroup(const std::string& group) const;
+
     // The last report of the engine.
     const std::optional<RankReport>& report() const { return report_; }
 
--- a/Source/RankMaps/RankAgentProcess.cpp
+++ b/Source/RankMaps/RankAgentProcess.cpp
@@ -71,7 +71,8 @@
     try {
         if (frame.type == RankQuestion::type) {
             RankQuestion question = decodeRankQuestion(frame.body);
-            if (control_ && question.term >= control_->term() && question.controller != settings_.name)
+            bool isForOwnGroup = !agent_.isOfOtherGroup(question.group);
+            if (control_ && isForOwnGroup && question.term >= control_->term() && question.controller != settings_.name)
                 stopControl(question.term);
             agent_.receive(question, sendStatus);
         } else if (frame.type == RankOrderMessage::type) {
--- a/Source/RankMaps/RankMessages.cpp
+++ b/Source/RankMaps/RankMessages.cpp
@@ -80,7 +80,7 @@
 
 Frame encodeMessage(const RankQuestion& message, HybridTime time)
 {
-    return makeFrame(RankQuestion::type, time, { { "t", message.term }, { "c", message.controller }, { "k", message.wantsCounts }, { "l", message.wantsLists } });
+    return makeFrame(RankQuestion::type, time, { { "g", message.group }, { "t", message.term }, { "c", message.controller }, { "k", message.wantsCounts }, { "l", message.wantsLists } });
 }
 
 Frame encodeMessage(const RankStatus& message, HybridTime time)
@@ -102,7 +102,7 @@
 Frame encodeMessage(const RankOrderMessage& message, HybridTime time)
 {
     const RankOrder& order = message.order;
-    Json json = { { "t", message.term }, { "c", message.controller }, { "k", static_cast<int>(order.kind) }, { "f", order.fencingToken }, { "e", order.epoch },
+    Json json = { { "g", message.group }, { "t", message.term }, { "c", message.controller }, { "k", static_cast<int>(order.kind) }, { "f", order.fencingToken }, { "e", order.epoch },
         { "v", order.version }, { "p", order.pass } };
     if (!order.map.empty())
         json["m"] = order.map;
@@ -119,7 +119,7 @@
 RankQuestion decodeRankQuestion(ByteView body)
 {
     return decodeBody(RankQuestion::type, body, [](const Json& json) {
-        return RankQuestion { json.at("t").get<std::uint64_t>(), json.at("c").get<std::string>(), json.at("k").get<bool>(), json.at("l").get<bool>() };
+        return RankQuestion { json.at("g").get<std::string>(), json.at("t").get<std::uint64_t>(), json.at("c").get<std::string>(), json.at("k").get<bool>(), json.at("l").get<bool>() };
     });
 }
 
@@ -146,6 +146,7 @@
 {
     return decodeBody(RankOrderMessage::type, body, [](const Json& json) {
         RankOrderMessage message;
+        message.group = json.at("g").get<std::string>();
         message.term = json.at("t").get<std::uint64_t>();
         message.controller = json.at("c").get<std::string>();
         message.order.kind = enumerationFromJson(json.at("k"), RankOrderKind::Go);
--- a/Source/RankMaps/RankMessages.h
+++ b/Source/RankMaps/RankMessages.h
@@ -13,6 +13,8 @@
 // The controller of a group asks the agent of a rank for its state.
 struct RankQuestion {
     static constexpr const char* type = "rankQuestion";
+    // A service may have several groups, each with a controller of its own.
+    std::string group;
     std::uint64_t term { 0 };
     std::string controller;
     bool wantsCounts { false };
@@ -38,6 +40,7 @@
 // The controller has the agent give its engine an order.
 struct RankOrderMessage {
     static constexpr const char* type = "rankOrder";
+    std::string group;
     std::uint64_t term { 0 };
     std::string controller;
     RankOrder order;
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -34,6 +34,7 @@
     int wrong = 0;
     for (int round = 0; round < 40; ++round) {
         std::vector<std::shared_ptr<CallerResult>> results;
+        results.reserve(5);
         for (int i = 0; i < 5; ++i)
             results.push_back(world.start(world.request(std::to_string(round * 5 + i))));
         world.runUntil([&] { return std::all_of(results.begin(), results.end(), [](const auto& result) { return result->isDone; }); });
@@ -326,6 +327,7 @@
         });
     }
     std::vector<std::shared_ptr<CallerResult>> results;
+    results.reserve(6);
     for (int i = 0; i < 6; ++i)
         results.push_back(world.start(world.request(std::to_string(i))));
     REQUIRE(world.runUntil([&] { return std::all_of(results.begin(), results.end(), [](const auto& result) { return result->isDone; }); }));
