RankMaps: Keep the rows of agents together by group, and read only those

Cause: each agent and controller read the rows of all agents, which grows with the square of the agents.

--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -60,10 +60,10 @@
 void GroupControl::readMembers()
 {
     std::shared_ptr<bool> alive = alive_;
-    ports_.table.scan(std::string(rankAgentRowPrefix), [this, alive](const TableReadResult& result) {
+    ports_.table.scan(rankAgentRowsOf(group_), [this, alive](const TableReadResult& result) {
         if (!*alive)
             return;
-        addMembers(parseRankAgentRows(result.rows, settings_.service));
+        addMembers(parseRankAgentRows(result.rows));
         std::size_t size = switch_.reports().empty() ? 0 : switch_.reports().begin()->second.groupSize;
         bool isComplete = size > 0 && switch_.reports().size() == size && links_.openCount() >= size;
         memberTimer_ = loop_.after(isComplete ? membersPeriod : missingMembersPeriod, [this] { readMembers(); });
--- a/Source/RankMaps/RankAgentProcess.cpp
+++ b/Source/RankMaps/RankAgentProcess.cpp
@@ -46,8 +46,6 @@
     metricsServer_ = std::make_unique<HttpServer>(loop_, settings_.metrics, HttpServerLimits {}, [this](std::shared_ptr<HttpExchange> exchange) {
         exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText() });
     });
-    registerSelf();
-    agentsTimer_ = loop_.after(settings_.agentsDelay, [this] { readAgents(); });
     timer_ = loop_.every(tickPeriod, [this] { tick(); });
     loop_.onTermination([this] {
         log_.write(LogLine("stopped").add("role", "rankAgent"));
@@ -61,7 +59,7 @@
 
 void RankAgentProcess::registerSelf()
 {
-    RankAgentRow row { settings_.name, settings_.service, settings_.link, settings_.engine };
+    RankAgentRow row { settings_.name, leaseGroup_, settings_.link, settings_.engine };
     platform_.table.write({ writeRankAgentRow(row) }, [this](const TableWriteResult& result) {
         if (result.status != ResultCode::Ok)
             registerTimer_ = loop_.after(registerRetry + std::chrono::milliseconds(random_.index(200)), [this] { registerSelf(); });
@@ -71,10 +69,10 @@
 // Keeps the agents at hand, because control may have to be taken while the table is down.
 void RankAgentProcess::readAgents()
 {
-    platform_.table.scan(std::string(rankAgentRowPrefix), [this](const TableReadResult& result) {
+    platform_.table.scan(rankAgentRowsOf(leaseGroup_), [this](const TableReadResult& result) {
         bool isRead = result.status == ResultCode::Ok;
         if (isRead)
-            knownAgents_ = parseRankAgentRows(result.rows, settings_.service);
+            knownAgents_ = parseRankAgentRows(result.rows);
         std::chrono::milliseconds delay = isRead ? agentsPeriod : agentsRetry;
         agentsTimer_ = loop_.after(delay + std::chrono::milliseconds(random_.index(static_cast<std::size_t>(delay.count()))), [this] { readAgents(); });
     });
@@ -129,6 +127,8 @@
             platform_.table, report.group, incarnationName_, [this](std::uint64_t term, const std::string& controller) { leaseChanged(term, controller); }, [this] { leaseFailed(); });
         // Learns the term before it may be needed.
         lease_->read();
+        registerSelf();
+        agentsTimer_ = loop_.after(settings_.agentsDelay, [this] { readAgents(); });
         return;
     }
     bool isSilent = now - agent_.heardAt() >= settings_.silenceLimit + settings_.silencePerRank * report.rank;
--- a/Source/RankMaps/RankAgentRows.cpp
+++ b/Source/RankMaps/RankAgentRows.cpp
@@ -13,9 +13,11 @@
     RankAgentRow agent;
     std::string link;
     std::string engine;
-    if (row.key.size() <= rankAgentRowPrefix.size() || !(text >> agent.service >> link >> engine))
+    std::size_t slash = row.key.rfind('/');
+    if (slash == std::string::npos || slash < rankAgentRowPrefix.size() || !(text >> link >> engine))
         return std::nullopt;
-    agent.name = row.key.substr(rankAgentRowPrefix.size());
+    agent.group = row.key.substr(rankAgentRowPrefix.size(), slash - rankAgentRowPrefix.size());
+    agent.name = row.key.substr(slash + 1);
     try {
         agent.link = parseEndpoint(link);
         agent.engine = parseEndpoint(engine);
@@ -25,12 +27,17 @@
     return agent;
 }
 
-std::vector<RankAgentRow> parseRankAgentRows(const std::vector<TableRow>& rows, std::string_view service)
+std::string rankAgentRowsOf(const std::string& group)
+{
+    return std::string(rankAgentRowPrefix) + group + "/";
+}
+
+std::vector<RankAgentRow> parseRankAgentRows(const std::vector<TableRow>& rows)
 {
     std::vector<RankAgentRow> agents;
     for (const TableRow& row : rows) {
         std::optional<RankAgentRow> agent = parseRankAgentRow(row);
-        if (agent && agent->service == service)
+        if (agent)
             agents.push_back(*std::move(agent));
     }
     return agents;
@@ -38,7 +45,7 @@
 
 TableWrite writeRankAgentRow(const RankAgentRow& row)
 {
-    return { std::string(rankAgentRowPrefix) + row.name, row.service + " " + formatEndpoint(row.link) + " " + formatEndpoint(row.engine), std::nullopt };
+    return { rankAgentRowsOf(row.group) + row.name, formatEndpoint(row.link) + " " + formatEndpoint(row.engine), std::nullopt };
 }
 
 }
--- a/Source/RankMaps/RankAgentRows.h
+++ b/Source/RankMaps/RankAgentRows.h
@@ -15,15 +15,18 @@
 // Where an agent and its engine are found.
 struct RankAgentRow {
     std::string name;
-    std::string service;
+    // The rows of a group lie together, so that only they are read.
+    std::string group;
     Endpoint link;
     Endpoint engine;
 };
 
 // Returns nothing for a row that another writer left or that can't be read.
 std::optional<RankAgentRow> parseRankAgentRow(const TableRow& row);
-// Returns the agents of a service.
-std::vector<RankAgentRow> parseRankAgentRows(const std::vector<TableRow>& rows, std::string_view service);
+std::vector<RankAgentRow> parseRankAgentRows(const std::vector<TableRow>& rows);
+
+// Returns the prefix of the rows of a group.
+std::string rankAgentRowsOf(const std::string& group);
 
 TableWrite writeRankAgentRow(const RankAgentRow& row);
 
