--- a/Tests/Fleet/FleetViewTest.cpp
+++ b/Tests/Fleet/FleetViewTest.cpp
@@ -50,6 +50,9 @@
     world.apply(5, { server("a", 1, true) });
     world.apply(4, { server("a", 1) });
     CHECK(world.view.ready("s").empty());
+    world.apply(6, { server("b", 2) });
+    world.apply(5, {});
+    CHECK(world.view.ready("s").size() == 1);
 }
 
 // Guards against the loss of all servers when their entries lapsed with the registry itself.
@@ -84,7 +87,10 @@
     world.apply(2, { server("a", 1, true, 1), server("c", 1, false, 2) });
     REQUIRE(world.view.ready("s").size() == 1);
     CHECK(world.view.ready("s").front()->id == "c");
-    world.apply(3, { server("a", 1, false, 5) });
+    world.apply(3, { server("x", 1, false, 3), server("y", 1, false, 4) });
+    REQUIRE(world.view.ready("s").size() == 1);
+    CHECK(world.view.ready("s").front()->id == "y");
+    world.apply(4, { server("a", 1, false, 5) });
     REQUIRE(world.view.ready("s").size() == 1);
     CHECK(world.view.ready("s").front()->id == "a");
 }
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -209,13 +209,18 @@
     GatewayWorld world;
     world.setRoute(routeOf(RequestKind::Streaming, 1));
     AfterReply end = AfterReply::Close;
-    world.addServer([&end](const HttpRequest& request) {
+    std::string rest;
+    world.addServer([&end, &rest](const HttpRequest& request) {
         std::string id = findHeader(request.headers, "Request-Id").value_or("");
-        return ScriptedReply { "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSignature: sig\r\nContent-Type: text/event-stream\r\n\r\n" + GatewayWorld::event(1), end, true };
+        std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSignature: sig\r\nContent-Type: text/event-stream\r\n\r\n";
+        return ScriptedReply { head + GatewayWorld::event(1) + rest, end, true };
     });
     CHECK(world.call(world.request("a")).isWhole);
-    end = AfterReply::Reset;
+    rest = "id: 2\ndata: pie";
     CHECK(!world.call(world.request("b")).isWhole);
+    rest.clear();
+    end = AfterReply::Reset;
+    CHECK(!world.call(world.request("c")).isWhole);
 }
 
 // Guards against engines that go on working for a caller who has left.
--- a/Tests/RankMaps/MapPlannerTest.cpp
+++ b/Tests/RankMaps/MapPlannerTest.cpp
@@ -64,6 +64,31 @@
     }
 }
 
+// Guards against a change that an engine refuses because too many experts of a set are new to it.
+TEST_CASE("a rank loads no more experts of a set than it has spare slots")
+{
+    constexpr ExpertLayout roomy { 8, 1, 32, 8, 1 };
+    ManualClock clock;
+    MapPlannerSettings settings;
+    settings.gainPerLoad = 0;
+    settings.idleGainPerLoad = 0;
+    MapPlanner planner(clock, roomy, settings);
+    std::vector<double> counts(roomy.expertsPerSet, 100);
+    for (std::uint32_t expert = 0; expert < 4; ++expert)
+        counts[expert] = 50000;
+    for (std::uint32_t rank = 0; rank < roomy.ranks; ++rank) {
+        planner.setExperts(rank, 0, { startingExperts(rank)[0] });
+        planner.addCounts(rank, counts);
+    }
+    std::optional<MapPlan> plan = planner.plan(0, 1);
+    REQUIRE(plan);
+    for (std::uint32_t rank = 0; rank < roomy.ranks; ++rank) {
+        std::vector<std::uint32_t> before = startingExperts(rank)[0];
+        auto isNew = [&before](std::uint32_t expert) { return std::find(before.begin(), before.end(), expert) == before.end(); };
+        CHECK(std::count_if(plan->map[0][rank].begin(), plan->map[0][rank].end(), isNew) <= roomy.spareSlots);
+    }
+}
+
 // Guards against changes that cost more than they save.
 TEST_CASE("an even load is left alone, and a small gain is left alone while slots are free")
 {
