--- a/Source/Forwarding/MessageHeaders.cpp
+++ b/Source/Forwarding/MessageHeaders.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace Damaskgrade {
 
@@ -44,13 +43,6 @@
 
 }
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
-        return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
-    });
-}
-
 std::string serializeUpstreamRequest(const HttpRequest& request, const HeaderNames& names, const UpstreamIdentity& identity)
 {
     auto isReplaced = [&](std::string_view name) {
--- a/Source/Forwarding/MessageHeaders.h
+++ b/Source/Forwarding/MessageHeaders.h
@@ -27,6 +27,4 @@
 // Returns the response headers for the caller, without those of the server's connection.
 std::vector<HttpHeader> callerHeaders(const HttpResponse& head, const HeaderNames& names);
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right);
-
 }
--- a/Source/Transport/HttpMessage.cpp
+++ b/Source/Transport/HttpMessage.cpp
@@ -7,17 +7,6 @@
 
 namespace {
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    if (left.size() != right.size())
-        return false;
-    for (std::size_t i = 0; i < left.size(); ++i) {
-        if (std::tolower(static_cast<unsigned char>(left[i])) != std::tolower(static_cast<unsigned char>(right[i])))
-            return false;
-    }
-    return true;
-}
-
 bool isUnreserved(char character)
 {
     return std::isalnum(static_cast<unsigned char>(character)) || std::string_view("-._~").find(character) != std::string_view::npos;
@@ -30,6 +19,17 @@
 
 }
 
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    if (left.size() != right.size())
+        return false;
+    for (std::size_t i = 0; i < left.size(); ++i) {
+        if (std::tolower(static_cast<unsigned char>(left[i])) != std::tolower(static_cast<unsigned char>(right[i])))
+            return false;
+    }
+    return true;
+}
+
 HttpRequest makeJsonPost(std::string_view target, std::string_view body)
 {
     HttpRequest request;
--- a/Source/Transport/HttpMessage.h
+++ b/Source/Transport/HttpMessage.h
@@ -26,6 +26,9 @@
     std::string body;
 };
 
+// Compares ASCII letters without case, as names of headers are.
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+
 // Returns a POST request with a JSON body.
 HttpRequest makeJsonPost(std::string_view target, std::string_view body);
 
--- a/Tests/Gateway/GatewayWorld.h
+++ b/Tests/Gateway/GatewayWorld.h
@@ -4,6 +4,7 @@
 #include "Forwarding/ScriptedServer.h"
 #include "FreeEndpoint.h"
 #include "Gateway/Forwarder.h"
+#include "LoopRunner.h"
 #include "Transport/HttpClient.h"
 #include "Transport/HttpServer.h"
 
@@ -119,19 +120,7 @@
     }
 
     // Runs the world until the condition holds, for at most a generous time. Returns whether it holds.
-    bool runUntil(const std::function<bool()>& condition)
-    {
-        bool holds = false;
-        std::unique_ptr<Timer> limit = loop.after(std::chrono::seconds(15), [this] { loop.stop(); });
-        std::unique_ptr<Timer> check = loop.every(std::chrono::milliseconds(2), [this, &condition, &holds] {
-            holds = condition();
-            if (holds)
-                loop.stop();
-        });
-        loop.restart();
-        loop.run();
-        return holds;
-    }
+    bool runUntil(const std::function<bool()>& condition) { return runLoopUntil(loop, condition); }
 
     CallerResult call(const HttpRequest& request)
     {
--- a/Tests/Peers/PeerGroupTest.cpp
+++ b/Tests/Peers/PeerGroupTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/SystemClock.h"
 #include "FreeEndpoint.h"
+#include "LoopRunner.h"
 
 #include <doctest/doctest.h>
 
@@ -54,19 +55,7 @@
             entry.group->addAddress("seed " + seed, entries[seed].link);
     }
 
-    bool runUntil(const std::function<bool()>& condition)
-    {
-        bool holds = false;
-        std::unique_ptr<Timer> limit = loop.after(std::chrono::seconds(20), [this] { loop.stop(); });
-        std::unique_ptr<Timer> check = loop.every(std::chrono::milliseconds(5), [&] {
-            holds = condition();
-            if (holds)
-                loop.stop();
-        });
-        loop.restart();
-        loop.run();
-        return holds;
-    }
+    bool runUntil(const std::function<bool()>& condition) { return runLoopUntil(loop, condition); }
 
     std::size_t aliveAt(const std::string& name) { return entries[name].group->alive().size(); }
 
--- a/Tests/RankMaps/RankAgentProcessTest.cpp
+++ b/Tests/RankMaps/RankAgentProcessTest.cpp
@@ -2,7 +2,7 @@
 
 #include "Core/SystemClock.h"
 #include "FreeEndpoint.h"
-#include "Platform/MemoryTable.h"
+#include "LoopRunner.h"
 
 #include <doctest/doctest.h>
 
@@ -151,19 +151,7 @@
         agents[rank] = std::make_unique<RankAgentProcess>(loop, clock, random, settings, platform, log);
     }
 
-    bool runUntil(const std::function<bool()>& condition)
-    {
-        bool holds = false;
-        std::unique_ptr<Timer> limit = loop.after(std::chrono::seconds(20), [this] { loop.stop(); });
-        std::unique_ptr<Timer> check = loop.every(std::chrono::milliseconds(5), [&] {
-            holds = condition();
-            if (holds)
-                loop.stop();
-        });
-        loop.restart();
-        loop.run();
-        return holds;
-    }
+    bool runUntil(const std::function<bool()>& condition) { return runLoopUntil(loop, condition); }
 
     std::string controllerRow() const
     {
