Forwarding: Reset connections whose request was cancelled

Their bytes had gone to a machine that stood still; the connection was closed in good order, so the bytes were still delivered when the machine woke. Ruled out: sends after the close (the entry had ended the requests in time).

Change: a connection that is closed in the middle of an exchange is reset, which takes back what was not delivered. The Connection header has one reader now, which compares whole tokens.

Test: a cancelled request resets its connection (failed before: a close).

--- a/Source/Forwarding/MessageHeaders.cpp
+++ b/Source/Forwarding/MessageHeaders.cpp
@@ -16,26 +16,6 @@
     return std::any_of(connectionHeaders.begin(), connectionHeaders.end(), [name](std::string_view header) { return equalsIgnoringCase(header, name); });
 }
 
-// Says whether the Connection header of the message names this header.
-bool isNominated(const std::optional<std::string>& connection, std::string_view name)
-{
-    if (!connection)
-        return false;
-    std::size_t start = 0;
-    while (start <= connection->size()) {
-        std::size_t comma = std::min(connection->find(',', start), connection->size());
-        std::string_view token = std::string_view(*connection).substr(start, comma - start);
-        while (!token.empty() && token.front() == ' ')
-            token.remove_prefix(1);
-        while (!token.empty() && token.back() == ' ')
-            token.remove_suffix(1);
-        if (equalsIgnoringCase(token, name))
-            return true;
-        start = comma + 1;
-    }
-    return false;
-}
-
 void appendHeader(std::string& text, std::string_view name, std::string_view value)
 {
     text.append(name).append(": ").append(value).append("\r\n");
@@ -53,9 +33,9 @@
     std::string text;
     text.reserve(1024 + request.body.size());
     text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-    std::optional<std::string> connection = findHeader(request.headers, "Connection");
+    std::string connection = findHeader(request.headers, "Connection").value_or("");
     for (const HttpHeader& header : request.headers) {
-        if (!isConnectionHeader(header.name) && !isReplaced(header.name) && !isNominated(connection, header.name))
+        if (!isConnectionHeader(header.name) && !isReplaced(header.name) && !hasListToken(connection, header.name))
             appendHeader(text, header.name, header.value);
     }
     appendHeader(text, names.deadline, std::to_string(identity.timeLeft.count()));
@@ -76,10 +56,10 @@
 std::vector<HttpHeader> callerHeaders(const HttpResponse& head, const HeaderNames& names)
 {
     std::vector<HttpHeader> headers;
-    std::optional<std::string> connection = findHeader(head.headers, "Connection");
+    std::string connection = findHeader(head.headers, "Connection").value_or("");
     for (const HttpHeader& header : head.headers) {
         bool isOwn = equalsIgnoringCase(header.name, names.serverLoad);
-        if (!isOwn && !isConnectionHeader(header.name) && !isNominated(connection, header.name))
+        if (!isOwn && !isConnectionHeader(header.name) && !hasListToken(connection, header.name))
             headers.push_back(header);
     }
     return headers;
--- a/Source/Forwarding/UpstreamConnection.cpp
+++ b/Source/Forwarding/UpstreamConnection.cpp
@@ -24,14 +24,6 @@
 constexpr std::size_t readBytes = 16384;
 constexpr int firstFinalStatus = 200;
 
-bool hasToken(std::string_view list, std::string_view token)
-{
-    std::string lower;
-    for (char character : list)
-        lower += static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
-    return lower.find(token) != std::string::npos;
-}
-
 class TcpUpstreamConnection : public UpstreamConnection {
 public:
     explicit TcpUpstreamConnection(EventLoop& loop)
@@ -121,12 +113,15 @@
 
 void TcpUpstreamConnection::close()
 {
+    boost::system::error_code ignored;
+    // A reset also takes back what a frozen or unreachable server has not received yet.
+    if (isExchanging_)
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     isOpen_ = false;
     isExchanging_ = false;
     handlers_ = {};
     onIdleLost_ = nullptr;
     timer_.cancel();
-    boost::system::error_code ignored;
     socket_.close(ignored);
 }
 
@@ -164,7 +159,7 @@
 void TcpUpstreamConnection::noteConnectionHeaders(const HttpResponse& head)
 {
     std::optional<std::string> connection = findHeader(head.headers, "Connection");
-    if (connection && hasToken(*connection, "close"))
+    if (connection && hasListToken(*connection, "close"))
         isClean_ = false;
     std::optional<std::string> keepAlive = findHeader(head.headers, "Keep-Alive");
     std::size_t position = keepAlive ? keepAlive->find("timeout=") : std::string::npos;
--- a/Source/Transport/HttpMessage.cpp
+++ b/Source/Transport/HttpMessage.cpp
@@ -1,5 +1,6 @@
 #include "Transport/HttpMessage.h"
 
+#include <algorithm>
 #include <cctype>
 #include <cstdlib>
 
@@ -30,6 +31,21 @@
     return true;
 }
 
+bool hasListToken(std::string_view list, std::string_view token)
+{
+    std::size_t start = 0;
+    while (start <= list.size()) {
+        std::size_t comma = std::min(list.find(',', start), list.size());
+        std::string_view entry = list.substr(start, comma - start);
+        std::size_t first = std::min(entry.find_first_not_of(" \t"), entry.size());
+        entry = entry.substr(first, entry.find_last_not_of(" \t") + 1 - first);
+        if (equalsIgnoringCase(entry, token))
+            return true;
+        start = comma + 1;
+    }
+    return false;
+}
+
 HttpRequest makeJsonPost(std::string_view target, std::string_view body)
 {
     HttpRequest request;
--- a/Source/Transport/HttpMessage.h
+++ b/Source/Transport/HttpMessage.h
@@ -29,6 +29,9 @@
 // Compares ASCII letters without case, as names of headers are.
 bool equalsIgnoringCase(std::string_view left, std::string_view right);
 
+// Says whether a comma-separated header value has this token, compared without case.
+bool hasListToken(std::string_view list, std::string_view token);
+
 // Returns a POST request with a JSON body.
 HttpRequest makeJsonPost(std::string_view target, std::string_view body);
 
--- a/Tests/Forwarding/ScriptedServer.cpp
+++ b/Tests/Forwarding/ScriptedServer.cpp
@@ -28,6 +28,7 @@
     std::vector<HttpRequest> requests;
     std::size_t connections { 0 };
     std::size_t closed { 0 };
+    std::size_t reset { 0 };
 };
 
 namespace {
@@ -46,10 +47,13 @@
         parser_.emplace();
         auto self = this->shared_from_this();
         http::async_read(socket_, buffer_, *parser_, [self](boost::system::error_code failure, std::size_t) {
-            if (failure)
-                ++self->state_->closed;
-            else
+            if (!failure) {
                 self->handle();
+                return;
+            }
+            ++self->state_->closed;
+            if (failure == asio::error::connection_reset)
+                ++self->state_->reset;
         });
     }
 
@@ -155,4 +159,9 @@
     return state_->closed;
 }
 
+std::size_t ScriptedServer::resetCount() const
+{
+    return state_->reset;
+}
+
 }
--- a/Tests/Forwarding/ScriptedServer.h
+++ b/Tests/Forwarding/ScriptedServer.h
@@ -43,6 +43,8 @@
     const std::vector<HttpRequest>& requests() const;
     // Connections that the other side has closed.
     std::size_t closedCount() const;
+    // Of these, the connections that were reset.
+    std::size_t resetCount() const;
 
 private:
     struct State;
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -242,6 +242,20 @@
     }
 }
 
+// Guards against a request that a frozen server gets after its caller has left: what a closed connection had
+// not delivered yet arrives when the server wakes, what a reset one had not is lost.
+TEST_CASE("when the caller of a running request leaves, the connection to the server is reset")
+{
+    GatewayWorld world;
+    world.setRoute(routeOf(RequestKind::Idempotent));
+    ScriptedServer& server = world.addServer([](const HttpRequest&) { return ScriptedReply(); });
+    world.start(world.request("a"));
+    REQUIRE(world.runUntil([&] { return server.requests().size() == 1; }));
+    world.calls.clear();
+    REQUIRE(world.runUntil([&] { return server.closedCount() == 1; }));
+    CHECK(server.resetCount() == 1);
+}
+
 // Guards against requests that are held past the time that the operator allows.
 TEST_CASE("at the timeout of the route a request is answered: 504 once it was sent, 503 before")
 {
