RankMaps: Bound the lead of a switch, and repeat unanswered orders at once

And each order without an answer was repeated only after 120 ms (a load after 400 ms), so that at 60% of lost orders a change took three seconds and held the group for one. Ruled out: a controller that is missing (control was taken in 0.9 s).

Change: refused holds add at most six passes, none while the group is broken, and nothing to the next epoch; the longest lead bounds the sum.

--- a/Source/Forwarding/PooledClient.cpp
+++ b/Source/Forwarding/PooledClient.cpp
@@ -40,20 +40,19 @@
     }
 };
 
-PooledClient::PooledClient(EventLoop& loop, const Clock& clock, std::chrono::milliseconds timeout)
+PooledClient::PooledClient(EventLoop& loop, const Clock& clock)
     : loop_(loop)
-    , timeout_(timeout)
     , pool_(std::make_shared<UpstreamPool>(clock, UpstreamPoolSettings {}, [&loop] { return makeUpstreamConnection(loop); }))
 {
 }
 
-void PooledClient::send(const Endpoint& server, const HttpRequest& request, std::function<void(HttpResponse)> onResponse, std::function<void(const HttpFailure&)> onFailure)
+void PooledClient::send(const Endpoint& server, const HttpRequest& request, std::chrono::milliseconds timeout, std::function<void(HttpResponse)> onResponse, std::function<void(const HttpFailure&)> onFailure)
 {
     auto call = std::make_shared<Call>();
     call->onResponse = std::move(onResponse);
     call->onFailure = std::move(onFailure);
     std::weak_ptr<Call> weak = call;
-    call->timer = loop_.after(timeout_, [weak] {
+    call->timer = loop_.after(timeout, [weak] {
         if (std::shared_ptr<Call> late = weak.lock())
             late->fail(ResultCode::Timeout);
     });
--- a/Source/RankMaps/SwitchController.cpp
+++ b/Source/RankMaps/SwitchController.cpp
@@ -32,6 +32,7 @@
         // A new epoch clears all that was prepared, armed or held in the old one.
         reports_.clear();
         epoch_ = report.epoch;
+        extraPasses_ = 0;
         if (stage_ != SwitchStage::Watching) {
             ++counters_.givenUp;
             note_("group formed anew", version_, pass_);
@@ -45,8 +46,13 @@
 
 void SwitchController::orderEnded(std::uint32_t rank, RankOrderKind kind, RankMapVersion version, std::uint64_t pass, RankOrderResult result)
 {
-    if (result == RankOrderResult::Unknown)
+    if (result == RankOrderResult::Unknown) {
         lostOrderAt_ = clock_.now();
+        // The order may be carried out seconds later, and then finds that the repetition has been.
+        if (version == version_)
+            orderedAt_.erase(rank);
+        return;
+    }
     // What the engine did shows in its report; only a refusal is of use before.
     if (result != RankOrderResult::Refused || version != version_)
         return;
@@ -55,12 +61,16 @@
         orderedAt_[rank] = clock_.now();
         return;
     }
-    if (stage_ == SwitchStage::Holding && kind == RankOrderKind::Hold && pass == pass_) {
-        // The pass had begun before the order arrived.
-        ++extraPasses_;
-        pass_ = 0;
-        orderedAt_.clear();
-    }
+    if (stage_ == SwitchStage::Holding && kind == RankOrderKind::Hold && pass == pass_)
+        chooseLaterPass();
+}
+
+// The pass had begun before the order to hold it arrived, as far as can be known.
+void SwitchController::chooseLaterPass()
+{
+    extraPasses_ = std::min(extraPasses_ + 1, settings_.maxExtraPasses);
+    pass_ = 0;
+    orderedAt_.clear();
 }
 
 void SwitchController::tick()
@@ -186,16 +196,17 @@
         arm();
         return;
     }
-    if (pass_ != 0 && lastPass() >= pass_) {
-        ++extraPasses_;
-        pass_ = 0;
-    }
+    if (pass_ != 0 && lastPass() >= pass_)
+        chooseLaterPass();
     if (clock_.now() - stageSince_ > settings_.holdTimeout) {
         ++counters_.givenUp;
         note_("pass was not held in time", version_, pass_);
         enter(SwitchStage::Watching);
         return;
     }
+    // A broken group holds no pass.
+    if (!holder.isOpen)
+        return;
     if (pass_ == 0) {
         pass_ = lastPass() + leadPasses();
         passChosenAt_ = clock_.now();
@@ -329,7 +340,7 @@
     double seconds = std::chrono::duration<double>(isLossy ? settings_.leadAfterLoss : settings_.lead).count();
     seconds = std::max(seconds, std::chrono::duration<double>(armTime_).count() * settings_.leadPerArmTime);
     auto passes = static_cast<std::uint64_t>(std::ceil(seconds / passSeconds_));
-    return std::clamp(passes, settings_.minPasses, settings_.maxPasses) + extraPasses_;
+    return std::clamp(passes + extraPasses_, settings_.minPasses, settings_.maxPasses);
 }
 
 void SwitchController::measurePasses()
--- a/Source/RankMaps/SwitchController.h
+++ b/Source/RankMaps/SwitchController.h
@@ -24,8 +24,10 @@
     // Bounds of the lead in passes.
     std::uint64_t minPasses { 3 };
     std::uint64_t maxPasses { 40 };
-    // An order that does not show in the rank's report is given again after this time. Below the time in
-    // which a caller notices a pause.
+    // Passes by which the lead grows at most after holds that came too late; each one adds a pass.
+    std::uint64_t maxExtraPasses { 6 };
+    // An order that does not show in the rank's report is given again after this time, and at once if it got no
+    // answer. Below the time in which a caller notices a pause.
     std::chrono::milliseconds repeatAfter { 120 };
     std::chrono::milliseconds repeatPrepareAfter { 400 };
     // A map that is not loaded everywhere by then is given up.
@@ -99,6 +101,7 @@
     void enter(SwitchStage stage);
     void prepare();
     void hold();
+    void chooseLaterPass();
     void arm();
     void release();
     void adopt();
--- a/Tests/Gateway/PooledClientTest.cpp
+++ b/Tests/Gateway/PooledClientTest.cpp
@@ -14,13 +14,14 @@
     ScriptedServer& closing = world.addServer([](const HttpRequest&) { return ScriptedReply { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", AfterReply::KeepOpen, true }; });
     int answered = 0;
     int failed = 0;
-    auto client = std::make_unique<PooledClient>(world.loop, world.clock, std::chrono::milliseconds(500));
+    auto client = std::make_unique<PooledClient>(world.loop, world.clock);
+    constexpr std::chrono::milliseconds timeout { 500 };
     auto onResponse = [&answered](const HttpResponse& response) { answered += response.body == "ok" ? 1 : 0; };
     auto onFailure = [&failed](const HttpFailure&) { ++failed; };
-    client->send(fast.endpoint(), HttpRequest(), onResponse, onFailure);
+    client->send(fast.endpoint(), HttpRequest(), timeout, onResponse, onFailure);
     REQUIRE(world.runUntil([&] { return answered == 1; }));
-    client->send(closing.endpoint(), HttpRequest(), onResponse, onFailure);
-    client->send(fast.endpoint(), HttpRequest(), onResponse, onFailure);
+    client->send(closing.endpoint(), HttpRequest(), timeout, onResponse, onFailure);
+    client->send(fast.endpoint(), HttpRequest(), timeout, onResponse, onFailure);
     client = nullptr;
     CHECK(world.runUntil([&] { return answered + failed == 3; }));
     CHECK(fast.connectionCount() == 1);
--- a/Tests/RankMaps/SwitchControllerTest.cpp
+++ b/Tests/RankMaps/SwitchControllerTest.cpp
@@ -9,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace Damaskgrade {
@@ -59,6 +61,8 @@
     // Begins the next pass unless a rank holds it.
     void step()
     {
+        if (isBroken)
+            return;
         std::uint64_t next = pass_ + 1;
         for (const Rank& rank : ranks_) {
             if (rank.held == next)
@@ -94,7 +98,7 @@
         report.rank = number;
         report.groupSize = rankCount;
         report.epoch = epoch_;
-        report.isOpen = true;
+        report.isOpen = !isBroken;
         report.pass = pass_;
         report.mapVersion = rank.map;
         report.prepared = rank.prepared;
@@ -111,6 +115,8 @@
     std::uint64_t pass() const { return pass_; }
 
     double lateShare { 0 };
+    // A rank is gone: the group makes no passes and refuses orders for them.
+    bool isBroken { false };
     std::uint32_t mixedPasses { 0 };
 
 private:
@@ -144,7 +150,7 @@
             rank.armed = ArmedMap { order.version, order.pass };
             return RankOrderResult::Accepted;
         case RankOrderKind::Hold:
-            if (order.pass <= pass_ || (rank.held && *rank.held > pass_ && *rank.held != order.pass))
+            if (isBroken || order.pass <= pass_ || (rank.held && *rank.held > pass_ && *rank.held != order.pass))
                 return RankOrderResult::Refused;
             rank.held = order.pass;
             return RankOrderResult::Accepted;
@@ -206,7 +212,11 @@
 
     void give(std::uint64_t token, std::uint32_t rank, const RankOrder& order)
     {
-        RankOrderResult result = group.give(rank, order);
+        if (order.kind == RankOrderKind::Hold && order.pass > group.pass())
+            longestLead = std::max(longestLead, order.pass - group.pass());
+        bool isLost = losesFirst && lost_.insert({ rank, order.kind }).second;
+        lostOrders += isLost ? 1 : 0;
+        RankOrderResult result = isLost ? RankOrderResult::Unknown : group.give(rank, order);
         if (token == token_)
             controller->orderEnded(rank, order.kind, order.version, order.pass, result);
     }
@@ -219,8 +229,14 @@
     std::unique_ptr<SwitchController> controller;
     double reportShare { 1 };
     Duration longestHold { 0 };
+    // Passes between the choice of the pass of a switch and that pass.
+    std::uint64_t longestLead { 0 };
+    // The first order of each kind to each rank gets no answer and has no effect.
+    bool losesFirst { false };
+    std::uint64_t lostOrders { 0 };
 
 private:
+    std::set<std::pair<std::uint32_t, RankOrderKind>> lost_;
     std::uint64_t token_ { 0 };
     int tick_ { 0 };
     TimePoint heldSince_ { clock.now() };
@@ -303,5 +319,40 @@
         CHECK_MESSAGE(world.controller->canStart(), "seed " << seed);
     }
 }
+// Guards against a switch that is put off by hundreds of passes, because holds were refused by a broken group.
+TEST_CASE("refused holds put a switch off by no more than the longest lead")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ControlledGroup world(seed);
+        world.run(10);
+        REQUIRE(world.controller->canStart());
+        world.controller->start(world.someMap());
+        world.group.isBroken = true;
+        world.run(150);
+        world.group.isBroken = false;
+        world.group.reform();
+        for (int change = 0; change < 3; ++change) {
+            world.run(120);
+            if (world.controller->canStart())
+                world.controller->start(world.someMap());
+        }
+        world.run(200);
+        CHECK_MESSAGE(world.longestLead <= SwitchControllerSettings().maxPasses, "seed " << seed);
+        CHECK_MESSAGE(world.controller->counters().completed >= 2, "seed " << seed);
+    }
+}
+
+// Guards against orders that wait for their repetition although it is known that they got no answer.
+TEST_CASE("an order without an answer is given again at once")
+{
+    ControlledGroup world(3);
+    world.run(10);
+    world.controller->start(world.someMap());
+    world.losesFirst = true;
+    // The lead after lost orders, and a few rounds.
+    world.run(40);
+    CHECK(world.lostOrders > rankCount);
+    CHECK(world.controller->counters().completed == 1);
+}
 
 }
