--- a/Source/Catalog/CatalogFollower.h
+++ b/Source/Catalog/CatalogFollower.h
@@ -23,7 +23,6 @@
         std::function<void(bool)> onReachable);
 
     void start() { readAll(); }
-    bool isReachable() const { return isReachable_; }
 
 private:
     void readAll();
--- a/Source/Forwarding/RetryAllowance.cpp
+++ b/Source/Forwarding/RetryAllowance.cpp
@@ -29,13 +29,6 @@
     return true;
 }
 
-double RetryAllowance::spent(const std::string& service)
-{
-    Window& window = windows_[service];
-    dropOld(window);
-    return static_cast<double>(window.repeats.size());
-}
-
 void RetryAllowance::dropOld(Window& window) const
 {
     TimePoint limit = clock_.now() - settings_.window;
--- a/Source/Forwarding/RetryAllowance.h
+++ b/Source/Forwarding/RetryAllowance.h
@@ -37,8 +37,6 @@
     // Returns whether one more repeated send is allowed, and counts it.
     bool trySpend(const std::string& service);
 
-    double spent(const std::string& service);
-
 private:
     struct Window {
         std::deque<TimePoint> requests;
--- a/Source/Forwarding/UpstreamPool.cpp
+++ b/Source/Forwarding/UpstreamPool.cpp
@@ -83,12 +83,4 @@
     }
 }
 
-std::size_t UpstreamPool::idleCount() const
-{
-    std::size_t count = 0;
-    for (const auto& [server, idle] : idle_)
-        count += idle.size();
-    return count;
-}
-
 }
--- a/Source/Forwarding/UpstreamPool.h
+++ b/Source/Forwarding/UpstreamPool.h
@@ -54,7 +54,6 @@
     // Closes connections that have been idle for too long. Call about once a second.
     void closeExpired();
 
-    std::size_t idleCount() const;
     const UpstreamPoolCounters& counters() const { return counters_; }
 
 private:
--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -231,7 +231,7 @@
         counts.reserve(status.counts.size());
         for (std::uint16_t count : status.counts)
             counts.push_back(count * status.countUnit);
-        planner_->addCounts(member.rank, counts);
+        planner_->addCounts(counts);
     }
     if (planner_ && status.lists)
         planner_->setExperts(member.rank, status.lists->version, status.lists->experts);
--- a/Source/RankMaps/MapPlanner.cpp
+++ b/Source/RankMaps/MapPlanner.cpp
@@ -36,7 +36,7 @@
 {
 }
 
-void MapPlanner::addCounts(std::uint32_t, const std::vector<double>& counts)
+void MapPlanner::addCounts(const std::vector<double>& counts)
 {
     if (counts.size() != counts_.size())
         return;
@@ -117,11 +117,6 @@
     return plan;
 }
 
-void MapPlanner::resetCounts()
-{
-    std::fill(counts_.begin(), counts_.end(), 0);
-}
-
 double MapPlanner::skew() const
 {
     if (experts_.size() != layout_.ranks)
--- a/Source/RankMaps/MapPlanner.h
+++ b/Source/RankMaps/MapPlanner.h
@@ -51,8 +51,8 @@
 public:
     MapPlanner(const Clock& clock, const ExpertLayout& layout, MapPlannerSettings settings);
 
-    // Takes counts of all sets since the last call for this rank.
-    void addCounts(std::uint32_t rank, const std::vector<double>& counts);
+    // Takes counts of all sets since the last call, of any rank.
+    void addCounts(const std::vector<double>& counts);
 
     // Takes the experts that a rank holds under the current map.
     void setExperts(std::uint32_t rank, RankMapVersion version, const RankExperts& experts);
@@ -67,9 +67,6 @@
     // The utilization is the share of the group's slots that is in use.
     std::optional<MapPlan> plan(RankMapVersion version, double utilization) const;
 
-    // Forgets the counts, for example after the group has formed anew.
-    void resetCounts();
-
     // Mean over the sets of the fullest rank's load over the mean load under the current map.
     double skew() const;
 
--- a/Tests/RankMaps/MapPlannerTest.cpp
+++ b/Tests/RankMaps/MapPlannerTest.cpp
@@ -44,7 +44,7 @@
     MapPlanner planner(clock, layout, MapPlannerSettings {});
     for (std::uint32_t rank = 0; rank < layout.ranks; ++rank) {
         planner.setExperts(rank, 0, startingExperts(rank));
-        planner.addCounts(rank, skewedCounts());
+        planner.addCounts(skewedCounts());
     }
     REQUIRE(planner.knowsMap(0));
     std::optional<MapPlan> plan = planner.plan(0, 1);
@@ -75,7 +75,7 @@
     MapPlanner planner(clock, twoRanks, settings);
     planner.setExperts(0, 0, { { 0, 2, 4 } });
     planner.setExperts(1, 0, { { 1, 3, 5 } });
-    planner.addCounts(0, { 50000, 1000, 50000, 1000, 50000, 1000 });
+    planner.addCounts({ 50000, 1000, 50000, 1000, 50000, 1000 });
     std::optional<MapPlan> plan = planner.plan(0, 1);
     REQUIRE(plan);
     const std::vector<std::uint32_t>& second = plan->map[0][1];
@@ -90,13 +90,13 @@
     std::vector<double> even(static_cast<std::size_t>(layout.sets) * layout.expertsPerSet, 5000);
     for (std::uint32_t rank = 0; rank < layout.ranks; ++rank) {
         planner.setExperts(rank, 0, startingExperts(rank));
-        planner.addCounts(rank, even);
+        planner.addCounts(even);
     }
     CHECK(!planner.plan(0, 1));
     std::vector<double> slight = even;
     slight[0] = 13000;
     for (std::uint32_t rank = 0; rank < layout.ranks; ++rank)
-        planner.addCounts(rank, slight);
+        planner.addCounts(slight);
     CHECK(planner.plan(0, 1));
     CHECK(!planner.plan(0, 0.1));
 }
@@ -108,7 +108,7 @@
     MapPlanner planner(clock, layout, MapPlannerSettings {});
     for (std::uint32_t rank = 0; rank < layout.ranks; ++rank) {
         planner.setExperts(rank, 0, startingExperts(rank));
-        planner.addCounts(rank, skewedCounts());
+        planner.addCounts(skewedCounts());
     }
     CHECK(!planner.plan(7, 1));
 }
