RankMaps: Free a group in which two controllers armed and loaded at once

The trace: a controller stood still for five seconds with a pass held. When it woke it gave the hold up by its clock, and had map 10008 loaded on the reports that it still had; its successor found the hold at the same moment and armed the ranks with 10007. Ranks that had loaded 10008 refuse that for ever, and the group stayed held until an engine crashed. Ruled out: lost orders (the arms were refused, not lost); the store.

Change: where a rank has replaced the map of a change that others may be armed with, the ranks are disarmed and load the map in use anew under a higher version, for the pass that stays held; late orders for the other maps are then refused. A hold is let go at once only if no rank has loaded a newer map. And a controller that stood still, by either clock, forgets its reports, so that it hears of its successor before it gives an order.

--- a/Source/Core/Clock.h
+++ b/Source/Core/Clock.h
@@ -16,7 +16,7 @@
     // Returns monotonic time, for intervals, leases and deadlines.
     virtual TimePoint now() const = 0;
 
-    // Returns wall-clock time, for logs and the time line only.
+    // Returns wall-clock time, for logs, the time line, and to notice that the machine was suspended.
     virtual WallTime wallNow() const = 0;
 };
 
--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -34,7 +34,7 @@
     , log_(log)
     , hybridClock_(clock)
     , switch_(
-          clock, {}, ownRank, [this](std::uint32_t rank, const RankOrder& order) { sendOrder(rank, order); },
+          clock, {}, ownRank, [this](std::uint32_t rank, const RankOrder& order) { sendOrder(rank, order); }, [this] { return mapInUse(); },
           [this](std::string_view decision, RankMapVersion version, std::uint64_t pass) {
               log_.write(LogLine("mapChange").add("decision", decision).add("group", group_).add("version", version).add("pass", pass).add("term", term_).add("epoch", switch_.epoch()));
           })
@@ -43,6 +43,8 @@
     , nextQuestion_(clock.now())
     , nextCounts_(clock.now())
     , nextPlan_(clock.now())
+    , tickedAt_(clock.now())
+    , tickedAtWall_(clock.wallNow())
 {
     switch_.setFencingToken(term_);
     addMembers(ports_.knownAgents);
@@ -119,6 +121,11 @@
 void GroupControl::tick()
 {
     TimePoint now = clock_.now();
+    if (hasStoodStill()) {
+        log_.write(LogLine("controllerStoodStill").add("group", group_).add("term", term_));
+        switch_.reset();
+        lists_.clear();
+    }
     makePlanner();
     if (now >= nextQuestion_) {
         bool isBusy = switch_.stage() != SwitchStage::Watching;
@@ -150,13 +157,14 @@
     question.controller = settings_.name;
     question.wantsCounts = planner_ && clock_.now() >= nextCounts_;
     // A group that forms anew is asked before it opens, so that its first map can be planned at once.
-    question.wantsLists = planner_ && switch_.stage() == SwitchStage::Watching && !planner_->knowsMap(switch_.mapVersion());
+    bool isPlanWaiting = planner_ && switch_.stage() == SwitchStage::Watching && !planner_->knowsMap(switch_.mapVersion());
+    question.wantsLists = isPlanWaiting || (switch_.needsMapInUse() && !mapInUse());
     if (question.wantsCounts)
         nextCounts_ = clock_.now() + settings_.countPeriod;
     Frame frame = encodeMessage(question, hybridClock_.tick());
     bool isBusy = switch_.stage() != SwitchStage::Watching;
     for (auto& [name, member] : members_) {
-        bool isAsked = !member.isForeign && (question.wantsCounts || !member.isKnown || switch_.awaits(member.rank));
+        bool isAsked = !member.isForeign && (question.wantsCounts || question.wantsLists || !member.isKnown || switch_.awaits(member.rank));
         if (!isAsked)
             continue;
         links_.send(name, frame);
@@ -184,6 +192,17 @@
         asked.rank = report->rank;
         asked.isKnown = true;
         switch_.observe(*report);
+        if (switch_.needsMapInUse())
+            askEngineForLists(asked);
+    });
+}
+
+void GroupControl::askEngineForLists(Member& member)
+{
+    std::shared_ptr<bool> alive = alive_;
+    remoteEngine(member).lists([this, alive, rank = member.rank](std::optional<RankLists> lists) {
+        if (*alive && lists)
+            takeLists(rank, *lists);
     });
 }
 
@@ -233,11 +252,45 @@
             counts.push_back(count * status.countUnit);
         planner_->addCounts(counts);
     }
-    if (planner_ && status.lists)
-        planner_->setExperts(member.rank, status.lists->version, status.lists->experts);
+    if (status.lists)
+        takeLists(member.rank, *status.lists);
     switch_.tick();
 }
 
+void GroupControl::takeLists(std::uint32_t rank, const RankLists& lists)
+{
+    lists_[rank] = lists;
+    if (planner_)
+        planner_->setExperts(rank, lists.version, lists.experts);
+}
+
+// Returns nothing until all ranks have reported their experts under the map in use.
+std::optional<GroupMap> GroupControl::mapInUse() const
+{
+    std::size_t ranks = switch_.reports().size();
+    GroupMap map;
+    for (const auto& [rank, report] : switch_.reports()) {
+        auto found = lists_.find(rank);
+        if (found == lists_.end() || found->second.version != switch_.mapVersion() || rank >= ranks)
+            return std::nullopt;
+        const RankExperts& experts = found->second.experts;
+        map.resize(std::max(map.size(), experts.size()), std::vector<std::vector<std::uint32_t>>(ranks));
+        for (std::size_t set = 0; set < experts.size(); ++set)
+            map[set][rank] = experts[set];
+    }
+    return map;
+}
+
+// Says whether this process stood still since the last tick. The steady time does not count a suspended machine.
+bool GroupControl::hasStoodStill()
+{
+    Duration elapsed = clock_.now() - tickedAt_;
+    std::chrono::system_clock::duration elapsedWall = clock_.wallNow() - tickedAtWall_;
+    tickedAt_ = clock_.now();
+    tickedAtWall_ = clock_.wallNow();
+    return elapsed > settings_.silenceLimit || elapsedWall > settings_.silenceLimit;
+}
+
 void GroupControl::sendOrder(std::uint32_t rank, const RankOrder& order)
 {
     for (auto& [name, member] : members_) {
--- a/Source/RankMaps/GroupControl.h
+++ b/Source/RankMaps/GroupControl.h
@@ -67,10 +67,14 @@
     void ask();
     void receive(const std::string& agent, const Frame& frame);
     void receiveStatus(const RankStatus& status);
+    void takeLists(std::uint32_t rank, const RankLists& lists);
+    std::optional<GroupMap> mapInUse() const;
     void sendOrder(std::uint32_t rank, const RankOrder& order);
     void askEngine(const std::string& name, Member& member);
+    void askEngineForLists(Member& member);
     void plan();
     void makePlanner();
+    bool hasStoodStill();
     bool isAnswering(const std::string& name, const Member& member) const;
     RankEngine& remoteEngine(Member& member);
 
@@ -87,6 +91,8 @@
     std::optional<EngineModel> engineModel_;
     std::uint32_t slotsPerRank_ { 0 };
     std::unique_ptr<MapPlanner> planner_;
+    // The experts that each rank last reported to hold under the map in use.
+    std::map<std::uint32_t, RankLists> lists_;
     std::map<std::string, Member> members_;
     LinkDirectory links_;
     std::unique_ptr<Timer> timer_;
@@ -95,6 +101,8 @@
     TimePoint nextQuestion_;
     TimePoint nextCounts_;
     TimePoint nextPlan_;
+    TimePoint tickedAt_;
+    WallTime tickedAtWall_;
     std::uint64_t plannedEpoch_ { 0 };
     GroupMap pendingMap_;
     std::uint64_t completedBefore_ { 0 };
--- a/Source/RankMaps/RankAgent.cpp
+++ b/Source/RankMaps/RankAgent.cpp
@@ -18,6 +18,8 @@
         return "hold";
     case RankOrderKind::Go:
         return "go";
+    case RankOrderKind::Disarm:
+        return "disarm";
     }
     return "";
 }
--- a/Source/RankMaps/RankMessages.cpp
+++ b/Source/RankMaps/RankMessages.cpp
@@ -149,7 +149,7 @@
         message.group = json.at("g").get<std::string>();
         message.term = json.at("t").get<std::uint64_t>();
         message.controller = json.at("c").get<std::string>();
-        message.order.kind = enumerationFromJson(json.at("k"), RankOrderKind::Go);
+        message.order.kind = enumerationFromJson(json.at("k"), RankOrderKind::Disarm);
         message.order.fencingToken = json.at("f").get<std::uint64_t>();
         message.order.epoch = json.at("e").get<std::uint64_t>();
         message.order.version = json.at("v").get<RankMapVersion>();
@@ -166,7 +166,7 @@
         RankOrderResultMessage message;
         message.term = json.at("t").get<std::uint64_t>();
         message.agent = json.at("a").get<std::string>();
-        message.kind = enumerationFromJson(json.at("k"), RankOrderKind::Go);
+        message.kind = enumerationFromJson(json.at("k"), RankOrderKind::Disarm);
         message.version = json.at("v").get<RankMapVersion>();
         message.pass = json.at("p").get<std::uint64_t>();
         message.result = enumerationFromJson(json.at("r"), RankOrderResult::Unknown);
--- a/Source/RankMaps/RankReport.h
+++ b/Source/RankMaps/RankReport.h
@@ -67,6 +67,8 @@
     Hold,
     // Begin the held pass.
     Go,
+    // Do not use the prepared map after all.
+    Disarm,
 };
 
 struct RankOrder {
--- a/Source/RankMaps/SwitchController.cpp
+++ b/Source/RankMaps/SwitchController.cpp
@@ -13,11 +13,12 @@
 
 }
 
-SwitchController::SwitchController(const Clock& clock, SwitchControllerSettings settings, std::uint32_t holdRank, SendOrder sendOrder, Note note)
+SwitchController::SwitchController(const Clock& clock, SwitchControllerSettings settings, std::uint32_t holdRank, SendOrder sendOrder, MapInUse mapInUse, Note note)
     : clock_(clock)
     , settings_(settings)
     , holdRank_(holdRank)
     , sendOrder_(std::move(sendOrder))
+    , mapInUse_(std::move(mapInUse))
     , note_(std::move(note))
     , stageSince_(clock.now())
     , markedAt_(clock.now())
@@ -61,6 +62,8 @@
         orderedAt_[rank] = clock_.now();
         return;
     }
+    if (stage_ == SwitchStage::Restoring && kind == RankOrderKind::Disarm)
+        orderedAt_.erase(rank);
     if (stage_ == SwitchStage::Holding && kind == RankOrderKind::Hold && pass == pass_)
         chooseLaterPass();
 }
@@ -90,6 +93,9 @@
     case SwitchStage::Arming:
         arm();
         break;
+    case SwitchStage::Restoring:
+        restore();
+        break;
     case SwitchStage::Releasing:
         release();
         break;
@@ -139,6 +145,8 @@
         return rank == holdRank_;
     case SwitchStage::Arming:
         return !(report.armed == ArmedMap { version_, pass_ });
+    case SwitchStage::Restoring:
+        return report.armed || report.prepared != version_;
     case SwitchStage::Watching:
     case SwitchStage::Releasing:
         break;
@@ -161,6 +169,7 @@
     stage_ = stage;
     stageSince_ = clock_.now();
     orderedAt_.clear();
+    unarmableSince_.reset();
 }
 
 void SwitchController::prepare()
@@ -215,8 +224,62 @@
     order(holdRank_, RankOrderKind::Hold, settings_.repeatAfter);
 }
 
+// Says whether each rank is armed with the map of the change, or has loaded it.
+bool SwitchController::canAllBeArmed() const
+{
+    return std::all_of(reports_.begin(), reports_.end(), [this](const auto& entry) {
+        const RankReport& report = entry.second;
+        return report.armed ? report.armed->version == version_ : report.prepared == version_;
+    });
+}
+
+void SwitchController::startRestore()
+{
+    ++counters_.restored;
+    map_.clear();
+    version_ = std::max(highestVersion() + 1, token_ * versionsPerTerm);
+    highestUsed_ = version_;
+    note_("map in use is loaded anew", version_, pass_);
+    enter(SwitchStage::Restoring);
+    restore();
+}
+
+// The pass stays held meanwhile, and nothing has let it go: that takes ranks that are all armed with one map.
+void SwitchController::restore()
+{
+    if (map_.empty()) {
+        std::optional<GroupMap> inUse = mapInUse_();
+        if (!inUse)
+            return;
+        map_ = *std::move(inUse);
+    }
+    bool isDone = true;
+    for (const auto& [rank, report] : reports_) {
+        if (!report.armed && report.prepared == version_)
+            continue;
+        isDone = false;
+        if (report.armed)
+            order(rank, RankOrderKind::Disarm, settings_.repeatAfter, report.armed->version, pass_);
+        else
+            order(rank, RankOrderKind::Prepare, settings_.repeatAfter);
+    }
+    if (!isDone)
+        return;
+    passChosenAt_ = clock_.now();
+    enter(SwitchStage::Arming);
+    arm();
+}
+
 void SwitchController::arm()
 {
+    if (canAllBeArmed() || lastPass() >= pass_)
+        unarmableSince_.reset();
+    else if (!unarmableSince_)
+        unarmableSince_ = clock_.now();
+    if (unarmableSince_ && clock_.now() - *unarmableSince_ >= settings_.restoreAfter) {
+        startRestore();
+        return;
+    }
     bool isDone = true;
     ArmedMap wanted { version_, pass_ };
     for (const auto& [rank, report] : reports_) {
@@ -253,18 +316,10 @@
     for (const auto& [rank, report] : reports_) {
         // A hold that was carried out late may keep the group from getting to the pass of the switch.
         if (report.heldPass && *report.heldPass > lastPass() && *report.heldPass <= pass_)
-            orderGo(rank, *report.heldPass);
+            order(rank, RankOrderKind::Go, settings_.repeatAfter, version_, *report.heldPass);
     }
 }
 
-void SwitchController::orderGo(std::uint32_t rank, std::uint64_t pass)
-{
-    std::uint64_t switchPass = pass_;
-    pass_ = pass;
-    order(rank, RankOrderKind::Go, settings_.repeatAfter);
-    pass_ = switchPass;
-}
-
 // Carries on with what an earlier controller, or an order that was carried out late, has left.
 void SwitchController::adopt()
 {
@@ -272,10 +327,12 @@
     std::optional<std::uint64_t> held;
     std::uint32_t holder = holdRank_;
     bool areAllArmed = true;
+    bool isAnyPrepared = false;
     for (const auto& [rank, report] : reports_) {
-        if (report.armed && (!armed || report.armed->pass > armed->pass))
+        if (report.armed && (!armed || report.armed->version > armed->version))
             armed = report.armed;
         areAllArmed = areAllArmed && report.armed;
+        isAnyPrepared = isAnyPrepared || report.prepared.value_or(0) > mapVersion();
         if (report.heldPass && *report.heldPass > lastPass()) {
             held = report.heldPass;
             holder = rank;
@@ -290,18 +347,16 @@
     if (armed) {
         version_ = armed->version;
     } else {
-        // No rank is armed. An earlier controller may have ordered it where all have loaded the same map, and
-        // such an order may be carried out at any moment, so that the change has to be carried through.
-        std::optional<RankMapVersion> prepared = reports_.begin()->second.prepared;
-        bool isSame = std::all_of(reports_.begin(), reports_.end(), [&](const auto& entry) { return entry.second.prepared == prepared; });
-        bool isNew = prepared && *prepared > mapVersion();
-        if (!isSame || !isNew) {
+        if (!isAnyPrepared) {
+            // No order to arm a rank can have an effect any more.
             note_("stray hold released", mapVersion(), pass_);
             version_ = mapVersion();
             order(holder, RankOrderKind::Go, settings_.repeatAfter);
             return;
         }
-        version_ = *prepared;
+        // No rank is armed. An earlier controller may have ordered it where all have loaded the same map, and
+        // such an order may be carried out at any moment, so that the change has to be carried through.
+        version_ = reports_.begin()->second.prepared.value_or(0);
     }
     passChosenAt_ = clock_.now();
     note_("unfinished change adopted", version_, pass_);
@@ -310,6 +365,11 @@
 }
 
 void SwitchController::order(std::uint32_t rank, RankOrderKind kind, std::chrono::milliseconds repeatAfter)
+{
+    order(rank, kind, repeatAfter, version_, pass_);
+}
+
+void SwitchController::order(std::uint32_t rank, RankOrderKind kind, std::chrono::milliseconds repeatAfter, RankMapVersion version, std::uint64_t pass)
 {
     auto ordered = orderedAt_.find(rank);
     if (ordered != orderedAt_.end() && clock_.now() - ordered->second < repeatAfter)
@@ -319,8 +379,8 @@
     order.kind = kind;
     order.fencingToken = token_;
     order.epoch = epoch_;
-    order.version = version_;
-    order.pass = pass_;
+    order.version = version;
+    order.pass = pass;
     if (kind == RankOrderKind::Prepare)
         order.map = map_;
     sendOrder_(rank, order);
--- a/Source/RankMaps/SwitchController.h
+++ b/Source/RankMaps/SwitchController.h
@@ -33,6 +33,9 @@
     // A map that is not loaded everywhere by then is given up.
     std::chrono::milliseconds prepareTimeout { 5000 };
     std::chrono::milliseconds holdTimeout { 2000 };
+    // A rank that has replaced the map of the change has to show it for this long, two rounds of reports, before
+    // the change is undone.
+    std::chrono::milliseconds restoreAfter { 150 };
     std::chrono::milliseconds releaseTimeout { 3000 };
 };
 
@@ -44,6 +47,9 @@
     Holding,
     // The pass is held. All ranks are armed, whatever that takes.
     Arming,
+    // Ranks can't all be armed with one map any more: the map in use is loaded anew under a higher version, to
+    // be armed for the pass that is held.
+    Restoring,
     // All ranks are armed; the pass is let go.
     Releasing,
 };
@@ -54,19 +60,25 @@
     std::uint64_t givenUp { 0 };
     // Passes that were found held or armed by an earlier controller.
     std::uint64_t adopted { 0 };
+    // Changes that two controllers got in each other's way with.
+    std::uint64_t restored { 0 };
 };
 
 // Changes the map of a group in one pass on all ranks. A pass is held by one rank before any rank is
 // armed, and let go only after every rank has reported that it is armed for it. Once a rank may be armed
-// there is no way back: a change is carried through, by this controller or by the next one, which finds
-// it in the reports. So an order that is carried out late finds its pass begun, and has no effect.
+// a change is carried through, by this controller or by the next one, which finds it in the reports. So an
+// order that is carried out late finds its pass begun, and has no effect. Where some ranks have replaced the
+// map of the change, all ranks are given one that is new to them: it has the contents of the map in use, and
+// late orders for the other maps are refused by ranks that have loaded it.
 class SwitchController {
 public:
     using SendOrder = std::function<void(std::uint32_t rank, const RankOrder& order)>;
     // Gets what was decided and why, for the log.
     using Note = std::function<void(std::string_view decision, RankMapVersion version, std::uint64_t pass)>;
+    // Returns the contents of the map in use once they are known.
+    using MapInUse = std::function<std::optional<GroupMap>()>;
 
-    SwitchController(const Clock& clock, SwitchControllerSettings settings, std::uint32_t holdRank, SendOrder sendOrder, Note note);
+    SwitchController(const Clock& clock, SwitchControllerSettings settings, std::uint32_t holdRank, SendOrder sendOrder, MapInUse mapInUse, Note note);
 
     void setFencingToken(std::uint64_t token) { token_ = token; }
 
@@ -88,6 +100,9 @@
     // Says whether the next step of the change waits for a report of this rank.
     bool awaits(std::uint32_t rank) const;
 
+    // Says whether the change can't go on without the contents of the map in use.
+    bool needsMapInUse() const { return stage_ == SwitchStage::Restoring && map_.empty(); }
+
     SwitchStage stage() const { return stage_; }
     RankMapVersion mapVersion() const;
     std::uint64_t epoch() const { return epoch_; }
@@ -103,10 +118,13 @@
     void hold();
     void chooseLaterPass();
     void arm();
+    bool canAllBeArmed() const;
+    void startRestore();
+    void restore();
     void release();
     void adopt();
     void order(std::uint32_t rank, RankOrderKind kind, std::chrono::milliseconds repeatAfter);
-    void orderGo(std::uint32_t rank, std::uint64_t pass);
+    void order(std::uint32_t rank, RankOrderKind kind, std::chrono::milliseconds repeatAfter, RankMapVersion version, std::uint64_t pass);
     std::uint64_t lastPass() const;
     std::uint64_t leadPasses() const;
     void measurePasses();
@@ -116,6 +134,7 @@
     SwitchControllerSettings settings_;
     std::uint32_t holdRank_;
     SendOrder sendOrder_;
+    MapInUse mapInUse_;
     Note note_;
     std::uint64_t token_ { 0 };
 
@@ -134,6 +153,8 @@
     // Time from the choice of the pass to the last rank that was armed, of the last change.
     Duration armTime_ { 0 };
     TimePoint passChosenAt_;
+    // Since when some rank can't be armed with the map of the change.
+    std::optional<TimePoint> unarmableSince_;
     // For the time of a pass.
     std::uint64_t markedPass_ { 0 };
     TimePoint markedAt_;
--- a/Tests/RankMaps/SwitchControllerTest.cpp
+++ b/Tests/RankMaps/SwitchControllerTest.cpp
@@ -159,6 +159,12 @@
                 return RankOrderResult::Refused;
             rank.held.reset();
             return RankOrderResult::Accepted;
+        case RankOrderKind::Disarm:
+            if (rank.map == order.version)
+                return RankOrderResult::Refused;
+            if (rank.armed && rank.armed->version == order.version)
+                rank.armed.reset();
+            return RankOrderResult::Accepted;
         }
         return RankOrderResult::Refused;
     }
@@ -181,12 +187,43 @@
         takeOver();
     }
 
+    // The controller stands still; the next one takes over beside it.
+    void freeze()
+    {
+        frozen = std::move(controller);
+        takeOver();
+    }
+
+    // The frozen controller acts on the reports that it has, while its successor waits for the last report.
+    void wakeWithOldReports()
+    {
+        frozen->tick();
+        if (frozen->canStart())
+            frozen->start(someMap());
+        controller->observe(group.report(silentRank.value_or(0)));
+        silentRank.reset();
+        controller->tick();
+    }
+
+    // The frozen controller acts on new reports, until an engine tells it that it was replaced.
+    void wake()
+    {
+        for (std::uint32_t rank = 0; rank < rankCount && !isFrozenFenced; ++rank) {
+            frozen->observe(group.report(rank));
+            frozen->tick();
+        }
+        if (!isFrozenFenced && frozen->canStart())
+            frozen->start(someMap());
+    }
+
     void takeOver()
     {
+        isFrozenFenced = false;
         std::uint64_t token = ++token_;
         std::uint32_t holdRank = static_cast<std::uint32_t>(random.index(rankCount));
         controller = std::make_unique<SwitchController>(
             clock, SwitchControllerSettings {}, holdRank, [this, token](std::uint32_t rank, const RankOrder& order) { give(token, rank, order); },
+            [this]() -> std::optional<GroupMap> { return someMap(); },
             [](std::string_view, RankMapVersion, std::uint64_t) {});
         controller->setFencingToken(token);
     }
@@ -197,10 +234,10 @@
         for (int i = 0; i < ticks; ++i) {
             clock.advance(std::chrono::milliseconds(20));
             group.carryOutLate();
-            if (++tick_ % 2 == 0)
+            if (++tick_ % 2 == 0 && !silentRank)
                 group.step();
             for (std::uint32_t rank = 0; rank < rankCount; ++rank) {
-                if (random.fraction() < reportShare)
+                if (random.fraction() < reportShare && silentRank != rank)
                     controller->observe(group.report(rank));
             }
             controller->tick();
@@ -217,7 +254,9 @@
         bool isLost = losesFirst && lost_.insert({ rank, order.kind }).second;
         lostOrders += isLost ? 1 : 0;
         RankOrderResult result = isLost ? RankOrderResult::Unknown : group.give(rank, order);
-        if (token == token_)
+        if (token + 1 == token_ && result == RankOrderResult::Fenced)
+            isFrozenFenced = true;
+        if (token == token_ && controller)
             controller->orderEnded(rank, order.kind, order.version, order.pass, result);
     }
 
@@ -227,6 +266,10 @@
     Random random;
     GroupModel group;
     std::unique_ptr<SwitchController> controller;
+    std::unique_ptr<SwitchController> frozen;
+    bool isFrozenFenced { false };
+    // The machine of this rank stands still, and the group with it.
+    std::optional<std::uint32_t> silentRank;
     double reportShare { 1 };
     Duration longestHold { 0 };
     // Passes between the choice of the pass of a switch and that pass.
@@ -299,6 +342,37 @@
     }
 }
 
+// Guards against a group that is held for ever: a controller that stood still gives orders beside its successor,
+// so that some ranks are armed with a map which the others have replaced.
+TEST_CASE("a group gets free when two controllers gave orders at the same time")
+{
+    std::uint64_t restored = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        ControlledGroup world(seed);
+        world.group.lateShare = seed % 2 == 0 ? 0.4 : 0;
+        for (int change = 0; change < 6; ++change) {
+            world.run(40);
+            if (world.controller->canStart())
+                world.controller->start(world.someMap());
+            world.run(static_cast<int>(world.random.index(40)));
+            world.freeze();
+            world.silentRank = static_cast<std::uint32_t>(world.random.index(rankCount));
+            world.run(130);
+            world.wakeWithOldReports();
+            for (int tick = 0; tick < 6; ++tick) {
+                world.run(static_cast<int>(world.random.index(3)));
+                world.wake();
+            }
+        }
+        std::uint64_t before = world.group.pass();
+        world.run(900);
+        restored += world.controller->counters().restored;
+        CHECK_MESSAGE(world.group.mixedPasses == 0, "seed " << seed);
+        CHECK_MESSAGE(world.group.pass() > before + 300, "seed " << seed);
+    }
+    CHECK(restored > 0);
+}
+
 // Guards against orders of an old epoch that reach a group that has formed anew.
 TEST_CASE("a group that forms anew in the middle of a change keeps one map")
 {
