RankMaps: Change the map of a large group without filling the controller's link

A change took 1.6 s: the whole map went to each rank (0.4 MB over a link of 8 Mbit/s), counts of all ranks came four times a second (as much again), and arms were repeated after 120 ms while their answers still waited behind that (214 to 270 arms for 72 ranks). The pass to switch at was chosen by reports that were up to 250 ms old.

Change: agents get the differences to the map that they loaded last, and ask for the whole one if they don't know it; 24 ranks in turn report counts in a period; an accepted order is answered by the status alone; orders are repeated at once when the agent says that the engine did not answer, else after 400 ms; the pass is chosen by the own rank's newest report and the group's pace.

Tests: maps completed from differences, asked for as a whole by an agent that restarted; the test of the agent checks accepted orders by the status now.

--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -128,8 +128,7 @@
     }
     makePlanner();
     if (now >= nextQuestion_) {
-        bool isBusy = switch_.stage() != SwitchStage::Watching;
-        nextQuestion_ = now + (isBusy ? settings_.busyQuestionPeriod : settings_.questionPeriod);
+        nextQuestion_ = now + questionPeriod();
         ask();
     }
     switch_.tick();
@@ -149,25 +148,37 @@
     }
 }
 
+// A change is followed closely, but the questions to a large group must leave the controller time for its orders.
+std::chrono::milliseconds GroupControl::questionPeriod() const
+{
+    constexpr std::chrono::microseconds perRank { 2000 };
+    if (switch_.stage() == SwitchStage::Watching)
+        return settings_.questionPeriod;
+    auto ofRanks = std::chrono::duration_cast<std::chrono::milliseconds>(perRank * switch_.reports().size());
+    return std::max(settings_.busyQuestionPeriod, ofRanks);
+}
+
 void GroupControl::ask()
 {
     RankQuestion question;
     question.group = group_;
     question.term = term_;
     question.controller = settings_.name;
-    question.wantsCounts = planner_ && clock_.now() >= nextCounts_;
+    bool areCountsDue = planner_ && clock_.now() >= nextCounts_;
     // A group that forms anew is asked before it opens, so that its first map can be planned at once.
     bool isPlanWaiting = planner_ && switch_.stage() == SwitchStage::Watching && !planner_->knowsMap(switch_.mapVersion());
     question.wantsLists = isPlanWaiting || (switch_.needsMapInUse() && !mapInUse());
-    if (question.wantsCounts)
-        nextCounts_ = clock_.now() + settings_.countPeriod;
     Frame frame = encodeMessage(question, hybridClock_.tick());
+    question.wantsCounts = true;
+    Frame frameForCounts = encodeMessage(question, hybridClock_.tick());
+    std::set<std::string> askedForCounts = areCountsDue ? membersForCounts() : std::set<std::string>();
     bool isBusy = switch_.stage() != SwitchStage::Watching;
     for (auto& [name, member] : members_) {
-        bool isAsked = !member.isForeign && (question.wantsCounts || question.wantsLists || !member.isKnown || switch_.awaits(member.rank));
+        bool isAskedForCounts = askedForCounts.count(name) != 0;
+        bool isAsked = !member.isForeign && (isAskedForCounts || question.wantsLists || !member.isKnown || switch_.awaits(member.rank));
         if (!isAsked)
             continue;
-        links_.send(name, frame);
+        links_.send(name, isAskedForCounts ? frameForCounts : frame);
         // A held group can't wait for an agent to return, and whether it is held shows only once all ranks are known.
         bool isNeeded = isBusy || !switch_.isComplete();
         if (isNeeded && clock_.now() - member.heardAt >= settings_.agentPatience)
@@ -175,6 +186,22 @@
     }
 }
 
+// Returns the members whose turn it is to report counts: a part of a large group, whose counts stand for the
+// others until their turn comes, and would otherwise fill the controller's link.
+std::set<std::string> GroupControl::membersForCounts()
+{
+    nextCounts_ = clock_.now() + settings_.countPeriod;
+    std::set<std::string> chosen;
+    auto next = members_.upper_bound(lastCounted_);
+    for (std::size_t i = 0; i < members_.size() && chosen.size() < settings_.maxCountsPerPeriod; ++i, ++next) {
+        if (next == members_.end())
+            next = members_.begin();
+        if (!next->second.isForeign)
+            chosen.insert(lastCounted_ = next->first);
+    }
+    return chosen;
+}
+
 // Asks an engine whose agent does not answer.
 void GroupControl::askEngine(const std::string& name, Member& member)
 {
@@ -213,18 +240,27 @@
         if (frame.type == RankStatus::type) {
             receiveStatus(decodeRankStatus(frame.body));
         } else if (frame.type == RankOrderResultMessage::type) {
-            RankOrderResultMessage result = decodeRankOrderResult(frame.body);
-            auto member = members_.find(result.agent);
-            if (result.term > term_ || result.result == RankOrderResult::Fenced)
-                ports_.onDeposed(std::max(result.term, term_));
-            else if (member != members_.end())
-                switch_.orderEnded(member->second.rank, result.kind, result.version, result.pass, result.result);
+            receiveResult(decodeRankOrderResult(frame.body));
         }
     } catch (const Error& error) {
         LOG(WARNING) << "frame of a rank agent refused: " << error.what();
     }
 }
 
+void GroupControl::receiveResult(const RankOrderResultMessage& result)
+{
+    if (result.term > term_ || result.result == RankOrderResult::Fenced) {
+        ports_.onDeposed(std::max(result.term, term_));
+        return;
+    }
+    auto member = members_.find(result.agent);
+    if (member == members_.end())
+        return;
+    if (result.result == RankOrderResult::BaseMissing)
+        member->second.sentMap = 0;
+    switch_.orderEnded(member->second.rank, result.kind, result.version, result.pass, result.result);
+}
+
 void GroupControl::receiveStatus(const RankStatus& status)
 {
     auto found = members_.find(status.agent);
@@ -297,7 +333,7 @@
         if (!member.isKnown || member.rank != rank)
             continue;
         if (isAnswering(name, member)) {
-            links_.send(name, encodeMessage(RankOrderMessage { group_, term_, settings_.name, order }, hybridClock_.tick()));
+            sendOrderTo(name, member, order);
             return;
         }
         std::shared_ptr<bool> alive = alive_;
@@ -313,6 +349,21 @@
     }
 }
 
+void GroupControl::sendOrderTo(const std::string& name, Member& member, const RankOrder& order)
+{
+    RankOrderMessage message;
+    message.group = group_;
+    message.term = term_;
+    message.controller = settings_.name;
+    message.order = order;
+    if (order.kind != RankOrderKind::Prepare) {
+        links_.send(name, encodeMessage(message, hybridClock_.tick()));
+        return;
+    }
+    links_.send(name, loadOrders_.encode(message, member.sentMap, hybridClock_.tick()));
+    member.sentMap = order.version;
+}
+
 void GroupControl::plan()
 {
     double running = 0;
--- a/Source/RankMaps/GroupControl.h
+++ b/Source/RankMaps/GroupControl.h
@@ -4,6 +4,7 @@
 #include "Core/Random.h"
 #include "Logging/DecisionLog.h"
 #include "Platform/Table.h"
+#include "RankMaps/LoadOrderEncoder.h"
 #include "RankMaps/MapPlanner.h"
 #include "RankMaps/RankAgentRows.h"
 #include "RankMaps/RankAgentSettings.h"
@@ -15,6 +16,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace Damaskgrade {
@@ -54,6 +57,8 @@
         bool isKnown { false };
         // Its rank belongs to another group of the service.
         bool isForeign { false };
+        // The version of the map that was sent to it last.
+        RankMapVersion sentMap { 0 };
         // When the agent answered last, or became known.
         TimePoint heardAt;
         std::unique_ptr<RankEngine> remote;
@@ -65,11 +70,15 @@
     void readLayout();
     void tick();
     void ask();
+    std::set<std::string> membersForCounts();
     void receive(const std::string& agent, const Frame& frame);
+    void receiveResult(const RankOrderResultMessage& result);
     void receiveStatus(const RankStatus& status);
     void takeLists(std::uint32_t rank, const RankLists& lists);
     std::optional<GroupMap> mapInUse() const;
     void sendOrder(std::uint32_t rank, const RankOrder& order);
+    void sendOrderTo(const std::string& name, Member& member, const RankOrder& order);
+    std::chrono::milliseconds questionPeriod() const;
     void askEngine(const std::string& name, Member& member);
     void askEngineForLists(Member& member);
     void plan();
@@ -94,6 +103,9 @@
     // The experts that each rank last reported to hold under the map in use.
     std::map<std::uint32_t, RankLists> lists_;
     std::map<std::string, Member> members_;
+    LoadOrderEncoder loadOrders_;
+    // The member that was asked for counts last.
+    std::string lastCounted_;
     LinkDirectory links_;
     std::unique_ptr<Timer> timer_;
     std::unique_ptr<Timer> memberTimer_;
--- /dev/null
+++ b/Source/RankMaps/LoadOrderEncoder.cpp
@@ -0,0 +1,28 @@
+#include "RankMaps/LoadOrderEncoder.h"
+
+#include <utility>
+
+namespace Damaskgrade {
+
+const Frame& LoadOrderEncoder::encode(const RankOrderMessage& message, RankMapVersion sentBefore, HybridTime time)
+{
+    if (message.order.version != current_.version || message.order.map != current_.map) {
+        previous_ = std::exchange(current_, { message.order.version, message.order.map });
+        frames_.clear();
+    }
+    bool isRepetition = sentBefore != 0 && sentBefore == current_.version;
+    bool isNext = sentBefore != 0 && sentBefore == previous_.version;
+    RankMapVersion base = isRepetition || isNext ? sentBefore : 0;
+    auto found = frames_.find(base);
+    if (found != frames_.end())
+        return found->second;
+    RankOrderMessage encoded = message;
+    if (base != 0) {
+        encoded.baseVersion = base;
+        if (isNext)
+            encoded.differences = differences(*previous_.map, *current_.map);
+    }
+    return frames_.emplace(base, encodeMessage(encoded, time)).first->second;
+}
+
+}
--- a/Source/RankMaps/RankAgent.cpp
+++ b/Source/RankMaps/RankAgent.cpp
@@ -35,6 +35,8 @@
         return "fenced";
     case RankOrderResult::Unknown:
         return "unknown";
+    case RankOrderResult::BaseMissing:
+        return "baseMissing";
     }
     return "";
 }
@@ -80,7 +82,7 @@
     });
 }
 
-void RankAgent::receive(const RankOrderMessage& message, SendResult reply, SendStatus replyStatus)
+void RankAgent::receive(RankOrderMessage message, SendResult reply, SendStatus replyStatus)
 {
     RankOrderResultMessage result { term_, name_, message.order.kind, message.order.version, message.order.pass, RankOrderResult::Fenced };
     if (isOfOtherGroup(message.group))
@@ -91,6 +93,12 @@
     }
     noteTerm(message.term);
     heardAt_ = clock_.now();
+    if (!completeMap(message)) {
+        result.term = term_;
+        result.result = RankOrderResult::BaseMissing;
+        reply(result);
+        return;
+    }
     engine_.order(message.order, [this, result, message, reply = std::move(reply), replyStatus = std::move(replyStatus)](RankOrderResult outcome) mutable {
         result.term = term_;
         result.result = outcome;
@@ -98,7 +106,8 @@
         line.add("kind", kindName(message.order.kind)).add("version", message.order.version).add("pass", message.order.pass).add("epoch", message.order.epoch);
         line.add("term", message.term).add("controller", message.controller).add("result", resultName(outcome));
         log_.write(line);
-        reply(result);
+        if (outcome != RankOrderResult::Accepted)
+            reply(result);
         RankQuestion question;
         question.group = message.group;
         question.term = message.term;
@@ -106,6 +115,27 @@
     });
 }
 
+// Returns false if the map is described by its differences to one that this agent does not know.
+bool RankAgent::completeMap(RankOrderMessage& message)
+{
+    constexpr std::size_t keptMaps = 2;
+    if (message.order.kind != RankOrderKind::Prepare)
+        return true;
+    if (message.baseVersion) {
+        auto base = maps_.find(*message.baseVersion);
+        if (base == maps_.end())
+            return false;
+        std::optional<GroupMap> map = applyDifferences(*base->second, message.differences);
+        if (!map)
+            return false;
+        message.order.map = message.differences.empty() ? base->second : std::make_shared<const GroupMap>(*std::move(map));
+    }
+    maps_[message.order.version] = message.order.map;
+    while (maps_.size() > keptMaps)
+        maps_.erase(maps_.begin());
+    return true;
+}
+
 void RankAgent::noteTerm(std::uint64_t term)
 {
     term_ = std::max(term_, term);
--- a/Source/RankMaps/RankAgent.h
+++ b/Source/RankMaps/RankAgent.h
@@ -6,6 +6,7 @@
 #include "RankMaps/RankMessages.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -21,7 +22,7 @@
     RankAgent(const Clock& clock, std::string name, Endpoint engineAddress, RankEngine& engine, DecisionLog& log);
 
     void receive(const RankQuestion& question, SendStatus reply);
-    void receive(const RankOrderMessage& message, SendResult reply, SendStatus replyStatus);
+    void receive(RankOrderMessage message, SendResult reply, SendStatus replyStatus);
 
     // A controller with this term was heard of by other means.
     void noteTerm(std::uint64_t term);
@@ -45,6 +46,7 @@
 private:
     RankStatus emptyStatus() const;
     void answer(const RankQuestion& question, std::shared_ptr<RankStatus> status, SendStatus reply);
+    bool completeMap(RankOrderMessage& message);
     void takeCounts(const ExpertCounts& counts, RankStatus& status);
 
     const Clock& clock_;
@@ -56,6 +58,8 @@
     TimePoint heardAt_;
     std::optional<RankReport> report_;
     std::vector<double> lastCounts_;
+    // The last maps that were to be loaded, to which later ones are described by their differences.
+    std::map<RankMapVersion, std::shared_ptr<const GroupMap>> maps_;
 };
 
 }
--- a/Source/RankMaps/RankAgentSettings.h
+++ b/Source/RankMaps/RankAgentSettings.h
@@ -24,6 +24,8 @@
     std::chrono::milliseconds busyQuestionPeriod { 60 };
     // How often it asks for counts; two samples in the time in which demand is estimated.
     std::chrono::milliseconds countPeriod { 250 };
+    // Agents that are asked for counts in a period; a few kilobytes each, over the link of one small machine.
+    std::size_t maxCountsPerPeriod { 24 };
     // An agent that has heard of no controller for this long, and a part of the second by its rank, takes over.
     std::chrono::milliseconds silenceLimit { 800 };
     std::chrono::milliseconds silencePerRank { 60 };
--- a/Source/RankMaps/RankMessages.cpp
+++ b/Source/RankMaps/RankMessages.cpp
@@ -104,8 +104,15 @@
     const RankOrder& order = message.order;
     Json json = { { "g", message.group }, { "t", message.term }, { "c", message.controller }, { "k", static_cast<int>(order.kind) }, { "f", order.fencingToken }, { "e", order.epoch },
         { "v", order.version }, { "p", order.pass } };
-    if (!order.map.empty())
-        json["m"] = order.map;
+    if (message.baseVersion) {
+        json["b"] = *message.baseVersion;
+        Json differences = Json::array();
+        for (const MapDifference& difference : message.differences)
+            differences.push_back(Json::array({ difference.set, difference.rank, difference.experts }));
+        json["d"] = differences;
+    } else if (order.map) {
+        json["m"] = *order.map;
+    }
     return makeFrame(RankOrderMessage::type, time, json);
 }
 
@@ -155,7 +162,12 @@
         message.order.version = json.at("v").get<RankMapVersion>();
         message.order.pass = json.at("p").get<std::uint64_t>();
         if (json.contains("m"))
-            message.order.map = json.at("m").get<GroupMap>();
+            message.order.map = std::make_shared<const GroupMap>(json.at("m").get<GroupMap>());
+        if (json.contains("b")) {
+            message.baseVersion = json.at("b").get<RankMapVersion>();
+            for (const Json& difference : json.at("d"))
+                message.differences.push_back({ difference.at(0).get<std::uint32_t>(), difference.at(1).get<std::uint32_t>(), difference.at(2).get<std::vector<std::uint32_t>>() });
+        }
         return message;
     });
 }
@@ -169,7 +181,7 @@
         message.kind = enumerationFromJson(json.at("k"), RankOrderKind::Disarm);
         message.version = json.at("v").get<RankMapVersion>();
         message.pass = json.at("p").get<std::uint64_t>();
-        message.result = enumerationFromJson(json.at("r"), RankOrderResult::Unknown);
+        message.result = enumerationFromJson(json.at("r"), RankOrderResult::BaseMissing);
         return message;
     });
 }
--- a/Source/RankMaps/RankMessages.h
+++ b/Source/RankMaps/RankMessages.h
@@ -37,15 +37,19 @@
     std::optional<RankLists> lists;
 };
 
-// The controller has the agent give its engine an order.
+// The controller has the agent give its engine an order. A map is sent whole, or as its differences to the one
+// that the agent loaded last.
 struct RankOrderMessage {
     static constexpr const char* type = "rankOrder";
     std::string group;
     std::uint64_t term { 0 };
     std::string controller;
     RankOrder order;
+    std::optional<RankMapVersion> baseVersion;
+    std::vector<MapDifference> differences;
 };
 
+// The answer to an order that the engine did not accept; the effect of the others shows in the next status.
 struct RankOrderResultMessage {
     static constexpr const char* type = "rankOrderResult";
     std::uint64_t term { 0 };
@@ -59,6 +63,7 @@
 // Each decode function throws Error(BadFrame) if the body does not fit the type.
 Frame encodeMessage(const RankQuestion& message, HybridTime time);
 Frame encodeMessage(const RankStatus& message, HybridTime time);
+// The map of the order is left out if the message has a base version.
 Frame encodeMessage(const RankOrderMessage& message, HybridTime time);
 Frame encodeMessage(const RankOrderResultMessage& message, HybridTime time);
 RankQuestion decodeRankQuestion(ByteView body);
--- a/Source/RankMaps/RankReport.h
+++ b/Source/RankMaps/RankReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -77,8 +78,8 @@
     std::uint64_t epoch { 0 };
     RankMapVersion version { 0 };
     std::uint64_t pass { 0 };
-    // For Prepare only.
-    GroupMap map;
+    // For Prepare only. All ranks get the same map.
+    std::shared_ptr<const GroupMap> map;
 };
 
 enum class RankOrderResult {
@@ -89,6 +90,21 @@
     Fenced,
     // No answer: the order may have been carried out, or may be seconds later.
     Unknown,
+    // The agent does not know the map that the order names the differences to. The engine was not asked.
+    BaseMissing,
 };
 
+// The experts of one rank in one set, where they differ between two maps.
+struct MapDifference {
+    std::uint32_t set { 0 };
+    std::uint32_t rank { 0 };
+    std::vector<std::uint32_t> experts;
+};
+
+// Returns what changes from the base to the map. Both have the same sets and ranks.
+std::vector<MapDifference> differences(const GroupMap& base, const GroupMap& map);
+
+// Returns the base with the differences applied, or nothing if they don't fit its size.
+std::optional<GroupMap> applyDifferences(const GroupMap& base, const std::vector<MapDifference>& differences);
+
 }
--- a/Source/RankMaps/SwitchController.cpp
+++ b/Source/RankMaps/SwitchController.cpp
@@ -47,8 +47,9 @@
 
 void SwitchController::orderEnded(std::uint32_t rank, RankOrderKind kind, RankMapVersion version, std::uint64_t pass, RankOrderResult result)
 {
-    if (result == RankOrderResult::Unknown) {
-        lostOrderAt_ = clock_.now();
+    if (result == RankOrderResult::Unknown || result == RankOrderResult::BaseMissing) {
+        if (result == RankOrderResult::Unknown)
+            lostOrderAt_ = clock_.now();
         // The order may be carried out seconds later, and then finds that the repetition has been.
         if (version == version_)
             orderedAt_.erase(rank);
@@ -116,7 +117,7 @@
 void SwitchController::start(const GroupMap& map)
 {
     ++counters_.started;
-    map_ = map;
+    map_ = std::make_shared<const GroupMap>(map);
     version_ = std::max(highestVersion() + 1, token_ * versionsPerTerm);
     highestUsed_ = version_;
     pass_ = 0;
@@ -140,7 +141,8 @@
     const RankReport& report = found->second;
     switch (stage_) {
     case SwitchStage::Preparing:
-        return report.prepared != version_;
+        // The own rank is asked all the time, as the pass to switch at is chosen by its report.
+        return report.prepared != version_ || rank == holdRank_;
     case SwitchStage::Holding:
         return rank == holdRank_;
     case SwitchStage::Arming:
@@ -179,7 +181,7 @@
         if (report.prepared == version_)
             continue;
         isDone = false;
-        order(rank, RankOrderKind::Prepare, settings_.repeatPrepareAfter);
+        order(rank, RankOrderKind::Prepare, settings_.repeatAfter);
     }
     if (isDone) {
         enter(SwitchStage::Holding);
@@ -217,7 +219,7 @@
     if (!holder.isOpen)
         return;
     if (pass_ == 0) {
-        pass_ = lastPass() + leadPasses();
+        pass_ = expectedPass() + leadPasses();
         passChosenAt_ = clock_.now();
         orderedAt_.clear();
     }
@@ -236,7 +238,7 @@
 void SwitchController::startRestore()
 {
     ++counters_.restored;
-    map_.clear();
+    map_ = nullptr;
     version_ = std::max(highestVersion() + 1, token_ * versionsPerTerm);
     highestUsed_ = version_;
     note_("map in use is loaded anew", version_, pass_);
@@ -247,11 +249,11 @@
 // The pass stays held meanwhile, and nothing has let it go: that takes ranks that are all armed with one map.
 void SwitchController::restore()
 {
-    if (map_.empty()) {
+    if (!map_) {
         std::optional<GroupMap> inUse = mapInUse_();
         if (!inUse)
             return;
-        map_ = *std::move(inUse);
+        map_ = std::make_shared<const GroupMap>(*std::move(inUse));
     }
     bool isDone = true;
     for (const auto& [rank, report] : reports_) {
@@ -394,6 +396,14 @@
     return pass;
 }
 
+// Returns the pass that the group has begun by now, as far as its pace tells.
+std::uint64_t SwitchController::expectedPass() const
+{
+    double elapsed = std::chrono::duration<double>(clock_.now() - newestPassAt_).count();
+    double most = static_cast<double>(settings_.maxPasses);
+    return lastPass() + static_cast<std::uint64_t>(std::min(most, elapsed / passSeconds_));
+}
+
 std::uint64_t SwitchController::leadPasses() const
 {
     bool isLossy = lostOrderAt_ && clock_.now() - *lostOrderAt_ < settings_.lossMemory;
@@ -407,6 +417,10 @@
 {
     constexpr double measuredSeconds = 0.2;
     std::uint64_t pass = lastPass();
+    if (pass != newestPass_) {
+        newestPass_ = pass;
+        newestPassAt_ = clock_.now();
+    }
     double elapsed = std::chrono::duration<double>(clock_.now() - markedAt_).count();
     if (elapsed < measuredSeconds)
         return;
--- a/Source/RankMaps/SwitchController.h
+++ b/Source/RankMaps/SwitchController.h
@@ -26,10 +26,9 @@
     std::uint64_t maxPasses { 40 };
     // Passes by which the lead grows at most after holds that came too late; each one adds a pass.
     std::uint64_t maxExtraPasses { 6 };
-    // An order that does not show in the rank's report is given again after this time, and at once if it got no
-    // answer. Below the time in which a caller notices a pause.
-    std::chrono::milliseconds repeatAfter { 120 };
-    std::chrono::milliseconds repeatPrepareAfter { 400 };
+    // An order that does not show in the rank's report is given again after this time, and at once if it is known
+    // that it got no answer. Agents tell that, so this is for agents that don't answer themselves.
+    std::chrono::milliseconds repeatAfter { 400 };
     // A map that is not loaded everywhere by then is given up.
     std::chrono::milliseconds prepareTimeout { 5000 };
     std::chrono::milliseconds holdTimeout { 2000 };
@@ -101,7 +100,7 @@
     bool awaits(std::uint32_t rank) const;
 
     // Says whether the change can't go on without the contents of the map in use.
-    bool needsMapInUse() const { return stage_ == SwitchStage::Restoring && map_.empty(); }
+    bool needsMapInUse() const { return stage_ == SwitchStage::Restoring && !map_; }
 
     SwitchStage stage() const { return stage_; }
     RankMapVersion mapVersion() const;
@@ -126,6 +125,7 @@
     void order(std::uint32_t rank, RankOrderKind kind, std::chrono::milliseconds repeatAfter);
     void order(std::uint32_t rank, RankOrderKind kind, std::chrono::milliseconds repeatAfter, RankMapVersion version, std::uint64_t pass);
     std::uint64_t lastPass() const;
+    std::uint64_t expectedPass() const;
     std::uint64_t leadPasses() const;
     void measurePasses();
     RankMapVersion highestVersion() const;
@@ -159,7 +159,10 @@
     std::uint64_t markedPass_ { 0 };
     TimePoint markedAt_;
     double passSeconds_ { 0.05 };
-    GroupMap map_;
+    // The highest pass reported, and when it was first heard of.
+    std::uint64_t newestPass_ { 0 };
+    TimePoint newestPassAt_;
+    std::shared_ptr<const GroupMap> map_;
     std::map<std::uint32_t, TimePoint> orderedAt_;
     SwitchCounters counters_;
 };
--- a/Tests/RankMaps/RankAgentTest.cpp
+++ b/Tests/RankMaps/RankAgentTest.cpp
@@ -1,6 +1,7 @@
 #include "RankMaps/RankAgent.h"
 
 #include "Core/ManualClock.h"
+#include "RankMaps/LoadOrderEncoder.h"
 
 #include <doctest/doctest.h>
 
@@ -45,10 +46,20 @@
     }
 
     RankOrderResult give(const std::string& group, std::uint64_t term)
+    {
+        RankOrderMessage message;
+        message.group = group;
+        message.term = term;
+        return give(message);
+    }
+
+    // An accepted order is answered by a status alone.
+    RankOrderResult give(const RankOrderMessage& message)
     {
         RankOrderResult result = RankOrderResult::Unknown;
         agent.receive(
-            RankOrderMessage { group, term, "c", RankOrder() }, [&result](const RankOrderResultMessage& message) { result = message.result; }, [](const RankStatus&) {});
+            message, [&result](const RankOrderResultMessage& answer) { result = answer.result; },
+            [&result](const RankStatus& status) { result = status.report ? RankOrderResult::Accepted : result; });
         return result;
     }
 
@@ -73,6 +84,36 @@
     CHECK(world.engine.orders.size() == 1);
 }
 
+// Guards against a map that is put together from differences to another one than the controller means.
+TEST_CASE("a map that is described by its differences is completed, or asked for as a whole")
+{
+    World world;
+    auto first = std::make_shared<const GroupMap>(GroupMap { { { 0, 1 }, { 2, 3 } }, { { 0, 2 }, { 1, 3 } } });
+    auto second = std::make_shared<const GroupMap>(GroupMap { { { 0, 1 }, { 2, 1 } }, { { 0, 2 }, { 1, 3 } } });
+    RankOrderMessage message;
+    message.group = "g1";
+    message.term = 1;
+    message.order.version = 7;
+    message.order.map = first;
+    LoadOrderEncoder encoder;
+    auto receive = [&](RankMapVersion sentBefore) { return world.give(decodeRankOrder(encoder.encode(message, sentBefore, HybridTime()).body)); };
+    std::size_t wholeBytes = encoder.encode(message, 0, HybridTime()).body.size();
+    CHECK(receive(0) == RankOrderResult::Accepted);
+    message.order.version = 8;
+    message.order.map = second;
+    CHECK(encoder.encode(message, 7, HybridTime()).body.size() < wholeBytes);
+    CHECK(receive(7) == RankOrderResult::Accepted);
+    CHECK(*world.engine.orders.back().map == *second);
+    // A repetition names the map that the agent has already.
+    CHECK(receive(8) == RankOrderResult::Accepted);
+    CHECK(*world.engine.orders.back().map == *second);
+    // Another start of the agent knows no map.
+    World restarted;
+    CHECK(restarted.give(decodeRankOrder(encoder.encode(message, 7, HybridTime()).body)) == RankOrderResult::BaseMissing);
+    CHECK(restarted.engine.orders.empty());
+    CHECK(restarted.give(decodeRankOrder(encoder.encode(message, 0, HybridTime()).body)) == RankOrderResult::Accepted);
+}
+
 // Guards against groups of one service that disturb each other's controllers.
 TEST_CASE("the controller of another group changes neither the term nor the engine")
 {
