Forwarding: Give free servers to the streams that can be on time

Cause: in an overload (callers-press, a burst of 2.5 times the traffic) servers answered in 190 ms and paused for 70 ms, but nearly every stream was late: it had waited for a server first, in the order of arrival, and those that came back after a refusal waited again although they could not be on time. Found by two new fields of the log, waitedMs and callerAgeMs.

Change: of the waiting requests those that can be on time go first, the newest before the others, then late ones in order. What is expected is the mean time of the service plus its deviation; a caller's age is what its time left falls short of the longest on its route. A stream that is bound to be late is refused after 50 ms, after 240 ms while callers come back from an outage. A server that becomes free is used at once, not at the next tick.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -67,10 +67,12 @@
         limit_ = arrivedAt_ + *deadline;
         isLimitOfRoute_ = false;
     }
+    if (deadline)
+        callerAge_ = context_.callerAges.observe(terms_.route->name, *deadline);
+    targetAt_ = arrivedAt_ + terms_.route->targetLatency - callerAge_;
     bool isStream = terms_.route->kind == RequestKind::Streaming;
-    double wait = isStream ? static_cast<double>(terms_.route->targetLatency.count()) * context_.settings.maxStreamWait
-                           : static_cast<double>(milliseconds(limit_ - arrivedAt_)) * context_.settings.maxWait;
-    waitUntil_ = arrivedAt_ + std::chrono::milliseconds(static_cast<std::int64_t>(wait));
+    Duration maxWait = std::chrono::duration_cast<Duration>((limit_ - arrivedAt_) * context_.settings.maxWait);
+    waitUntil_ = arrivedAt_ + (isStream ? std::min<Duration>(context_.settings.maxStreamWait, limit_ - arrivedAt_) : maxWait);
 }
 
 ForwardedRequest::~ForwardedRequest()
@@ -121,7 +123,8 @@
 
 void ForwardedRequest::send()
 {
-    ServerChoice choice = context_.chooser.choose(terms_.service, tried_);
+    // Only a request that can be on time waits at a server for a slot.
+    ServerChoice choice = context_.chooser.choose(terms_.service, tried_, !isBoundToBeLate());
     if (choice.kind != ChoiceKind::Server) {
         waitOrRefuse();
         return;
@@ -142,7 +145,9 @@
     TimePoint until = executions_ > 0 ? limit_ : waitUntil_;
     if (executions_ == 0 && context_.chooser.isOutOfOrder(terms_.service))
         until = std::max(until, std::min(arrivedAt_ + context_.settings.maxOutageWait, limit_ - context_.settings.deadlineMargin));
-    if (context_.clock.now() >= until)
+    bool isOverdue = terms_.route->kind == RequestKind::Streaming && executions_ == 0 && isBoundToBeLate()
+        && context_.clock.now() >= arrivedAt_ + context_.settings.maxLateWait;
+    if (context_.clock.now() >= until || (isOverdue && !context_.chooser.hasBacklog(terms_.service)))
         giveUp("no server is free");
 }
 
@@ -174,7 +179,9 @@
     state_ = State::Sent;
     sentAt_ = context_.clock.now();
     progressAt_ = sentAt_;
-    if (!isFirstSend_)
+    if (isFirstSend_)
+        firstSentAt_ = sentAt_;
+    else
         ++context_.counters.repeatedSends;
     isFirstSend_ = false;
     ++sends_;
@@ -274,6 +281,7 @@
         return;
     if (!streamStarted_) {
         streamStarted_ = true;
+        context_.responseTimes.note(terms_.service, progressAt_ - sentAt_);
         HttpResponse head;
         head.status = head_->status;
         head.headers = callerHeaders(*head_, context_.names);
@@ -300,6 +308,13 @@
     lastEventAt_ = progressAt_;
 }
 
+// Says whether a response to a send at this moment would begin after its target.
+bool ForwardedRequest::isBoundToBeLate() const
+{
+    Duration most = std::chrono::duration_cast<Duration>(terms_.route->targetLatency * context_.settings.maxExpectedShare);
+    return context_.clock.now() + std::min(most, context_.responseTimes.expected(terms_.service)) > targetAt_;
+}
+
 // Says whether the response, as far as it has come, missed a target of its route.
 bool ForwardedRequest::isLate() const
 {
@@ -438,6 +453,7 @@
 
 void ForwardedRequest::deliver()
 {
+    context_.responseTimes.note(terms_.service, context_.clock.now() - sentAt_);
     context_.outliers.callSucceeded(server_->id, context_.clock.now() - sentAt_);
     context_.chooser.noteHealthy(server_->id);
     context_.chooser.noteProgress(terms_.service, server_->id);
@@ -538,8 +554,10 @@
         LogLine line("requestEnded");
         line.add("request", requestId_).add("outcome", outcome).add("code", resultNumber(code)).add("reason", reason);
         line.add("route", terms_.route->name).add("customer", terms_.customer).add("service", terms_.service);
-        line.add("catalog", terms_.catalog->version()).add("sends", sends_).add("executions", executions_).add("events", events_);
+        line.add("callerAgeMs", milliseconds(callerAge_)).add("catalog", terms_.catalog->version()).add("sends", sends_).add("executions", executions_).add("events", events_);
         line.add("server", server_ ? server_->id : (tried_.empty() ? "" : tried_.back()));
+        if (!isFirstSend_)
+            line.add("waitedMs", milliseconds(firstSentAt_ - arrivedAt_));
         if (events_ > 0) {
             line.add("firstEventMs", milliseconds(firstEventAt_ - arrivedAt_)).add("longestPauseMs", milliseconds(longestPause_));
             line.add("pauseEndedMs", longestPause_ > Duration::zero() ? milliseconds(longestPauseAt_ - arrivedAt_) : 0);
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -4,13 +4,13 @@
 #include "Core/ResultCode.h"
 #include "Forwarding/EventSplitter.h"
 #include "Forwarding/ForwardingContext.h"
+#include "Forwarding/WaitingPlace.h"
 #include "Transport/HttpServer.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -44,9 +44,8 @@
     // Checks time limits, and sends a waiting request if a server is free. Call about 20 times a second.
     void tick();
 
-    // Of the requests that wait for a server, the one with the lowest order goes first. Among equally urgent
-    // ones those come first that were sent least often, as first sends cost nothing of the retry allowance.
-    std::tuple<std::int32_t, std::uint32_t, TimePoint> order() const { return { terms_.priority, sends_, arrivedAt_ }; }
+    bool isWaiting() const { return state_ == State::Waiting; }
+    WaitingPlace place() const { return { terms_.priority, isBoundToBeLate(), sends_, arrivedAt_ }; }
 
 private:
     enum class State {
@@ -84,6 +83,7 @@
     void takeEvent(const RawEvent& event);
     void notePause();
     bool isLate() const;
+    bool isBoundToBeLate() const;
     void takeEnd();
     void endAttempt(AttemptEnd end, std::string_view reason);
     void noteRefusal(const std::string& serverId);
@@ -112,6 +112,10 @@
     TimePoint limit_;
     bool isLimitOfRoute_ { false };
     TimePoint waitUntil_;
+    // Time since the caller's first attempt, of which this one may be a repetition.
+    std::chrono::milliseconds callerAge_ { 0 };
+    // A response that begins later misses the target latency, counted from the caller's first attempt.
+    TimePoint targetAt_;
 
     State state_ { State::Waiting };
     std::uint32_t attempt_ { 0 };
@@ -126,6 +130,7 @@
     std::optional<ServerRecord> server_;
     std::shared_ptr<UpstreamConnection> connection_;
     bool isReusedConnection_ { false };
+    TimePoint firstSentAt_;
     TimePoint sentAt_;
     TimePoint progressAt_;
 
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -2,8 +2,10 @@
 
 #include "Core/Clock.h"
 #include "Fleet/FleetView.h"
+#include "Forwarding/CallerAges.h"
 #include "Forwarding/HeaderNames.h"
 #include "Forwarding/LoadBoard.h"
+#include "Forwarding/ResponseTimes.h"
 #include "Forwarding/RetryAllowance.h"
 #include "Forwarding/ServerChooser.h"
 #include "Forwarding/UpstreamPool.h"
@@ -15,12 +17,16 @@
 namespace Damaskgrade {
 
 struct ForwardingSettings {
-    // Longest time that a stream waits for a free server before it is refused, as a share of the target
-    // latency of its route. The rest is needed to read the prompt. Streams that wait longer are late, and
-    // make those behind them late.
-    double maxStreamWait { 0.6 };
+    // Longest time that a stream waits for a free server before it is refused. Callers leave a stream without a
+    // first event after two seconds.
+    std::chrono::milliseconds maxStreamWait { 240 };
+    // The same once its first event can't be in time.
+    std::chrono::milliseconds maxLateWait { 50 };
     // Longest time that another request waits, as a share of the time that its caller waits.
     double maxWait { 0.4 };
+    // The expected response time counts for no more than this share of the target latency, so that a request
+    // that has just arrived counts as one that can be on time.
+    double maxExpectedShare { 0.75 };
     // Longest time that a request waits for a service that is out of order. Callers leave a stream without
     // a first event after two seconds, and come back once only.
     std::chrono::milliseconds maxOutageWait { 1700 };
@@ -76,6 +82,8 @@
     RetryAllowance& allowance;
     DecisionLog& log;
     ForwardingCounters& counters;
+    ResponseTimes& responseTimes;
+    CallerAges& callerAges;
     ForwardingSettings settings;
 };
 
--- a/Source/Forwarding/ServerChooser.cpp
+++ b/Source/Forwarding/ServerChooser.cpp
@@ -14,16 +14,17 @@
     , outliers_(outliers)
     , random_(random)
     , settings_(std::move(settings))
+    , startedAt_(clock.now())
 {
 }
 
-ServerChoice ServerChooser::choose(std::string_view service, gsl::span<const std::string> tried)
+ServerChoice ServerChooser::choose(std::string_view service, gsl::span<const std::string> tried, bool mayQueue)
 {
     std::vector<const ServerRecord*> ready = fleet_.ready(service);
     if (ready.empty())
         return {};
     auto outage = outages_.find(service);
-    bool isProbe = outage != outages_.end() && outage->second.refusalsInRow >= settings_.refusalsUntilOutage;
+    bool isProbe = outage != outages_.end() && isRefusing(outage->second);
     if (isProbe && clock_.now() < outage->second.nextProbe)
         return { ChoiceKind::Busy, nullptr };
     auto isTried = [tried](const ServerRecord* server) { return std::find(tried.begin(), tried.end(), server->id) != tried.end(); };
@@ -38,7 +39,7 @@
         if (share <= 0 || (share < 1 && random_.fraction() > share))
             continue;
         double inFlight = loads_.inFlight(server->id);
-        if (inFlight >= slotsOf(*server) + settings_.queuedPerServer)
+        if (inFlight >= slotsOf(*server) + (mayQueue ? settings_.queuedPerServer : 0))
             continue;
         double zonePenalty = server->availabilityZone == settings_.ownZone ? 0 : settings_.zoneBias;
         double score = (inFlight + zonePenalty + random_.fraction() * 0.1) / slotsOf(*server);
@@ -78,7 +79,7 @@
     auto outage = outages_.find(service);
     if (outage == outages_.end())
         return;
-    if (outage->second.refusalsInRow >= settings_.refusalsUntilOutage)
+    if (isRefusing(outage->second))
         endOutage(service, outage->second);
     else if (clock_.now() >= outage->second.recoveringUntil)
         outages_.erase(outage);
@@ -90,6 +91,7 @@
 {
     outage.refusalsInRow = 0;
     outage.recoveringUntil = clock_.now() + settings_.recoveryTime;
+    outageEndedAt_[std::string(service)] = clock_.now();
     // The servers were avoided for refusals that are over now.
     for (const ServerRecord* server : fleet_.ready(service))
         avoidedUntil_.erase(server->id);
@@ -108,9 +110,15 @@
 bool ServerChooser::isOutOfOrder(std::string_view service) const
 {
     auto outage = outages_.find(service);
-    bool isRefusing = outage != outages_.end() && outage->second.refusalsInRow >= settings_.refusalsUntilOutage;
-    bool isRecovering = outage != outages_.end() && clock_.now() < outage->second.recoveringUntil;
-    return isRefusing || isRecovering || fleet_.ready(service).empty();
+    bool isDisturbed = outage != outages_.end() && (isRefusing(outage->second) || clock_.now() < outage->second.recoveringUntil);
+    return isDisturbed || fleet_.ready(service).empty();
+}
+
+bool ServerChooser::hasBacklog(std::string_view service) const
+{
+    auto ended = outageEndedAt_.find(service);
+    TimePoint since = ended == outageEndedAt_.end() ? startedAt_ : ended->second;
+    return isOutOfOrder(service) || clock_.now() - since < settings_.backlogTime;
 }
 
 bool ServerChooser::hasProgressElsewhere(std::string_view service, std::string_view serverId, TimePoint since) const
--- a/Source/Forwarding/ServerChooser.h
+++ b/Source/Forwarding/ServerChooser.h
@@ -29,6 +29,8 @@
     std::chrono::milliseconds probePeriod { 60 };
     // After its first success, requests that waited for the service are given this time to find a server.
     std::chrono::milliseconds recoveryTime { 400 };
+    // Callers that were cut off in an outage come back for this time after it.
+    std::chrono::milliseconds backlogTime { 5000 };
 };
 
 enum class ChoiceKind {
@@ -51,8 +53,9 @@
     ServerChooser(const Clock& clock, const FleetView& fleet, const LoadBoard& loads, const OutlierDetector& outliers, Random& random,
         ServerChooserSettings settings);
 
-    // Servers in tried are chosen only if there are no others.
-    ServerChoice choose(std::string_view service, gsl::span<const std::string> tried);
+    // Servers in tried are chosen only if there are no others. Servers without a free slot are chosen only if
+    // the request may queue there.
+    ServerChoice choose(std::string_view service, gsl::span<const std::string> tried, bool mayQueue);
 
     // Sends nothing to the server before this time.
     void avoid(const std::string& serverId, TimePoint until);
@@ -69,6 +72,10 @@
     // Says whether the service refuses all requests, has just begun to answer again, or has no ready server.
     bool isOutOfOrder(std::string_view service) const;
 
+    // Says whether the service, or this entry, was out of order a short time ago, so that many callers come back
+    // at once and are served soon if they wait.
+    bool hasBacklog(std::string_view service) const;
+
     // Says whether another server of the service has sent something since then.
     bool hasProgressElsewhere(std::string_view service, std::string_view serverId, TimePoint since) const;
 
@@ -87,6 +94,8 @@
         TimePoint recoveringUntil;
     };
 
+    bool isRefusing(const Outage& outage) const { return outage.refusalsInRow >= settings_.refusalsUntilOutage; }
+
     void endOutage(std::string_view service, Outage& outage);
     double slotsOf(const ServerRecord& server) const;
     bool isAvoided(const ServerRecord& server) const;
@@ -100,6 +109,9 @@
     std::map<std::string, TimePoint, std::less<>> avoidedUntil_;
     std::map<std::string, Progress, std::less<>> progress_;
     std::map<std::string, Outage, std::less<>> outages_;
+    // When the last outage of a service ended.
+    std::map<std::string, TimePoint, std::less<>> outageEndedAt_;
+    TimePoint startedAt_;
 };
 
 }
--- /dev/null
+++ b/Source/Forwarding/WaitingPlace.cpp
@@ -0,0 +1,17 @@
+#include "Forwarding/WaitingPlace.h"
+
+namespace Damaskgrade {
+
+bool goesBefore(const WaitingPlace& left, const WaitingPlace& right)
+{
+    if (left.priority != right.priority)
+        return left.priority < right.priority;
+    if (left.isLate != right.isLate)
+        return right.isLate;
+    // First sends cost nothing of the retry allowance.
+    if (left.sends != right.sends)
+        return left.sends < right.sends;
+    return left.isLate ? left.arrivedAt < right.arrivedAt : right.arrivedAt < left.arrivedAt;
+}
+
+}
--- a/Source/Gateway/Forwarder.cpp
+++ b/Source/Gateway/Forwarder.cpp
@@ -20,8 +20,9 @@
 
 }
 
-Forwarder::Forwarder(ForwardingContext& context, const CatalogHolder& catalog, Random& random)
-    : context_(context)
+Forwarder::Forwarder(EventLoop& loop, ForwardingContext& context, const CatalogHolder& catalog, Random& random)
+    : loop_(loop)
+    , context_(context)
     , catalog_(catalog)
     , random_(random)
 {
@@ -64,7 +65,7 @@
     terms.catalog = catalog;
     terms.route = route;
     terms.service = chooseService(*route);
-    auto forwarded = std::make_shared<ForwardedRequest>(context_, std::move(exchange), std::move(terms), [this](ForwardedRequest* done) { active_.erase(done); });
+    auto forwarded = std::make_shared<ForwardedRequest>(context_, std::move(exchange), std::move(terms), [this](ForwardedRequest* done) { requestDone(done); });
     active_.emplace(forwarded.get(), forwarded);
     forwarded->start();
 }
@@ -75,9 +76,36 @@
     requests.reserve(active_.size());
     for (const auto& [pointer, request] : active_)
         requests.push_back(request);
-    // The most urgent waiting request takes the next free server.
-    std::stable_sort(requests.begin(), requests.end(), [](const auto& left, const auto& right) { return left->order() < right->order(); });
-    for (const std::shared_ptr<ForwardedRequest>& request : requests)
+    for (const std::shared_ptr<ForwardedRequest>& request : requests) {
+        if (!request->isWaiting())
+            request->tick();
+    }
+    sendWaiting();
+}
+
+void Forwarder::requestDone(ForwardedRequest* request)
+{
+    active_.erase(request);
+    bool isAnyWaiting = std::any_of(active_.begin(), active_.end(), [](const auto& entry) { return entry.second->isWaiting(); });
+    if (isSendPosted_ || !isAnyWaiting)
+        return;
+    isSendPosted_ = true;
+    loop_.post([this] {
+        isSendPosted_ = false;
+        sendWaiting();
+    });
+}
+
+// Sends requests that wait while servers are free, and ends those that have waited for too long.
+void Forwarder::sendWaiting()
+{
+    std::vector<std::pair<WaitingPlace, std::shared_ptr<ForwardedRequest>>> waiting;
+    for (const auto& [pointer, request] : active_) {
+        if (request->isWaiting())
+            waiting.emplace_back(request->place(), request);
+    }
+    std::sort(waiting.begin(), waiting.end(), [](const auto& left, const auto& right) { return goesBefore(left.first, right.first); });
+    for (const auto& [place, request] : waiting)
         request->tick();
 }
 
--- a/Source/Gateway/Forwarder.h
+++ b/Source/Gateway/Forwarder.h
@@ -13,7 +13,7 @@
 // request to its end.
 class Forwarder {
 public:
-    Forwarder(ForwardingContext& context, const CatalogHolder& catalog, Random& random);
+    Forwarder(EventLoop& loop, ForwardingContext& context, const CatalogHolder& catalog, Random& random);
 
     void handle(std::shared_ptr<HttpExchange> exchange);
 
@@ -28,11 +28,15 @@
 private:
     void answer(HttpExchange& exchange, int status, ResultCode code, std::string_view detail);
     std::string chooseService(const Route& route);
+    void requestDone(ForwardedRequest* request);
+    void sendWaiting();
 
+    EventLoop& loop_;
     ForwardingContext& context_;
     const CatalogHolder& catalog_;
     Random& random_;
     bool isRefusing_ { false };
+    bool isSendPosted_ { false };
     std::unordered_map<ForwardedRequest*, std::shared_ptr<ForwardedRequest>> active_;
 };
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -78,8 +78,9 @@
     , chooser_(clock, fleet_, loads_, outliers_, random, { settings_.availabilityZone })
     , pool_(clock, {}, [&loop] { return makeUpstreamConnection(loop); })
     , allowance_(clock, { settings_.retryShare, settings_.retryExtra, settings_.retryWindow })
-    , context_ { clock, platform_.names, loads_, chooser_, pool_, outliers_, allowance_, log, counters_, {} }
-    , forwarder_(context_, catalog_, random)
+    , responseTimes_({})
+    , context_ { clock, platform_.names, loads_, chooser_, pool_, outliers_, allowance_, log, counters_, responseTimes_, callerAges_, {} }
+    , forwarder_(loop, context_, catalog_, random)
 {
     PeerGroupSettings peerSettings;
     peerSettings.name = settings_.name;
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -78,6 +78,8 @@
     UpstreamPool pool_;
     RetryAllowance allowance_;
     ForwardingCounters counters_;
+    ResponseTimes responseTimes_;
+    CallerAges callerAges_;
     ForwardingContext context_;
     Forwarder forwarder_;
 
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -256,6 +256,42 @@
     CHECK(server.resetCount() == 1);
 }
 
+// Guards against waits that lead nowhere: the caller of a stream that can't be on time any more is told at once,
+// except when many come back after an outage.
+TEST_CASE("while no server is free, a stream waits only as long as it can be on time")
+{
+    for (bool isAfterOutage : { false, true }) {
+        ServerChooserSettings settings;
+        settings.backlogTime = std::chrono::milliseconds(isAfterOutage ? 60000 : 0);
+        GatewayWorld world(settings);
+        // Long enough that a busy machine does not make the two requests end in the same moment.
+        world.context.settings.maxStreamWait = std::chrono::milliseconds(1500);
+        Route route = routeOf(RequestKind::Streaming);
+        route.timeout = std::chrono::milliseconds(20000);
+        route.targetLatency = std::chrono::milliseconds(4000);
+        world.setRoute(route);
+        ScriptedServer& server = world.addServer([](const HttpRequest&) { return ScriptedReply(); }, 1);
+        // One runs, and one waits at the server.
+        auto requestFor = [&world](const std::string& id, const std::string& deadline) {
+            HttpRequest request = world.request(id);
+            request.headers.back().value = deadline;
+            return request;
+        };
+        world.start(requestFor("running", "20000"));
+        world.start(requestFor("queued", "20000"));
+        REQUIRE(world.runUntil([&] { return server.requests().size() == 2; }));
+        std::shared_ptr<CallerResult> first = world.start(requestFor("first", "20000"));
+        std::shared_ptr<CallerResult> second = world.start(requestFor("returned", "15000"));
+        REQUIRE(world.runUntil([&] { return first->isDone || second->isDone; }));
+        CHECK(first->isDone == isAfterOutage);
+        REQUIRE(world.runUntil([&] { return first->isDone && second->isDone; }));
+        CHECK(first->status == 503);
+        CHECK(second->status == 503);
+        CHECK(!second->header("Retry-After").empty());
+        CHECK(server.requests().size() == 2);
+    }
+}
+
 // Guards against requests that are held past the time that the operator allows.
 TEST_CASE("at the timeout of the route a request is answered: 504 once it was sent, 503 before")
 {
--- a/Tests/Gateway/GatewayWorld.h
+++ b/Tests/Gateway/GatewayWorld.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Damaskgrade {
@@ -53,17 +54,17 @@
 public:
     static constexpr const char* service = "app";
 
-    GatewayWorld()
+    explicit GatewayWorld(ServerChooserSettings chooserSettings = {})
         : catalog([](const Catalog&) {})
         , fleet(clock, {}, [](const ServerRecord&) {})
         , loads(clock, std::chrono::seconds(1))
         , outliers(clock, OutlierSettings())
-        , chooser(clock, fleet, loads, outliers, random, {})
+        , chooser(clock, fleet, loads, outliers, random, std::move(chooserSettings))
         , pool(clock, {}, [this] { return makeUpstreamConnection(loop); })
         , allowance(clock, RetryAllowanceSettings())
         , log(clock, openNull(), "test")
-        , context { clock, names, loads, chooser, pool, outliers, allowance, log, counters, {} }
-        , forwarder(context, catalog, random)
+        , context { clock, names, loads, chooser, pool, outliers, allowance, log, counters, responseTimes, callerAges, {} }
+        , forwarder(loop, context, catalog, random)
         , endpoint(freeEndpoint())
         , front(loop, endpoint, HttpServerLimits(), [this](std::shared_ptr<HttpExchange> exchange) { forwarder.handle(std::move(exchange)); })
         , client(loop, std::chrono::seconds(20))
@@ -71,14 +72,14 @@
     {
     }
 
-    ScriptedServer& addServer(ScriptedServer::Script script)
+    ScriptedServer& addServer(ScriptedServer::Script script, std::uint32_t slots = 8)
     {
         servers.push_back(std::make_unique<ScriptedServer>(loop, std::move(script)));
         ServerRecord record;
         record.id = "s" + std::to_string(servers.size());
         record.service = service;
         record.address = servers.back()->endpoint();
-        record.slots = 8;
+        record.slots = slots;
         snapshot.servers.push_back(record);
         ++snapshot.revision;
         fleet.apply(snapshot, clock.now());
@@ -166,6 +167,8 @@
     RetryAllowance allowance;
     DecisionLog log;
     ForwardingCounters counters;
+    ResponseTimes responseTimes { {} };
+    CallerAges callerAges;
     ForwardingContext context;
     Forwarder forwarder;
     Endpoint endpoint;
