Forwarding: Compare a random part of the servers, not all of them

Ruled out: long prompts (the share of late ones followed the number of gateways, not the sizes).

Change: each entry compares its part of the own zone's servers and of the others (all, divided by the entries; two at least), drawn anew for each send.

--- a/Source/Forwarding/ServerChooser.cpp
+++ b/Source/Forwarding/ServerChooser.cpp
@@ -30,19 +30,26 @@
     auto isTried = [tried](const ServerRecord* server) { return std::find(tried.begin(), tried.end(), server->id) != tried.end(); };
     bool haveAllBeenTried = std::all_of(ready.begin(), ready.end(), isTried);
     bool areAllEjected = std::all_of(ready.begin(), ready.end(), [this](const ServerRecord* server) { return outliers_.isEjected(server->id); });
-    const ServerRecord* best = nullptr;
-    double bestScore = std::numeric_limits<double>::max();
+    std::vector<const ServerRecord*> near;
+    std::vector<const ServerRecord*> far;
     for (const ServerRecord* server : ready) {
         if ((!haveAllBeenTried && isTried(server)) || isAvoided(*server))
             continue;
         double share = areAllEjected ? 1 : outliers_.admissionShare(server->id);
         if (share <= 0 || (share < 1 && random_.fraction() > share))
             continue;
-        double inFlight = loads_.inFlight(server->id);
-        if (inFlight >= slotsOf(*server) + (mayQueue ? settings_.queuedPerServer : 0))
+        if (loads_.inFlight(server->id) >= slotsOf(*server) + (mayQueue ? settings_.queuedPerServer : 0))
             continue;
+        (server->availabilityZone == settings_.ownZone ? near : far).push_back(server);
+    }
+    sample(near);
+    sample(far);
+    near.insert(near.end(), far.begin(), far.end());
+    const ServerRecord* best = nullptr;
+    double bestScore = std::numeric_limits<double>::max();
+    for (const ServerRecord* server : near) {
         double zonePenalty = server->availabilityZone == settings_.ownZone ? 0 : settings_.zoneBias;
-        double score = (inFlight + zonePenalty + random_.fraction() * 0.1) / slotsOf(*server);
+        double score = (loads_.inFlight(server->id) + zonePenalty + random_.fraction() * 0.1) / slotsOf(*server);
         if (score < bestScore) {
             bestScore = score;
             best = server;
@@ -55,6 +62,15 @@
     return { ChoiceKind::Server, best };
 }
 
+// Leaves this entry's part of the servers, two at least, by chance.
+void ServerChooser::sample(std::vector<const ServerRecord*>& servers)
+{
+    std::size_t part = std::max(settings_.minSample, servers.size() / std::max<std::size_t>(1, entryCount_));
+    for (std::size_t i = 0; i < part && i < servers.size(); ++i)
+        std::swap(servers[i], servers[i + random_.index(servers.size() - i)]);
+    servers.resize(std::min(servers.size(), part));
+}
+
 void ServerChooser::avoid(const std::string& serverId, TimePoint until)
 {
     avoidedUntil_[serverId] = until;
--- a/Source/Forwarding/ServerChooser.h
+++ b/Source/Forwarding/ServerChooser.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Damaskgrade {
 
@@ -20,6 +21,8 @@
     double queuedPerServer { 1 };
     // Assumed for servers that do not state their slots.
     std::uint32_t assumedSlots { 8 };
+    // Servers of the own zone, and as many of the others, that are compared at least.
+    std::size_t minSample { 2 };
     // A server in another zone is taken if it has this many requests less; ties stay in the zone.
     double zoneBias { 0.5 };
     // After this many refusals in a row, none of them for want of a slot, a service counts as out of order,
@@ -46,8 +49,9 @@
     const ServerRecord* server { nullptr };
 };
 
-// Chooses the backend server of one request: the one with the fewest requests of all entries in flight,
-// among those that are neither avoided nor ejected.
+// Chooses the backend server of one request: the one with the fewest requests of all entries in flight, among a
+// random part of those that are neither avoided nor ejected. Each entry hears of the requests of the others with
+// a delay; if all entries took the best of all servers, they would all take the same one meanwhile.
 class ServerChooser {
 public:
     ServerChooser(const Clock& clock, const FleetView& fleet, const LoadBoard& loads, const OutlierDetector& outliers, Random& random,
@@ -57,6 +61,9 @@
     // the request may queue there.
     ServerChoice choose(std::string_view service, gsl::span<const std::string> tried, bool mayQueue);
 
+    // Number of entries that choose beside each other.
+    void setEntryCount(std::size_t count) { entryCount_ = count; }
+
     // Sends nothing to the server before this time.
     void avoid(const std::string& serverId, TimePoint until);
 
@@ -96,6 +103,7 @@
 
     bool isRefusing(const Outage& outage) const { return outage.refusalsInRow >= settings_.refusalsUntilOutage; }
 
+    void sample(std::vector<const ServerRecord*>& servers);
     void endOutage(std::string_view service, Outage& outage);
     double slotsOf(const ServerRecord& server) const;
     bool isAvoided(const ServerRecord& server) const;
@@ -112,6 +120,7 @@
     // When the last outage of a service ended.
     std::map<std::string, TimePoint, std::less<>> outageEndedAt_;
     TimePoint startedAt_;
+    std::size_t entryCount_ { 1 };
 };
 
 }
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -239,7 +239,9 @@
 
 void GatewayProcess::tick()
 {
-    allowance_.setEntryCount(std::max(peers_->knownCount(), peers_->addressCount()) + 1);
+    std::size_t entries = std::max(peers_->knownCount(), peers_->addressCount()) + 1;
+    allowance_.setEntryCount(entries);
+    chooser_.setEntryCount(entries);
     forwarder_.tick();
 }
 
--- /dev/null
+++ b/Tests/Forwarding/ServerChooserTest.cpp
@@ -0,0 +1,140 @@
+#include "Forwarding/ServerChooser.h"
+
+#include "Core/ManualClock.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Damaskgrade {
+
+namespace {
+
+constexpr std::size_t entryCount = 17;
+constexpr std::size_t serverCount = 72;
+constexpr std::uint32_t slots = 10;
+
+// One entry with its own view of the requests in flight.
+struct Entry {
+    Entry(const ManualClock& clock, const FleetView& fleet, std::uint64_t seed, const std::string& zone)
+        : loads(clock, std::chrono::seconds(2))
+        , outliers(clock, OutlierSettings())
+        , random(seed)
+        , chooser(clock, fleet, loads, outliers, random, settingsOf(zone))
+    {
+    }
+
+    static ServerChooserSettings settingsOf(const std::string& zone)
+    {
+        ServerChooserSettings settings;
+        settings.ownZone = zone;
+        return settings;
+    }
+
+    LoadBoard loads;
+    OutlierDetector outliers;
+    Random random;
+    ServerChooser chooser;
+};
+
+// Entries that send requests to the same servers and hear of each other every 200 ms.
+class Deployment {
+public:
+    Deployment()
+    {
+        FleetSnapshot snapshot;
+        snapshot.revision = 1;
+        for (std::size_t i = 0; i < serverCount; ++i) {
+            ServerRecord server;
+            server.id = "s" + std::to_string(i);
+            server.service = "app";
+            server.availabilityZone = "z" + std::to_string(i % 4);
+            server.slots = slots;
+            snapshot.servers.push_back(server);
+        }
+        fleet_.apply(snapshot, clock_.now());
+        for (std::size_t i = 0; i < entryCount; ++i)
+            entries_.push_back(std::make_unique<Entry>(clock_, fleet_, i + 1, "z" + std::to_string(i % 4)));
+    }
+
+    void setEntryCount(std::size_t count)
+    {
+        for (const std::unique_ptr<Entry>& entry : entries_)
+            entry->chooser.setEntryCount(count);
+    }
+
+    // Makes 260 requests a second of 1.9 s each, which is 70% of the slots. Returns the share of the requests that
+    // were sent to a server with no free slot.
+    double run(std::chrono::milliseconds time)
+    {
+        std::size_t sent = 0;
+        std::size_t queued = 0;
+        for (std::chrono::milliseconds now { 0 }; now < time; now += step) {
+            clock_.advance(step);
+            while (!running_.empty() && running_.front().endsAt <= clock_.now()) {
+                entries_[running_.front().entry]->loads.finished(running_.front().server);
+                --inFlight_[running_.front().server];
+                running_.pop_front();
+            }
+            if (now % std::chrono::milliseconds(200) == std::chrono::milliseconds(0))
+                exchange();
+            std::size_t entry = random_.index(entryCount);
+            ServerChoice choice = entries_[entry]->chooser.choose("app", {}, true);
+            if (choice.kind != ChoiceKind::Server)
+                continue;
+            ++sent;
+            queued += inFlight_[choice.server->id]++ >= slots ? 1 : 0;
+            entries_[entry]->loads.started(choice.server->id);
+            running_.push_back({ clock_.now() + std::chrono::milliseconds(1900), entry, choice.server->id });
+        }
+        return static_cast<double>(queued) / static_cast<double>(sent);
+    }
+
+private:
+    struct Running {
+        TimePoint endsAt;
+        std::size_t entry { 0 };
+        std::string server;
+    };
+
+    static constexpr std::chrono::milliseconds step { 4 };
+
+    void exchange()
+    {
+        for (std::size_t from = 0; from < entryCount; ++from) {
+            for (std::size_t to = 0; to < entryCount; ++to) {
+                if (from != to)
+                    entries_[to]->loads.setPeerCounts(std::to_string(from), entries_[from]->loads.own());
+            }
+        }
+    }
+
+    ManualClock clock_;
+    FleetView fleet_ { clock_, {}, [](const ServerRecord&) {} };
+    Random random_ { 5 };
+    std::vector<std::unique_ptr<Entry>> entries_;
+    std::deque<Running> running_;
+    std::map<std::string, std::uint32_t> inFlight_;
+};
+
+}
+
+// Guards against entries that all send to the server that was the least loaded one when they last heard of it.
+TEST_CASE("many entries with old knowledge of each other seldom send to a full server")
+{
+    Deployment herd;
+    herd.setEntryCount(1);
+    double ofHerd = herd.run(std::chrono::seconds(20));
+    Deployment spread;
+    spread.setEntryCount(entryCount);
+    double ofSpread = spread.run(std::chrono::seconds(20));
+    // Five in 100 requests may be late at the users' target.
+    CHECK(ofSpread < 0.05);
+    CHECK(ofSpread < ofHerd);
+}
+
+}
