Gateway, Transport: End a gateway as soon as its callers' requests are over

The refusals were found in the log as "entry is shutting down"; the idle connections by gateways that stopped 7.6 s after SIGTERM with nothing in flight.

Change: after 2.9 s connections without a request are closed, and requests that are over before the end by their route's timeout are still taken.

Tests: idle, partly read and busy connections on demand; an entry that ends takes the request that fits and refuses the other (failed before: refused).

--- a/Source/Gateway/Forwarder.cpp
+++ b/Source/Gateway/Forwarder.cpp
@@ -33,8 +33,8 @@
     const HttpRequest& request = exchange->request();
     CatalogPointer catalog = catalog_.current();
     // Without a catalog nothing is known about routes, so that no request may be called unknown.
-    if (!catalog || isRefusing_) {
-        answer(*exchange, statusUnavailable, catalog ? ResultCode::InstanceDraining : ResultCode::NotReady, catalog ? "entry is shutting down" : "no catalog yet");
+    if (!catalog) {
+        answer(*exchange, statusUnavailable, ResultCode::NotReady, "no catalog yet");
         return;
     }
     if (!findHeader(request.headers, context_.names.requestId)) {
@@ -46,6 +46,10 @@
         answer(*exchange, statusNotFound, ResultCode::UnknownRoute, "no route for this host and path");
         return;
     }
+    if (endsAt_ && context_.clock.now() + route->timeout > *endsAt_) {
+        answer(*exchange, statusUnavailable, ResultCode::InstanceDraining, "entry is shutting down");
+        return;
+    }
     RequestTerms terms;
     terms.priority = route->priority;
     if (catalog->hasCustomers()) {
--- a/Source/Gateway/Forwarder.h
+++ b/Source/Gateway/Forwarder.h
@@ -5,6 +5,7 @@
 #include "Forwarding/ForwardingContext.h"
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace Damaskgrade {
@@ -20,8 +21,8 @@
     // Checks the limits of all requests. Call about 20 times a second.
     void tick();
 
-    // From now on requests are refused as not executed, because this process is about to end.
-    void refuseNewRequests() { isRefusing_ = true; }
+    // From now on requests that may last longer than this are refused as not executed, because this process ends.
+    void endBy(TimePoint end) { endsAt_ = end; }
 
     std::size_t activeCount() const { return active_.size(); }
 
@@ -35,7 +36,7 @@
     ForwardingContext& context_;
     const CatalogHolder& catalog_;
     Random& random_;
-    bool isRefusing_ { false };
+    std::optional<TimePoint> endsAt_;
     bool isSendPosted_ { false };
     std::unordered_map<ForwardedRequest*, std::shared_ptr<ForwardedRequest>> active_;
 };
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -279,8 +279,11 @@
 void GatewayProcess::continueShutdown()
 {
     Duration elapsed = clock_.now() - drainStartedAt_;
-    if (elapsed >= acceptTime)
-        forwarder_.refuseNewRequests();
+    if (elapsed >= acceptTime) {
+        // Callers that keep an idle connection would keep this process from its end, and from its next start.
+        forwarder_.endBy(drainStartedAt_ + settings_.shutdownGrace - exitMargin);
+        callerServer_->closeIdle();
+    }
     bool isIdle = forwarder_.activeCount() == 0 && callerServer_->counters().openConnections == 0 && elapsed >= minDrainTime;
     if (!isIdle && elapsed < settings_.shutdownGrace - exitMargin)
         return;
--- a/Source/Transport/HttpConnection.cpp
+++ b/Source/Transport/HttpConnection.cpp
@@ -247,6 +247,14 @@
     notifyClosed();
 }
 
+void HttpConnection::closeIfIdle()
+{
+    boost::system::error_code failure;
+    bool hasPart = buffer_.size() > 0 || (parser_ && parser_->got_some()) || stream_.socket().available(failure) > 0;
+    if (!responding_ && !hasPart)
+        close();
+}
+
 void HttpConnection::notifyClosed()
 {
     std::function<void()> handler = std::move(closeHandler_);
--- a/Source/Transport/HttpConnection.h
+++ b/Source/Transport/HttpConnection.h
@@ -36,6 +36,8 @@
     void readRequest();
     void send(std::string bytes, bool isLast);
     void close();
+    // Closes the connection unless a request is under way or has arrived in part.
+    void closeIfIdle();
     bool keepAlive() const { return keepAlive_ && !isClosing_(); }
     std::size_t pendingBytes() const { return pendingBytes_; }
     void setCloseHandler(std::function<void()> handler) { closeHandler_ = std::move(handler); }
--- a/Source/Transport/HttpServer.cpp
+++ b/Source/Transport/HttpServer.cpp
@@ -3,6 +3,9 @@
 #include "Core/Error.h"
 #include "Transport/HttpConnection.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace Damaskgrade {
 
 namespace asio = boost::asio;
@@ -20,15 +23,18 @@
     void handle(std::shared_ptr<HttpExchange> exchange) { handler_(std::move(exchange)); }
     bool isClosing() const { return isClosing_; }
     void setClosing() { isClosing_ = true; }
+    void closeIdle();
     HttpServerCounters& counters() { return counters_; }
 
 private:
     void accept();
+    void forgetClosed();
 
     Tcp::acceptor acceptor_;
     HttpServerLimits limits_;
     Handler handler_;
     HttpServerCounters counters_;
+    std::vector<std::weak_ptr<HttpConnection>> connections_;
     bool isClosing_ { false };
 };
 
@@ -54,6 +60,20 @@
     acceptor_.close(ignored);
 }
 
+void HttpServer::Listener::closeIdle()
+{
+    forgetClosed();
+    for (const std::weak_ptr<HttpConnection>& entry : connections_) {
+        if (std::shared_ptr<HttpConnection> connection = entry.lock())
+            connection->closeIfIdle();
+    }
+}
+
+void HttpServer::Listener::forgetClosed()
+{
+    connections_.erase(std::remove_if(connections_.begin(), connections_.end(), [](const auto& entry) { return entry.expired(); }), connections_.end());
+}
+
 void HttpServer::Listener::accept()
 {
     auto self = shared_from_this();
@@ -69,6 +89,10 @@
                 [self](std::shared_ptr<HttpExchange> exchange) { self->handle(std::move(exchange)); },
                 [self] { return self->isClosing(); }, self);
             connection->readRequest();
+            // Twice as many as are open, so that this is seldom needed.
+            if (self->connections_.size() > 2 * self->counters_.openConnections)
+                self->forgetClosed();
+            self->connections_.push_back(connection);
         }
         self->accept();
     });
@@ -90,6 +114,11 @@
     listener_->setClosing();
 }
 
+void HttpServer::closeIdle()
+{
+    listener_->closeIdle();
+}
+
 void HttpServer::setLimits(const HttpServerLimits& limits)
 {
     listener_->setLimits(limits);
--- a/Source/Transport/HttpServer.h
+++ b/Source/Transport/HttpServer.h
@@ -68,6 +68,9 @@
     // Adds "Connection: close" to all later responses, so that callers move elsewhere.
     void closeAfterResponses();
 
+    // Closes the connections that wait for their next request.
+    void closeIdle();
+
     // Connections that are accepted from now on have these limits.
     void setLimits(const HttpServerLimits& limits);
 
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -292,6 +292,20 @@
     }
 }
 
+// Guards against requests that are cut off by the end of the process, and against refusals of those that are not.
+TEST_CASE("before its end an entry takes only requests that are over by then")
+{
+    for (RequestKind kind : { RequestKind::Idempotent, RequestKind::Streaming }) {
+        GatewayWorld world;
+        Route route = routeOf(kind);
+        route.timeout = std::chrono::milliseconds(kind == RequestKind::Streaming ? 60000 : 10000);
+        world.setRoute(route);
+        world.addServer([](const HttpRequest& request) { return ScriptedReply { GatewayWorld::ownResponse(request, "id: 1\ndata: x\n\n"), AfterReply::KeepOpen, false }; });
+        world.forwarder.endBy(world.clock.now() + std::chrono::seconds(30));
+        CHECK(world.call(world.request("a")).status == (kind == RequestKind::Streaming ? 503 : 200));
+    }
+}
+
 // Guards against requests that are held past the time that the operator allows.
 TEST_CASE("at the timeout of the route a request is answered: 504 once it was sent, 503 before")
 {
--- a/Tests/Transport/HttpTest.cpp
+++ b/Tests/Transport/HttpTest.cpp
@@ -1,8 +1,15 @@
+#include "LoopRunner.h"
 #include "Transport/HttpClient.h"
 #include "Transport/HttpServer.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <array>
+#include <string>
+#include <vector>
+
 namespace Damaskgrade {
 
 namespace {
@@ -82,4 +89,35 @@
     CHECK((response.status == 413 || response.status == 0));
 }
 
+// Guards against a shutdown that waits for idle callers to the end of its grace, or cuts a request off.
+TEST_CASE("idle connections are closed on demand, those with a request or a part of one are not")
+{
+    namespace asio = boost::asio;
+    EventLoop loop;
+    Endpoint endpoint { "127.0.0.1", 18476 };
+    std::vector<std::shared_ptr<HttpExchange>> waiting;
+    HttpServer server(loop, endpoint, HttpServerLimits(), [&waiting](std::shared_ptr<HttpExchange> exchange) { waiting.push_back(std::move(exchange)); });
+    auto connect = [&](const std::string& bytes) {
+        asio::ip::tcp::socket socket(loop.context());
+        socket.connect({ asio::ip::make_address(endpoint.address), endpoint.port });
+        asio::write(socket, asio::buffer(bytes));
+        return socket;
+    };
+    asio::ip::tcp::socket idle = connect("");
+    asio::ip::tcp::socket partial = connect("GET / HTTP/1.1\r\nHost:");
+    asio::ip::tcp::socket busy = connect("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(runLoopUntil(loop, [&] { return waiting.size() == 1 && server.counters().openConnections == 3; }));
+    server.closeIdle();
+    REQUIRE(runLoopUntil(loop, [&] { return server.counters().openConnections == 2; }));
+    std::array<char, 1> byte {};
+    boost::system::error_code failure;
+    idle.read_some(asio::buffer(byte), failure);
+    CHECK(failure == asio::error::eof);
+    asio::write(partial, asio::buffer(std::string(" h\r\n\r\n")));
+    REQUIRE(runLoopUntil(loop, [&] { return waiting.size() == 2; }));
+    for (const std::shared_ptr<HttpExchange>& exchange : waiting)
+        exchange->respond({ 200, {}, "" });
+    REQUIRE(runLoopUntil(loop, [&] { return partial.available() > 0 && busy.available() > 0; }));
+}
+
 }
