--- a/Source/Logging/RequestHistory.cpp
+++ b/Source/Logging/RequestHistory.cpp
@@ -47,6 +47,8 @@
         line.outcome = json.value("outcome", "");
         line.droppedLines = json.value("droppedLines", std::int64_t { 0 });
         line.firstEventMs = json.value("firstEventMs", std::int64_t { -1 });
+        line.waitedMs = json.value("waitedMs", std::int64_t { 0 });
+        line.callerAgeMs = json.value("callerAgeMs", std::int64_t { 0 });
         line.longestPauseMs = json.value("longestPauseMs", std::int64_t { -1 });
         line.status = json.value("status", std::int64_t { 0 });
         for (const char* name : { "ms", "process", "event", "request" })
@@ -107,6 +109,10 @@
     if (last.outcome == "callerLeft")
         return "the caller left before the answer was complete" + beside;
     std::string delays = last.firstEventMs >= 0 ? "first event after " + std::to_string(last.firstEventMs) + " ms, longest pause " + std::to_string(last.longestPauseMs) + " ms" : "answered";
+    if (last.waitedMs > 0)
+        delays += ", waited " + std::to_string(last.waitedMs) + " ms for a server";
+    if (last.callerAgeMs > 0)
+        delays += ", first asked " + std::to_string(last.callerAgeMs) + " ms before";
     return delays + (failedAttempts.empty() ? "" : "; attempts before: " + failedAttempts) + beside;
 }
 
--- a/Source/Logging/RequestHistory.h
+++ b/Source/Logging/RequestHistory.h
@@ -47,6 +47,8 @@
         std::int64_t droppedLines { 0 };
         std::int64_t firstEventMs { -1 };
         std::int64_t longestPauseMs { -1 };
+        std::int64_t waitedMs { 0 };
+        std::int64_t callerAgeMs { 0 };
         std::int64_t status { 0 };
     };
 
--- a/Tests/Forwarding/WaitingTest.cpp
+++ b/Tests/Forwarding/WaitingTest.cpp
@@ -24,6 +24,7 @@
     std::vector<WaitingPlace> places { placeAt(10, true), placeAt(50, false), placeAt(20, true), placeAt(60, false), placeAt(5, true, 0) };
     std::sort(places.begin(), places.end(), goesBefore);
     std::vector<std::chrono::milliseconds::rep> arrivals;
+    arrivals.reserve(places.size());
     for (const WaitingPlace& place : places)
         arrivals.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(place.arrivedAt.time_since_epoch()).count());
     // The more urgent one is first although it is late.
--- a/Tests/Logging/RequestHistoryTest.cpp
+++ b/Tests/Logging/RequestHistoryTest.cpp
@@ -16,6 +16,7 @@
    37.00 edge-a {"ms":3000,"process":"edge-a","event":"requestEnded","request":"77","outcome":"streamCut","code":3005,"reason":"route timeout","events":9}
    37.10 side-a {"ms":2900,"process":"side-a","event":"mapChange","decision":"change started","group":"g","version":3}
    38.00 edge-a {"ms":3900,"process":"edge-a","event":"requestEnded","request":"88","outcome":"answered","code":0,"reason":"","events":9,"firstEventMs":150,"longestPauseMs":143}
+   39.00 edge-a {"ms":90000,"process":"edge-a","event":"requestEnded","request":"99","outcome":"answered","code":0,"reason":"","callerAgeMs":900,"waitedMs":230,"events":9,"firstEventMs":420,"longestPauseMs":70}
 )";
 
 RequestHistory find(const char* id)
@@ -40,6 +41,7 @@
 TEST_CASE("the histories of a cut and of a late stream name their causes")
 {
     CHECK(find("77").cause == "stream cut: route timeout; beside it: mapChange at side-a");
+    CHECK(find("99").cause == "first event after 420 ms, longest pause 70 ms, waited 230 ms for a server, first asked 900 ms before");
     CHECK(find("88").cause == "first event after 150 ms, longest pause 143 ms; beside it: mapChange at side-a");
 }
 
--- a/Tests/RankMaps/SwitchControllerTest.cpp
+++ b/Tests/RankMaps/SwitchControllerTest.cpp
@@ -129,6 +129,8 @@
     double lateShare { 0 };
     // A rank is gone: the group makes no passes and refuses orders for them.
     bool isBroken { false };
+    // Holds are refused although the group runs.
+    bool refusesHolds { false };
     std::uint32_t mixedPasses { 0 };
 
 private:
@@ -164,7 +166,7 @@
             rank.armed = ArmedMap { order.version, order.pass };
             return RankOrderResult::Accepted;
         case RankOrderKind::Hold:
-            if (isBroken || order.pass <= pass_ || (rank.held && *rank.held > pass_ && *rank.held != order.pass))
+            if (isBroken || refusesHolds || order.pass <= pass_ || (rank.held && *rank.held > pass_ && *rank.held != order.pass))
                 return RankOrderResult::Refused;
             rank.held = order.pass;
             return RankOrderResult::Accepted;
@@ -467,6 +469,23 @@
     }
 }
 
+// Guards against a lead that grows to seconds while holds are refused for another reason than their pass.
+TEST_CASE("each refused hold adds a pass to the lead, up to a bound")
+{
+    SwitchControllerSettings settings;
+    constexpr std::chrono::milliseconds passTime { 40 };
+    std::uint64_t usual = static_cast<std::uint64_t>(settings.leadAfterLoss / passTime) + 1;
+    ControlledGroup world(1);
+    world.run(20);
+    world.group.refusesHolds = true;
+    world.controller->start(world.someMap());
+    world.run(90);
+    CHECK(world.longestLead <= usual + settings.maxExtraPasses);
+    world.group.refusesHolds = false;
+    world.run(60);
+    CHECK(world.controller->counters().completed == 1);
+}
+
 // Guards against orders that wait for their repetition although it is known that they got no answer.
 TEST_CASE("an order without an answer is given again at once")
 {
