RankMaps: Forget old reports before anything else after a standstill

Ruled out: the detection itself (it came with the first tick).

Change: the check stands before each use of a frame, an answer from afar and a tick, and reports that arrive within 100 ms after a standstill are ignored, as they answer questions of before. The check is a class of its own.

--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds layoutRetry { 1000 };
 constexpr std::chrono::milliseconds planPeriod { 120 };
 constexpr int permille = 1000;
+// After a standstill the answers that wait on the links are read within this time.
+constexpr std::chrono::milliseconds standstillAnswers { 100 };
 
 }
 
@@ -43,8 +45,7 @@
     , nextQuestion_(clock.now())
     , nextCounts_(clock.now())
     , nextPlan_(clock.now())
-    , tickedAt_(clock.now())
-    , tickedAtWall_(clock.wallNow())
+    , standstill_(clock, settings.silenceLimit)
 {
     switch_.setFencingToken(term_);
     addMembers(ports_.knownAgents);
@@ -121,11 +122,7 @@
 void GroupControl::tick()
 {
     TimePoint now = clock_.now();
-    if (hasStoodStill()) {
-        log_.write(LogLine("controllerStoodStill").add("group", group_).add("term", term_));
-        switch_.reset();
-        lists_.clear();
-    }
+    forgetAfterStandstill();
     makePlanner();
     if (now >= nextQuestion_) {
         nextQuestion_ = now + questionPeriod();
@@ -214,6 +211,7 @@
     remoteEngine(member).report([this, alive, name](std::optional<RankReport> report) {
         if (!*alive)
             return;
+        forgetAfterStandstill();
         Member& asked = members_[name];
         asked.isRemoteAsked = false;
         if (!report || report->group != group_)
@@ -237,6 +235,7 @@
 
 void GroupControl::receive(const std::string&, const Frame& frame)
 {
+    forgetAfterStandstill();
     hybridClock_.observe(frame.time);
     try {
         if (frame.type == RankStatus::type) {
@@ -275,7 +274,7 @@
         ports_.onDeposed(status.term);
         return;
     }
-    if (found == members_.end() || !status.report)
+    if (found == members_.end() || !status.report || clock_.now() < listensFrom_)
         return;
     Member& member = found->second;
     member.heardAt = clock_.now();
@@ -319,14 +318,17 @@
     return map;
 }
 
-// Says whether this process stood still since the last tick. The steady time does not count a suspended machine.
-bool GroupControl::hasStoodStill()
+// A controller that stood still may have been replaced. It learns that from the reports that it asks for anew.
+void GroupControl::forgetAfterStandstill()
 {
-    Duration elapsed = clock_.now() - tickedAt_;
-    std::chrono::system_clock::duration elapsedWall = clock_.wallNow() - tickedAtWall_;
-    tickedAt_ = clock_.now();
-    tickedAtWall_ = clock_.wallNow();
-    return elapsed > settings_.silenceLimit || elapsedWall > settings_.silenceLimit;
+    if (!standstill_.check())
+        return;
+    log_.write(LogLine("controllerStoodStill").add("group", group_).add("term", term_));
+    switch_.reset();
+    lists_.clear();
+    // Answers that came meanwhile are as old as what was forgotten.
+    listensFrom_ = clock_.now() + standstillAnswers;
+    nextQuestion_ = listensFrom_;
 }
 
 void GroupControl::sendOrder(std::uint32_t rank, const RankOrder& order)
@@ -349,6 +351,7 @@
     remoteEngine(member).order(order, [this, alive, name, rank = member.rank, kind = order.kind, version = order.version, pass = order.pass](RankOrderResult result) {
         if (!*alive)
             return;
+        forgetAfterStandstill();
         if (result == RankOrderResult::Fenced) {
             ports_.onDeposed(term_);
             return;
--- a/Source/RankMaps/GroupControl.h
+++ b/Source/RankMaps/GroupControl.h
@@ -10,6 +10,7 @@
 #include "RankMaps/RankAgentSettings.h"
 #include "RankMaps/RankEngine.h"
 #include "RankMaps/RankMessages.h"
+#include "RankMaps/StandstillDetector.h"
 #include "RankMaps/SwitchController.h"
 #include "Transport/LinkDirectory.h"
 
@@ -87,7 +88,7 @@
     void askEngineForLists(Member& member);
     void plan();
     void makePlanner();
-    bool hasStoodStill();
+    void forgetAfterStandstill();
     bool isAnswering(const std::string& name, const Member& member) const;
     RankEngine& remoteEngine(Member& member);
 
@@ -117,8 +118,9 @@
     TimePoint nextQuestion_;
     TimePoint nextCounts_;
     TimePoint nextPlan_;
-    TimePoint tickedAt_;
-    WallTime tickedAtWall_;
+    StandstillDetector standstill_;
+    // Reports that come earlier are ignored.
+    TimePoint listensFrom_;
     std::uint64_t plannedEpoch_ { 0 };
     GroupMap pendingMap_;
     std::uint64_t completedBefore_ { 0 };
