Forwarding: Log the prompt parts of requests that ended without a response

Cause: the hypotheses on engines that crash one after the other could not be told apart, as no line names the parts of a prompt and whether the engine had begun the response of an attempt that ended.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -62,6 +62,8 @@
 {
     const std::vector<HttpHeader>& headers = exchange_->request().headers;
     requestId_ = findHeader(headers, context_.names.requestId).value_or("");
+    if (std::optional<std::string> parts = findHeader(headers, context_.names.promptParts))
+        promptParts_ = context_.decodePromptParts(*parts);
     expiresAt_ = arrivedAt_ + options_.route->timeout;
     expiresAtRouteTimeout_ = true;
     std::optional<std::chrono::milliseconds> deadline = parseMilliseconds(findHeader(headers, context_.names.deadline));
@@ -187,6 +189,7 @@
         ++context_.counters.repeatedSends;
     isFirstSend_ = false;
     ++sends_;
+    hasAttemptBegun_ = false;
     head_.reset();
     isRefusal_ = false;
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
@@ -279,6 +282,7 @@
     if (state_ != State::Streaming || isCallerDisconnected_)
         return;
     progressAt_ = context_.clock.now();
+    hasAttemptBegun_ = true;
     context_.selector.recordProgress(options_.service, server_->id);
     if (event.id && lastEventId_ && *event.id <= *lastEventId_)
         return;
@@ -358,6 +362,8 @@
     line.add("executed", failure == AttemptFailure::NotConnected || failure == AttemptFailure::Refused ? "no" : "unknown");
     line.add("status", head_ ? head_->status : 0).add("events", events_).add("reusedConnection", isReusedConnection_);
     line.add("elapsedMs", milliseconds(context_.clock.now() - arrivedAt_));
+    if (!promptParts_.empty())
+        line.add("begun", hasAttemptBegun_).add("promptParts", formatPromptParts(promptParts_));
     context_.log.write(line);
     switch (failure) {
     case AttemptFailure::NotConnected:
@@ -456,6 +462,7 @@
 
 void ForwardedRequest::deliverResponse()
 {
+    hasAttemptBegun_ = true;
     context_.responseTimes.record(options_.service, context_.clock.now() - sentAt_);
     context_.outliers.callSucceeded(server_->id, context_.clock.now() - sentAt_);
     context_.selector.recordSuccess(server_->id);
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -108,6 +108,7 @@
     RequestOptions options_;
     std::function<void(ForwardedRequest*)> onDone_;
     std::string requestId_;
+    std::vector<PromptPart> promptParts_;
     TimePoint arrivedAt_;
     // The caller's deadline or the end of the route's timeout, whichever is earlier.
     TimePoint expiresAt_;
@@ -136,6 +137,8 @@
     TimePoint sentAt_;
     TimePoint progressAt_;
 
+    // Whether the current attempt has yielded an event or a complete response.
+    bool hasAttemptBegun_ { false };
     std::optional<HttpResponse> head_;
     bool isRefusal_ { false };
     // The last error response of a server; sent to the caller if no later attempt succeeds.
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -10,9 +10,13 @@
 #include "Forwarding/ServiceRetryBudget.h"
 #include "Forwarding/UpstreamPool.h"
 #include "Logging/DecisionLog.h"
+#include "Quarantine/PromptPart.h"
 #include "Routing/OutlierDetector.h"
 
 #include <cstdint>
+#include <functional>
+#include <string_view>
+#include <vector>
 
 namespace Damaskgrade {
 
@@ -75,6 +79,9 @@
     std::uint64_t rejectedResponses { 0 };
 };
 
+// Returns the parts that a prompt may have in common with other prompts from the value of the header with its parts.
+using PromptPartsDecoder = std::function<std::vector<PromptPart>(std::string_view)>;
+
 // State and settings that all requests of an entry share.
 struct ForwardingContext {
     const Clock& clock;
@@ -88,6 +95,7 @@
     ForwardingCounters& counters;
     ResponseTimes& responseTimes;
     CallerAgeEstimator& callerAgeEstimator;
+    PromptPartsDecoder decodePromptParts;
     ForwardingSettings settings;
 };
 
--- a/Source/Forwarding/HeaderNames.h
+++ b/Source/Forwarding/HeaderNames.h
@@ -20,6 +20,8 @@
     std::string notExecuted;
     std::string engineUrgency;
     std::string lastEventId;
+    // The parts of the prompt, in a format of the adapter.
+    std::string promptParts;
     std::string retryAfter;
     std::string credentials;
     // The scheme before the key in the credentials, including the space.
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -80,7 +80,7 @@
     , pool_(clock, {}, [&loop] { return makeUpstreamConnection(loop); })
     , retryBudget_(clock, { settings_.retryBudgetRatio, settings_.retryBudgetExtra, settings_.retryBudgetWindow })
     , responseTimes_({})
-    , context_ { clock, platform_.names, loads_, serverSelector_, pool_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, {} }
+    , context_ { clock, platform_.names, loads_, serverSelector_, pool_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, {} }
     , forwarder_(loop, context_, catalog_, random)
 {
     PeerGroupSettings peerSettings;
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -32,6 +32,7 @@
     FleetSource& fleet;
     Table& table;
     HeaderNames names;
+    PromptPartsDecoder decodePromptParts;
     // Encodes the response with the entry addresses, or an error response if there is no address.
     std::function<HttpResponse(const HttpRequest&, const AddressResponse&)> encodeAddresses;
 };
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,6 +35,7 @@
     names.lastEventId = "Last-Event-Id";
     names.retryAfter = "Retry-After";
     names.credentials = "Authorization";
+    names.promptParts = "Prompt-Parts";
     names.keyScheme = "Token ";
     return names;
 }
@@ -63,7 +65,7 @@
         , pool(clock, {}, [this] { return makeUpstreamConnection(loop); })
         , retryBudget(clock, ServiceRetryBudgetSettings())
         , log(clock, openDevNull(), "test")
-        , context { clock, names, loads, serverSelector, pool, outliers, retryBudget, log, counters, responseTimes, callerAges, {} }
+        , context { clock, names, loads, serverSelector, pool, outliers, retryBudget, log, counters, responseTimes, callerAges, decodeParts, {} }
         , forwarder(loop, context, catalog, random)
         , endpoint(freeEndpoint())
         , callerServer(loop, endpoint, HttpServerLimits(), [this](std::shared_ptr<HttpExchange> exchange) { forwarder.handle(std::move(exchange)); })
@@ -180,6 +182,16 @@
     std::vector<std::unique_ptr<HttpCall>> calls;
 
 private:
+    // The test format of prompt parts is a list of decimal numbers.
+    static std::vector<PromptPart> decodeParts(std::string_view text)
+    {
+        std::vector<PromptPart> parts;
+        std::istringstream input { std::string(text) };
+        for (std::string number; std::getline(input, number, ',');)
+            parts.push_back(std::stoull(number));
+        return parts;
+    }
+
     static int openDevNull() { return ::open("/dev/null", O_WRONLY); }
 };
 
