Tests: Reproduce prompts that crash server after server

Servers that crash when they begin the response to a prompt with one part: all ten end, two for each of the first five requests, and sound requests get 503.

--- a/Tests/Forwarding/ScriptedServer.cpp
+++ b/Tests/Forwarding/ScriptedServer.cpp
@@ -17,6 +17,7 @@
 struct ScriptedServer::State : std::enable_shared_from_this<ScriptedServer::State> {
     State(EventLoop& loop, Script script)
         : acceptor(loop.context(), Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , endpoint { "127.0.0.1", acceptor.local_endpoint().port() }
         , script(std::move(script))
     {
     }
@@ -24,6 +25,7 @@
     void accept();
 
     Tcp::acceptor acceptor;
+    Endpoint endpoint;
     Script script;
     std::vector<HttpRequest> requests;
     std::size_t connections { 0 };
@@ -96,7 +98,9 @@
             read();
             return;
         }
-        if (response_.after == AfterResponse::Reset)
+        if (response_.after == AfterResponse::Crash)
+            state_->acceptor.close(ignored);
+        if (response_.after == AfterResponse::Reset || response_.after == AfterResponse::Crash)
             socket_.set_option(asio::socket_base::linger(true, 0), ignored);
         else
             socket_.shutdown(Tcp::socket::shutdown_send, ignored);
@@ -141,7 +145,7 @@
 
 Endpoint ScriptedServer::endpoint() const
 {
-    return { "127.0.0.1", state_->acceptor.local_endpoint().port() };
+    return state_->endpoint;
 }
 
 std::size_t ScriptedServer::connectionCount() const
--- a/Tests/Forwarding/ScriptedServer.h
+++ b/Tests/Forwarding/ScriptedServer.h
@@ -18,6 +18,8 @@
     Close,
     // Resets the connection.
     Reset,
+    // Resets the connection and accepts no new ones, like a process that has crashed.
+    Crash,
 };
 
 // The bytes that a scripted server sends for one request, and what it does with the connection afterwards.
