Forwarding: Withdraw requests whose prompt part becomes suspect

Cause: with several groups, requests with a crashing part may already wait at servers of other groups when the first crash makes it suspect.

Change: a retryable request that its server has not begun is withdrawn once one of its parts is suspect, unless it is the probe.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -116,6 +116,11 @@
         send();
         return;
     }
+    // The server has not begun the request yet, and would crash if it did and the suspicion is right.
+    if (state_ == State::Sent && options_.route->isRetryable() && context_.quarantine.mustWithdraw(promptParts_, number_)) {
+        giveUp(quarantinedPrompt);
+        return;
+    }
     bool isIdempotentRetryable = options_.route->kind == RequestKind::Idempotent;
     bool hasAttemptLeft = executions_ + 1 < options_.route->maxAttempts;
     if (state_ == State::Sent && isIdempotentRetryable && hasAttemptLeft && now - sentAt_ > context_.settings.idempotentResponseTimeout) {
--- a/Source/Quarantine/PromptQuarantine.cpp
+++ b/Source/Quarantine/PromptQuarantine.cpp
@@ -132,6 +132,14 @@
     });
 }
 
+bool PromptQuarantine::mustWithdraw(gsl::span<const PromptPart> parts, std::uint64_t requester) const
+{
+    return std::any_of(parts.begin(), parts.end(), [this, requester](PromptPart part) {
+        const Record* record = find(part);
+        return record && isRestricted(*record) && record->probeRequester != requester;
+    });
+}
+
 std::vector<SuspectReport> PromptQuarantine::nextReports()
 {
     TimePoint now = clock_.now();
--- a/Source/Quarantine/PromptQuarantine.h
+++ b/Source/Quarantine/PromptQuarantine.h
@@ -98,6 +98,9 @@
     // Returns whether this entry restricts or blocks requests with one of these parts.
     bool isSuspect(gsl::span<const PromptPart> parts) const;
 
+    // Returns whether a request that was sent before should be withdrawn: one of its parts is suspect, and it is not the probe.
+    bool mustWithdraw(gsl::span<const PromptPart> parts, std::uint64_t requester) const;
+
     // Returns what to tell the other entries now. Successive calls report the unchanged records in turn.
     std::vector<SuspectReport> nextReports();
 
--- /dev/null
+++ b/Tests/Forwarding/CrashDetectorTest.cpp
@@ -0,0 +1,100 @@
+#include "Forwarding/CrashDetector.h"
+
+#include "Core/ManualClock.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace Damaskgrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A connection whose connect() ends when the test says so.
+class PendingConnection : public UpstreamConnection {
+public:
+    void connect(const Endpoint&, milliseconds, std::function<void(bool)> done) override { onDone = std::move(done); }
+    void exchange(std::string, UpstreamHandlers) override { }
+    void close() override { }
+    void watchIdle(std::function<void()>) override { }
+    bool isReusable() const override { return false; }
+    milliseconds keepAliveTime() const override { return milliseconds(0); }
+
+    std::function<void(bool)> onDone;
+};
+
+class DetectorFixture {
+public:
+    DetectorFixture()
+        : quarantine(clock, "entry", {}, nullptr)
+        , detector(clock, quarantine, [this] { return connections.emplace_back(std::make_shared<PendingConnection>()); }, {})
+    {
+        server.id = "s";
+        sentAt = clock.now();
+        clock.advance(milliseconds(100));
+    }
+
+    bool isSuspect(PromptPart part) const { return quarantine.isSuspect(std::vector<PromptPart> { part }); }
+
+    void breakConnection(PromptPart part)
+    {
+        detector.connectionBroke(server, std::vector<PromptPart> { part }, sentAt, [this] { ++finished; });
+    }
+
+    ManualClock clock;
+    PromptQuarantine quarantine;
+    std::vector<std::shared_ptr<PendingConnection>> connections;
+    CrashDetector detector;
+    ServerRecord server;
+    TimePoint sentAt;
+    int finished { 0 };
+};
+
+}
+
+// Guards against prompts that are suspected because a server dropped a connection.
+TEST_CASE("a prompt is suspect only if its server accepts no connection after the connection broke")
+{
+    for (bool isAccepting : { true, false }) {
+        DetectorFixture fixture;
+        fixture.breakConnection(1);
+        fixture.breakConnection(2);
+        CHECK(fixture.connections.size() == 1);
+        CHECK(fixture.finished == 0);
+        fixture.connections[0]->onDone(isAccepting);
+        CHECK(fixture.finished == 2);
+        CHECK(fixture.isSuspect(1) != isAccepting);
+        CHECK(fixture.isSuspect(2) != isAccepting);
+        fixture.breakConnection(3);
+        CHECK(fixture.connections.size() == 2);
+    }
+}
+
+// Guards against a crash that is not counted because its caller left just before it.
+TEST_CASE("a prompt whose caller has just left is suspect when its server crashes")
+{
+    for (milliseconds sinceLeft : { milliseconds(500), milliseconds(2500) }) {
+        for (bool isFoundByRequest : { true, false }) {
+            DetectorFixture fixture;
+            fixture.detector.requestAbandoned("s", std::vector<PromptPart> { 1 }, fixture.sentAt);
+            fixture.detector.requestAbandoned("other", std::vector<PromptPart> { 2 }, fixture.sentAt);
+            fixture.clock.advance(sinceLeft);
+            if (isFoundByRequest) {
+                fixture.breakConnection(3);
+                fixture.connections[0]->onDone(false);
+            } else {
+                fixture.detector.connectionFailed("s");
+            }
+            CHECK(fixture.isSuspect(1) == (sinceLeft < milliseconds(2000)));
+            CHECK(!fixture.isSuspect(2));
+            fixture.detector.removeExpired();
+            CHECK(fixture.detector.hasAbandoned("other") == (sinceLeft < milliseconds(2000)));
+        }
+    }
+}
+
+}
--- a/Tests/Gateway/CrashingPromptTest.cpp
+++ b/Tests/Gateway/CrashingPromptTest.cpp
@@ -2,8 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
-
 namespace Damaskgrade {
 
 namespace {
@@ -65,4 +63,42 @@
     CHECK(fixture.call(fixture.requestWithParts("sound again", "1")).status == 200);
 }
 
+// Guards against a prompt that waits at a second server while it is already known that it has crashed the first one.
+TEST_CASE("a request that waits at a server is withdrawn when its prompt part becomes suspect")
+{
+    CrashingServersFixture fixture(0);
+    auto script = [&fixture](const HttpRequest& request) {
+        bool isWaiting = findHeader(request.headers, "Request-Id") == "waiting";
+        if (!isWaiting)
+            ++fixture.crashes;
+        return ScriptedResponse { "", isWaiting ? AfterResponse::KeepOpen : AfterResponse::Crash, false };
+    };
+    fixture.addServer(script, 1);
+    fixture.addServer(script, 1);
+    std::shared_ptr<CallerResult> waiting = fixture.start(fixture.requestWithParts("waiting", crashingPart));
+    fixture.runUntil([&] { return fixture.servers[0]->requests().size() + fixture.servers[1]->requests().size() == 1; });
+    ScriptedServer& first = *fixture.servers[fixture.servers[0]->requests().empty() ? 1 : 0];
+    fixture.call(fixture.requestWithParts("crashing", crashingPart));
+    CHECK(fixture.crashes == 1);
+    CHECK(fixture.runUntil([&] { return waiting->isDone; }));
+    CHECK(waiting->status == 502);
+    CHECK(fixture.runUntil([&] { return first.resetCount() == 1; }));
+}
+
+// Guards against callers that retry early, or wait for long, while a prompt part is blocked.
+TEST_CASE("a request with a blocked prompt part is refused at once with the time of the block")
+{
+    CrashingServersFixture fixture(2);
+    std::vector<PromptPart> parts { 666 };
+    for (int i = 0; i < 2; ++i)
+        fixture.quarantine.recordCrash(parts, fixture.clock.now());
+    CallerResult result = fixture.call(fixture.requestWithParts("crashing", crashingPart));
+    CHECK(result.status == 503);
+    double retryAfter = std::stod(result.header("Retry-After"));
+    CHECK(retryAfter > 29);
+    CHECK(retryAfter <= 30);
+    CHECK(result.body.find("2009") != std::string::npos);
+    CHECK(fixture.crashes == 0);
+}
+
 }
--- a/Tests/UsersPlatform/CodecsTest.cpp
+++ b/Tests/UsersPlatform/CodecsTest.cpp
@@ -78,4 +78,17 @@
     CHECK(response.body == R"({"Addresses":["10.0.0.1:80"],"TtlS":2.0})");
 }
 
+// Guards against prompts that are told apart by their last part, which no two requests share.
+TEST_CASE("the parts of a prompt are decoded without the last one and without their sizes")
+{
+    CHECK(decodePromptParts("5c1e07a2:800,91bd3f06:410, e4402b7d:250") == std::vector<PromptPart> { 0x5c1e07a2, 0x91bd3f06 });
+    CHECK(decodePromptParts("5c1e07a2:800").empty());
+    CHECK(decodePromptParts("").empty());
+    // An identifier in another form is still told apart from others.
+    std::vector<PromptPart> parts = decodePromptParts("system-prompt:3,another:4,last:5");
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0] != parts[1]);
+    CHECK(parts == decodePromptParts("system-prompt:9,another:9,x:1"));
+}
+
 }
