Calls: Send a call to at most two engines that fail without any text

Cause: on the own interface, too, an engine's failure was always blamed on the engine. An idempotent call was repeated at one agent after the other until its deadline or until the retry budget of its entry was spent.

Change: after two engine failures in a row without any text between them the call ends with 3008 BackendServerFailed, executed unknown.

Result: the new test failed before (3 sends) and passes; both mutants are noticed; testCalls with its state tests and testEntry pass.

--- a/Source/Calls/CallDriver.cpp
+++ b/Source/Calls/CallDriver.cpp
@@ -70,6 +70,7 @@
             recordStartedAttempt(attempt->second);
             attempt->second.lastProgress = clock_.now();
             attempt->second.text += text;
+            engineFailures_ = 0;
             if (isCompletion())
                 deliverText(text, attempt->second.ticket.agent);
         }
@@ -518,7 +519,10 @@
         ResultCode code = hasFailed ? assembler.end()->code : ResultCode::StreamInterrupted;
         if (!hasFailed)
             hooks_.send(attempt->second.ticket.agent, CancelMessage { request_.callId, attempt->first });
-        attemptLost(attempt, code);
+        if (code == ResultCode::BackendServerFailed)
+            engineFailed(attempt, code);
+        else
+            attemptLost(attempt, code);
     } else if (hasFailed) {
         closeClaim(ClaimState::Done, ResultCode::OutcomeUnknown, {});
         finish(ResultCode::OutcomeUnknown, Executed::Unknown, text_);
@@ -540,6 +544,17 @@
     finish(isNotFound ? ResultCode::StreamNotFound : ResultCode::StreamInterrupted, Executed::Unknown, text_);
 }
 
+void CallDriver::engineFailed(Attempts::iterator attempt, ResultCode code)
+{
+    if (++engineFailures_ < settings_.maxEngineFailures) {
+        attemptLost(attempt, code);
+        return;
+    }
+    attempts_.erase(attempt);
+    cancelAttempts();
+    finish(code, Executed::Unknown, text_);
+}
+
 void CallDriver::attemptLost(Attempts::iterator attempt, ResultCode code)
 {
     mayHaveStarted_ = true;
--- a/Source/Calls/CallDriver.h
+++ b/Source/Calls/CallDriver.h
@@ -72,6 +72,9 @@
     // Maximum number of refused sends of one call. One more refusal ends the call with RetryBudgetSpent, or with
     // StreamInterrupted if text was delivered. If 60% of all sends are refused, 1% of the calls exceed this number.
     std::uint32_t maxRefusedSends { 8 };
+    // A call is not sent again after this many engines in a row have failed while they executed it without any text,
+    // since it may be the cause.
+    std::uint32_t maxEngineFailures { 2 };
 };
 
 struct CallDriverHooks {
@@ -191,6 +194,7 @@
     void fetch();
     void checkAttempt(Attempts::iterator attempt);
     void checkFetch();
+    void engineFailed(Attempts::iterator attempt, ResultCode code);
     void attemptLost(Attempts::iterator attempt, ResultCode code);
     void attemptNotStarted(Attempts::iterator attempt, ResultCode code, RetryCause cause);
     void deliverText(const std::string& text, const std::string& agent);
@@ -212,6 +216,8 @@
     std::uint32_t lastAttempt_ { 0 };
     std::uint32_t sends_ { 0 };
     std::uint32_t refusedSends_ { 0 };
+    // Engine failures since the last text.
+    std::uint32_t engineFailures_ { 0 };
     std::set<std::string> tried_;
     // Whether an attempt was sent that may have started and was lost.
     bool mayHaveStarted_ { false };
--- a/Tests/Calls/CallDriverTest.cpp
+++ b/Tests/Calls/CallDriverTest.cpp
@@ -316,6 +316,32 @@
     CHECK(fixture.sentMessages<CancelMessage>().size() == 1);
 }
 
+// Guards against a prompt that crashes engine after engine because its call is repeated at each.
+TEST_CASE("a call whose engines fail before any text is sent to at most two engines")
+{
+    DriverFixture fixture(true, CallKind::Completion);
+    fixture.start();
+    for (std::uint32_t attempt = 1; attempt <= 3; ++attempt)
+        fixture.driver->receiveEnd({ "call", attempt, 0, ResultCode::BackendServerFailed, "connection to the engine failed" });
+    CHECK(fixture.sentMessages<CallMessage>().size() == 2);
+    REQUIRE(fixture.outcomes.size() == 1);
+    CHECK(fixture.outcomes[0].code == ResultCode::BackendServerFailed);
+    CHECK(fixture.outcomes[0].executed == Executed::Unknown);
+}
+
+// Guards against a long stream that ends although each engine continued it before it failed.
+TEST_CASE("engine failures are counted since the last text")
+{
+    DriverFixture fixture(true, CallKind::Completion);
+    fixture.start();
+    for (std::uint32_t attempt = 1; attempt <= 2; ++attempt) {
+        fixture.driver->receivePart({ "call", attempt, 2 * (attempt - 1), "ab" });
+        fixture.driver->receiveEnd({ "call", attempt, 0, ResultCode::BackendServerFailed, "connection to the engine failed" });
+    }
+    CHECK(fixture.sentMessages<CallMessage>().size() == 3);
+    CHECK(fixture.outcomes.empty());
+}
+
 // Guards against a fetch that never ends, and against text that is delivered twice.
 TEST_CASE("the rest of a stream is fetched from the named agent")
 {
