Quarantine, Peers: Send no probe from an entry without contact to the others

Cause: an entry that was cut off, or that came back after a loss of power, did not know a blocked part for up to 1.7 s, and crashed a third engine: its peers waited on links to its earlier start, and it probed on its own while cut off.

Change: an entry that reaches less than half of its peers claims no probe; the link to a peer that has restarted or returned is opened anew at once; suspect parts go before merely counted ones in the messages.

--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -284,6 +284,7 @@
     std::size_t entries = std::max(peers_->knownCount(), peers_->addressCount()) + 1;
     retryBudget_.setEntryCount(entries);
     serverSelector_.setEntryCount(entries);
+    quarantine_.setIsolated(2 * peers_->alive().size() < peers_->knownCount());
     forwarder_.tick();
 }
 
--- a/Source/Peers/PeerGroup.cpp
+++ b/Source/Peers/PeerGroup.cpp
@@ -172,8 +172,13 @@
         addressAddedAt_[name] = clock_.now();
         updateTargets();
     }
+    // The link to a peer that was restarted or cut off may be broken without a reset, or wait for its next attempt to connect.
+    bool wasKnown = peer.lastSeen != TimePoint();
+    bool hasReturned = wasKnown && (!peer.isAlive || state.incarnation != peer.state.incarnation);
     peer.state = std::move(state);
     peer.lastSeen = clock_.now();
+    if (hasReturned)
+        reopenLink(name);
     if (!peer.isAlive) {
         peer.isAlive = true;
         hooks_.onPeerChange(name, true);
@@ -186,6 +191,15 @@
     links_->setTargets(addresses_);
 }
 
+void PeerGroup::reopenLink(const std::string& peer)
+{
+    std::map<std::string, Endpoint> others = addresses_;
+    others.erase(peer);
+    openedAt_.erase(peer);
+    links_->setTargets(others);
+    updateTargets();
+}
+
 bool PeerGroup::send(const std::string& peer, const Frame& frame)
 {
     return links_->send(peer, frame);
--- a/Source/Peers/PeerGroup.h
+++ b/Source/Peers/PeerGroup.h
@@ -78,6 +78,7 @@
     void receive(const Frame& frame);
     void receiveState(EntryStateMessage state);
     void updateTargets();
+    void reopenLink(const std::string& peer);
     bool send(const std::string& peer, const Frame& frame);
 
     EventLoop& loop_;
--- a/Source/Quarantine/PromptQuarantine.cpp
+++ b/Source/Quarantine/PromptQuarantine.cpp
@@ -52,7 +52,8 @@
     if (blocked > Duration::zero())
         return { QuarantineDecision::Refuse, blocked };
     bool isJointProbeEarly = restrictedParts > 1 && now < lastCrashAt + settings_.jointProbeDelay;
-    if (isProbedElsewhere || isJointProbeEarly)
+    bool mayProbe = !isProbedElsewhere && !isJointProbeEarly && !isIsolated_;
+    if (restrictedParts > 0 && !mayProbe)
         return { QuarantineDecision::Refuse, probeRetryDelay };
     for (PromptPart part : parts) {
         if (Record* record = restrictedRecord(part))
@@ -162,15 +163,27 @@
     news.resize(std::min(news.size(), settings_.maxNewsPerReport));
     for (PromptPart part : news)
         reports.push_back(makeReport(part, records_[part]));
-    for (std::size_t i = 0; i < std::min(settings_.maxOthersPerReport, records_.size()); ++i) {
-        auto next = records_.upper_bound(reportedPart_);
+    for (PromptPart part : nextSuspects()) {
+        if (std::find(news.begin(), news.end(), part) == news.end())
+            reports.push_back(makeReport(part, records_[part]));
+    }
+    return reports;
+}
+
+// Returns the next suspect parts in turn.
+std::vector<PromptPart> PromptQuarantine::nextSuspects()
+{
+    std::vector<PromptPart> parts;
+    auto next = records_.upper_bound(reportedPart_);
+    for (std::size_t i = 0; i < records_.size() && parts.size() < settings_.maxOthersPerReport; ++i, ++next) {
         if (next == records_.end())
             next = records_.begin();
+        if (!isRestricted(next->second))
+            continue;
+        parts.push_back(next->first);
         reportedPart_ = next->first;
-        if (std::find(news.begin(), news.end(), reportedPart_) == news.end())
-            reports.push_back(makeReport(reportedPart_, next->second));
     }
-    return reports;
+    return parts;
 }
 
 SuspectReport PromptQuarantine::makeReport(PromptPart part, const Record& record) const
--- a/Source/Quarantine/PromptQuarantine.h
+++ b/Source/Quarantine/PromptQuarantine.h
@@ -40,7 +40,7 @@
     Duration recordTime { std::chrono::minutes(10) };
     // The record of a part that was blocked is dropped this long after its block.
     Duration blockedRecordTime { std::chrono::hours(24) };
-    // Changed records are reported in every message for this time, the others in turn.
+    // Changed records are reported in every message for this time, other suspect parts in turn.
     Duration newsTime { std::chrono::seconds(2) };
     std::size_t maxRecords { 256 };
     std::size_t maxNewsPerReport { 16 };
@@ -95,13 +95,17 @@
     // Ends the probe of a request that got no result.
     void release(gsl::span<const PromptPart> parts, std::uint64_t requester);
 
+    // Sets whether this entry is out of contact with most other entries. It then sends no probes, since it can't know whether
+    // the others have probed a part already.
+    void setIsolated(bool isIsolated) { isIsolated_ = isIsolated; }
+
     // Returns whether this entry restricts or blocks requests with one of these parts.
     bool isSuspect(gsl::span<const PromptPart> parts) const;
 
     // Returns whether a request that was sent before should be withdrawn: one of its parts is suspect, and it is not the probe.
     bool mustWithdraw(gsl::span<const PromptPart> parts, std::uint64_t requester) const;
 
-    // Returns what to tell the other entries now. Successive calls report the unchanged records in turn.
+    // Returns what to tell the other entries now. Successive calls report the unchanged suspect parts in turn.
     std::vector<SuspectReport> nextReports();
 
     void applyReports(gsl::span<const SuspectReport> reports);
@@ -138,6 +142,7 @@
     void claimProbe(PromptPart part, Record& record, std::uint64_t requester);
     void applyReport(const SuspectReport& report);
     void applyClaim(Record& record, const SuspectReport& report);
+    std::vector<PromptPart> nextSuspects();
     SuspectReport makeReport(PromptPart part, const Record& record) const;
     void notify(PromptPart part, const Record& record, bool isLocal) const;
 
@@ -147,6 +152,7 @@
     Observer observer_;
     SoundParts soundParts_;
     std::map<PromptPart, Record> records_;
+    bool isIsolated_ { false };
     // The part after which nextReports() continues.
     PromptPart reportedPart_ { 0 };
 };
--- a/Tests/Peers/PeerGroupTest.cpp
+++ b/Tests/Peers/PeerGroupTest.cpp
@@ -3,6 +3,7 @@
 #include "Core/SystemClock.h"
 #include "FreeEndpoint.h"
 #include "LoopRunner.h"
+#include "Transport/LinkClient.h"
 
 #include <doctest/doctest.h>
 
@@ -36,7 +37,7 @@
         settings.link = entry.link;
         settings.statePeriod = std::chrono::milliseconds(30);
         settings.suspectAfter = std::chrono::milliseconds(400);
-        settings.reopenAfter = std::chrono::milliseconds(800);
+        settings.reopenAfter = reopenAfter;
         PeerGroupHooks hooks;
         hooks.localState = [&entry, incarnation] {
             EntryStateMessage state;
@@ -59,6 +60,7 @@
 
     std::size_t aliveAt(const std::string& name) { return entries[name].group->alive().size(); }
 
+    std::chrono::milliseconds reopenAfter { 800 };
     SystemClock clock;
     EventLoop loop;
     Random random { 3 };
@@ -81,6 +83,36 @@
     CHECK(fixture.runUntil([&] { return fixture.aliveAt("a") == 1 && fixture.aliveAt("b") == 1; }));
 }
 
+// Guards against a restarted entry that learns nothing, because its peers wait on links to its earlier start.
+TEST_CASE("the link to a peer is reopened when the peer has restarted")
+{
+    PeerFixture fixture;
+    fixture.reopenAfter = std::chrono::seconds(60);
+    fixture.start("a", 1, "");
+    int openedLinks = 0;
+    LinkHandlers handlers;
+    handlers.onOpen = [&openedLinks](const std::shared_ptr<LinkSession>&) { ++openedLinks; };
+    handlers.onFrame = [](const std::shared_ptr<LinkSession>&, const Frame&) {};
+    handlers.onClose = [](const std::shared_ptr<LinkSession>&) {};
+    EntryStateMessage state;
+    state.name = "b";
+    state.incarnation = 1;
+    state.link = freeEndpoint();
+    state.callers = { "127.0.0.1", 1 };
+    LinkServer server(fixture.loop, state.link, {}, handlers);
+    LinkHandlers clientHandlers = handlers;
+    clientHandlers.onOpen = [](const std::shared_ptr<LinkSession>&) {};
+    LinkClient client(fixture.loop, fixture.random, fixture.entries["a"].link, {}, clientHandlers);
+    REQUIRE(fixture.runUntil([&] { return client.session() != nullptr; }));
+    client.session()->send(encodeMessage(state, {}));
+    REQUIRE(fixture.runUntil([&] { return openedLinks == 1; }));
+    client.session()->send(encodeMessage(state, {}));
+    state.incarnation = 2;
+    client.session()->send(encodeMessage(state, {}));
+    CHECK(fixture.runUntil([&] { return openedLinks >= 2; }));
+    CHECK(openedLinks == 2);
+}
+
 // Guards against a catalog that does not reach an entry which cannot read the store.
 TEST_CASE("a catalog is sent to a peer")
 {
--- a/Tests/Quarantine/PromptQuarantineTest.cpp
+++ b/Tests/Quarantine/PromptQuarantineTest.cpp
@@ -101,6 +101,26 @@
     CHECK(simulation.crashes == 2);
 }
 
+// Guards against an entry that probes a part which the entries out of its reach have blocked.
+TEST_CASE("an entry without contact to the others sends no probe")
+{
+    QuarantineSimulation simulation(4, 5);
+    simulation.crashingParts = { crashing };
+    simulation.requestAt(0, { crashing });
+    simulation.run(seconds(4));
+    REQUIRE(simulation.isSuspectEverywhere(crashing));
+    simulation.setReachable(3, false);
+    for (int i = 0; i < 10; ++i) {
+        simulation.requestAt(3, { crashing });
+        simulation.run(seconds(1));
+    }
+    CHECK(simulation.crashes == 1);
+    simulation.setReachable(3, true);
+    simulation.requestAt(3, { crashing });
+    simulation.run(seconds(2));
+    CHECK(simulation.crashes == 2);
+}
+
 // Guards against a part that stays suspected although it is sound, because its request was at a server that crashed.
 TEST_CASE("a wrong suspicion ends at all entries with the first response")
 {
--- a/Tests/Quarantine/QuarantineSimulation.cpp
+++ b/Tests/Quarantine/QuarantineSimulation.cpp
@@ -46,6 +46,12 @@
     startEntry(entry);
 }
 
+void QuarantineSimulation::setReachable(std::size_t entry, bool isReachable)
+{
+    entries_[entry].isReachable = isReachable;
+    entries_[entry].quarantine->setIsolated(!isReachable);
+}
+
 void QuarantineSimulation::request(std::vector<PromptPart> parts)
 {
     requestAt(random_.index(entries_.size()), std::move(parts));
--- a/Tests/Quarantine/QuarantineSimulation.h
+++ b/Tests/Quarantine/QuarantineSimulation.h
@@ -33,7 +33,8 @@
     void crashServer();
 
     void restartEntry(std::size_t entry);
-    void setReachable(std::size_t entry, bool isReachable) { entries_[entry].isReachable = isReachable; }
+    // An entry that can't be reached knows so, but goes on sending requests.
+    void setReachable(std::size_t entry, bool isReachable);
     bool isSuspectEverywhere(PromptPart part) const;
     bool isSuspectAnywhere(PromptPart part) const;
 
