Forwarding: Log responses that state a rate limit

Cause: no log or metric told whether requests beyond a stated limit were first attempts, and whether a gateway sent less once it had seen the limit.

Change: a limitedResponse line for each response with a limit; the header is not passed on to callers, like the server's load.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -266,6 +266,8 @@
         ++context_.counters.foreignResponses;
         return false;
     }
+    if (std::optional<std::string> rateLimit = findHeader(head.headers, context_.names.rateLimit))
+        context_.log.write(LogLine("limitedResponse").add("request", requestId_).add("server", server_->id).add("perSecond", *rateLimit).add("attempt", attempt_).add("status", head.status));
     head_ = head;
     isRefusal_ = isMarkedNotExecuted;
     bool isSuccess = head.status < firstFailureStatus;
--- a/Source/Forwarding/HeaderNames.h
+++ b/Source/Forwarding/HeaderNames.h
@@ -16,6 +16,8 @@
     std::string expectedServer;
     // Running requests, queued requests and slots of a server.
     std::string serverLoad;
+    // Requests per second that a server takes from all entries together, stated only while it needs a limit.
+    std::string rateLimit;
     // The server states that it did not execute the request.
     std::string notExecuted;
     std::string engineUrgency;
--- a/Source/Forwarding/MessageHeaders.cpp
+++ b/Source/Forwarding/MessageHeaders.cpp
@@ -58,7 +58,7 @@
     std::vector<HttpHeader> headers;
     std::string connection = findHeader(head.headers, "Connection").value_or("");
     for (const HttpHeader& header : head.headers) {
-        bool isInternal = equalsIgnoringCase(header.name, names.serverLoad);
+        bool isInternal = equalsIgnoringCase(header.name, names.serverLoad) || equalsIgnoringCase(header.name, names.rateLimit);
         if (!isInternal && !isConnectionHeader(header.name) && !hasListToken(connection, header.name))
             headers.push_back(header);
     }
--- a/Source/Forwarding/MessageHeaders.h
+++ b/Source/Forwarding/MessageHeaders.h
@@ -25,7 +25,8 @@
 // caller, except for connection headers, which are removed, and headers that the entry sets, which are replaced.
 std::string serializeUpstreamRequest(const HttpRequest& request, const HeaderNames& names, const UpstreamHeaderValues& values);
 
-// Returns the response headers for the caller, without connection headers and without the server's load.
+// Returns the response headers for the caller, without connection headers and without the server's load and
+// rate limit.
 std::vector<HttpHeader> callerHeaders(const HttpResponse& head, const HeaderNames& names);
 
 }
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -30,6 +30,7 @@
     names.customer = "Customer";
     names.expectedServer = "Expected-Server";
     names.serverLoad = "Server-Load";
+    names.rateLimit = "Rate-Limit";
     names.notExecuted = "Not-Executed";
     names.engineUrgency = "Urgency";
     names.lastEventId = "Last-Event-Id";
