Quarantine: Block a part that alone can be the cause of a crash without a probe

Cause: the probe after the first crash ends a second engine whenever the suspicion is right, and its outage strikes all requests.

Other crashes lead to probes as before; a part that another entry knows to be sound is probed at once.

--- a/Source/Forwarding/CrashDetector.cpp
+++ b/Source/Forwarding/CrashDetector.cpp
@@ -14,10 +14,10 @@
 {
 }
 
-void CrashDetector::connectionBroke(const ServerRecord& server, gsl::span<const PromptPart> parts, TimePoint sentAt, std::function<void()> done)
+void CrashDetector::connectionBroke(const ServerRecord& server, CrashCandidate candidate, std::function<void()> done)
 {
     Check& check = checks_[server.id];
-    check.candidates.push_back({ { parts.begin(), parts.end() }, sentAt, clock_.now() });
+    check.candidates.push_back(std::move(candidate));
     check.waiting.push_back(std::move(done));
     if (check.waiting.size() > 1)
         return;
@@ -34,42 +34,51 @@
     Check check = std::move(entry->second);
     checks_.erase(entry);
     if (hasCrashed) {
-        for (const Candidate& candidate : check.candidates)
-            quarantine_.recordCrash(candidate.parts, candidate.sentAt);
-        connectionFailed(serverId);
+        std::vector<CrashCandidate> abandoned = takeAbandoned(serverId);
+        check.candidates.insert(check.candidates.end(), abandoned.begin(), abandoned.end());
+        quarantine_.recordCrash(check.candidates);
     }
     for (const std::function<void()>& done : check.waiting)
         done();
 }
 
-void CrashDetector::requestAbandoned(const std::string& serverId, gsl::span<const PromptPart> parts, TimePoint sentAt)
+void CrashDetector::requestAbandoned(const std::string& serverId, CrashCandidate candidate)
 {
-    std::vector<Candidate>& candidates = abandoned_[serverId];
-    if (candidates.size() >= settings_.maxAbandonedPerServer)
-        candidates.erase(candidates.begin());
-    candidates.push_back({ { parts.begin(), parts.end() }, sentAt, clock_.now() });
+    std::vector<Abandoned>& abandoned = abandoned_[serverId];
+    if (abandoned.size() >= settings_.maxAbandonedPerServer)
+        abandoned.erase(abandoned.begin());
+    abandoned.push_back({ std::move(candidate), clock_.now() });
 }
 
 void CrashDetector::connectionFailed(const std::string& serverId)
 {
+    std::vector<CrashCandidate> candidates = takeAbandoned(serverId);
+    if (!candidates.empty())
+        quarantine_.recordCrash(candidates);
+}
+
+// Removes and returns the requests that the server may still have had when it crashed.
+std::vector<CrashCandidate> CrashDetector::takeAbandoned(const std::string& serverId)
+{
+    std::vector<CrashCandidate> candidates;
     auto entry = abandoned_.find(serverId);
     if (entry == abandoned_.end())
-        return;
-    std::vector<Candidate> candidates = std::move(entry->second);
-    abandoned_.erase(entry);
-    for (const Candidate& candidate : candidates) {
-        if (clock_.now() - candidate.endedAt <= settings_.abandonedTime)
-            quarantine_.recordCrash(candidate.parts, candidate.sentAt);
+        return candidates;
+    for (Abandoned& abandoned : entry->second) {
+        if (clock_.now() - abandoned.endedAt <= settings_.abandonedTime)
+            candidates.push_back(std::move(abandoned.candidate));
     }
+    abandoned_.erase(entry);
+    return candidates;
 }
 
 void CrashDetector::removeExpired()
 {
     TimePoint limit = clock_.now() - settings_.abandonedTime;
     for (auto entry = abandoned_.begin(); entry != abandoned_.end();) {
-        std::vector<Candidate>& candidates = entry->second;
-        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), [limit](const Candidate& candidate) { return candidate.endedAt < limit; }), candidates.end());
-        entry = candidates.empty() ? abandoned_.erase(entry) : std::next(entry);
+        std::vector<Abandoned>& abandoned = entry->second;
+        abandoned.erase(std::remove_if(abandoned.begin(), abandoned.end(), [limit](const Abandoned& request) { return request.endedAt < limit; }), abandoned.end());
+        entry = abandoned.empty() ? abandoned_.erase(entry) : std::next(entry);
     }
 }
 
--- a/Source/Forwarding/CrashDetector.h
+++ b/Source/Forwarding/CrashDetector.h
@@ -7,7 +7,6 @@
 
 #include <chrono>
 #include <functional>
-#include <gsl/span>
 #include <map>
 #include <string>
 #include <vector>
@@ -29,13 +28,13 @@
 public:
     CrashDetector(const Clock& clock, PromptQuarantine& quarantine, UpstreamPool::Factory factory, CrashDetectorSettings settings);
 
-    // Records that a connection to the server broke before the response to a prompt with these parts, and checks whether the
-    // server has crashed. Calls done within the timeout, after the quarantine has learned of a crash. Checks of the same
+    // Records that the connection to the server broke that a request with prompt parts used, and checks whether the server has
+    // crashed. Calls done within the timeout, after the quarantine has learned of a crash. Checks of the same
     // server at the same time share a connection.
-    void connectionBroke(const ServerRecord& server, gsl::span<const PromptPart> parts, TimePoint sentAt, std::function<void()> done);
+    void connectionBroke(const ServerRecord& server, CrashCandidate candidate, std::function<void()> done);
 
     // Records that a request was ended by its caller or by this entry before the response to it.
-    void requestAbandoned(const std::string& serverId, gsl::span<const PromptPart> parts, TimePoint sentAt);
+    void requestAbandoned(const std::string& serverId, CrashCandidate candidate);
 
     // Records that the server did not accept a connection.
     void connectionFailed(const std::string& serverId);
@@ -47,25 +46,25 @@
     void removeExpired();
 
 private:
-    struct Candidate {
-        std::vector<PromptPart> parts;
-        TimePoint sentAt;
+    struct Abandoned {
+        CrashCandidate candidate;
         TimePoint endedAt;
     };
 
     struct Check {
-        std::vector<Candidate> candidates;
+        std::vector<CrashCandidate> candidates;
         std::vector<std::function<void()>> waiting;
     };
 
     void finishCheck(const std::string& serverId, bool hasCrashed);
+    std::vector<CrashCandidate> takeAbandoned(const std::string& serverId);
 
     const Clock& clock_;
     PromptQuarantine& quarantine_;
     UpstreamPool::Factory factory_;
     CrashDetectorSettings settings_;
     std::map<std::string, Check> checks_;
-    std::map<std::string, std::vector<Candidate>> abandoned_;
+    std::map<std::string, std::vector<Abandoned>> abandoned_;
 };
 
 }
--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -421,6 +421,7 @@
 {
     std::shared_ptr<ForwardedRequest> self = shared_from_this();
     ServerRecord server = *server_;
+    bool hasBegun = hasBegunWithoutEvent();
     const std::string& serverId = server.id;
     lastReason_ = std::string(reason);
     LogLine line("attemptEnded");
@@ -458,21 +459,27 @@
     head_.reset();
     bool hasConnectionEnded = failure == AttemptFailure::Unknown && (reason == brokenConnection || reason == incompleteStream);
     if (hasConnectionEnded && !hasSurvivedStart_ && !promptParts_.empty()) {
-        checkForCrash(server);
+        checkForCrash(server, hasBegun);
         return;
     }
     if (hasConnectionEnded && context_.crashDetector.hasAbandoned(serverId))
-        context_.crashDetector.connectionBroke(server, {}, sentAt_, [] {});
+        context_.crashDetector.connectionBroke(server, {}, [] {});
     retryOrGiveUp(failure);
 }
 
+// Returns whether the head of a response has arrived in this attempt, but none of its events.
+bool ForwardedRequest::hasBegunWithoutEvent() const
+{
+    return state_ == State::Streaming && !attemptBegunAt_;
+}
+
 // The request waits for the result, so that a prompt that crashes servers is not sent to the next one.
-void ForwardedRequest::checkForCrash(const ServerRecord& server)
+void ForwardedRequest::checkForCrash(const ServerRecord& server, bool hasBegun)
 {
     state_ = State::Waiting;
     isCrashCheckPending_ = true;
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
-    context_.crashDetector.connectionBroke(server, promptParts_, sentAt_, [weak] {
+    context_.crashDetector.connectionBroke(server, { promptParts_, sentAt_, hasBegun }, [weak] {
         std::shared_ptr<ForwardedRequest> request = weak.lock();
         if (!request || request->state_ != State::Waiting)
             return;
@@ -662,7 +669,7 @@
 void ForwardedRequest::recordAbandonment()
 {
     if (!hasSurvivedStart_ && !isRefusal_ && !promptParts_.empty())
-        context_.crashDetector.requestAbandoned(server_->id, promptParts_, sentAt_);
+        context_.crashDetector.requestAbandoned(server_->id, { promptParts_, sentAt_, hasBegunWithoutEvent() });
 }
 
 void ForwardedRequest::finish(std::string_view outcome, ResultCode code, std::string_view reason)
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -91,7 +91,8 @@
     void endAttempt(AttemptFailure failure, std::string_view reason);
     void recordRefusal(const std::string& serverId);
     void recordBrokenConnection(const std::string& serverId);
-    void checkForCrash(const ServerRecord& server);
+    bool hasBegunWithoutEvent() const;
+    void checkForCrash(const ServerRecord& server, bool hasBegun);
     void recordAbandonment();
     void retryOrGiveUp(AttemptFailure failure);
     void closeConnection();
--- a/Source/Quarantine/PromptQuarantine.cpp
+++ b/Source/Quarantine/PromptQuarantine.cpp
@@ -86,6 +86,8 @@
         if (wasRestricted)
             notify(part, found->second, true);
     }
+    if (!unresolvedCauses_.empty())
+        resolveCauses();
 }
 
 void PromptQuarantine::clear(Record& record, TimePoint at)
@@ -98,24 +100,69 @@
     record.changedAt = clock_.now();
 }
 
-void PromptQuarantine::recordCrash(gsl::span<const PromptPart> parts, TimePoint sentAt)
+void PromptQuarantine::recordCrash(gsl::span<const CrashCandidate> candidates)
 {
-    for (PromptPart part : parts) {
-        Record& record = obtainRecord(part);
-        // The ranks of a group end together, so a request that was sent before the last crash adds nothing to it.
-        if (record.crashes > 0 && sentAt < record.lastCrashAt)
+    for (const CrashCandidate& candidate : candidates) {
+        for (PromptPart part : candidate.parts)
+            countCrash(part, candidate.sentAt);
+    }
+    recordCause(candidates);
+}
+
+void PromptQuarantine::countCrash(PromptPart part, TimePoint sentAt)
+{
+    Record& record = obtainRecord(part);
+    // The ranks of a group end together, so a request that was sent before the last crash adds nothing to it.
+    if (record.crashes > 0 && sentAt < record.lastCrashAt)
+        return;
+    ++record.crashes;
+    record.wasSound = record.wasSound || soundParts_.contains(part);
+    record.lastCrashAt = clock_.now();
+    record.clearedAt.reset();
+    record.probeEntry.clear();
+    record.probeRequester = 0;
+    record.changedAt = clock_.now();
+    notify(part, record, true);
+}
+
+// A server that crashes during the start of just one response most likely crashed because of it, and then because of a part
+// that no prompt has been answered with.
+void PromptQuarantine::recordCause(gsl::span<const CrashCandidate> candidates)
+{
+    auto hasBegun = [](const CrashCandidate& candidate) { return candidate.hasBegun; };
+    if (std::count_if(candidates.begin(), candidates.end(), hasBegun) != 1)
+        return;
+    if (unresolvedCauses_.size() >= settings_.maxUnresolvedCauses)
+        unresolvedCauses_.pop_front();
+    unresolvedCauses_.push_back(std::find_if(candidates.begin(), candidates.end(), hasBegun)->parts);
+    resolveCauses();
+}
+
+// Counts one more crash for each part that alone is left as the cause of a crash, so that it is blocked without a probe.
+void PromptQuarantine::resolveCauses()
+{
+    for (auto cause = unresolvedCauses_.begin(); cause != unresolvedCauses_.end();) {
+        cause->erase(std::remove_if(cause->begin(), cause->end(), [this](PromptPart part) { return isKnownSound(part); }), cause->end());
+        if (cause->size() > 1) {
+            ++cause;
             continue;
-        ++record.crashes;
-        record.wasSound = record.wasSound || soundParts_.contains(part);
-        record.lastCrashAt = clock_.now();
-        record.clearedAt.reset();
-        record.probeEntry.clear();
-        record.probeRequester = 0;
-        record.changedAt = clock_.now();
-        notify(part, record, true);
+        }
+        auto found = cause->empty() ? records_.end() : records_.find(cause->front());
+        cause = unresolvedCauses_.erase(cause);
+        if (found == records_.end() || found->second.crashes != settings_.crashesUntilRestricted)
+            continue;
+        ++found->second.crashes;
+        found->second.changedAt = clock_.now();
+        notify(found->first, found->second, true);
     }
 }
 
+bool PromptQuarantine::isKnownSound(PromptPart part) const
+{
+    const Record* record = find(part);
+    return soundParts_.contains(part) || (record && record->wasSound);
+}
+
 void PromptQuarantine::release(gsl::span<const PromptPart> parts, std::uint64_t requester)
 {
     for (PromptPart part : parts) {
@@ -207,6 +254,8 @@
 {
     for (const SuspectReport& report : reports)
         applyReport(report);
+    if (!unresolvedCauses_.empty())
+        resolveCauses();
 }
 
 // Reports describe the same few facts over and over, so the merge is idempotent: more crashes and a later response win, and
--- a/Source/Quarantine/PromptQuarantine.h
+++ b/Source/Quarantine/PromptQuarantine.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <gsl/span>
 #include <map>
@@ -43,10 +44,19 @@
     // Changed records are reported in every message for this time, other suspect parts in turn.
     Duration newsTime { std::chrono::seconds(2) };
     std::size_t maxRecords { 256 };
+    std::size_t maxUnresolvedCauses { 16 };
     std::size_t maxNewsPerReport { 16 };
     std::size_t maxOthersPerReport { 2 };
 };
 
+// A request whose response a server had not survived the start of when it crashed.
+struct CrashCandidate {
+    std::vector<PromptPart> parts;
+    TimePoint sentAt;
+    // The head of the response had arrived, but nothing of its content.
+    bool hasBegun { false };
+};
+
 enum class QuarantineDecision {
     Send,
     // This entry has claimed a probe with the request, which may be sent a little later.
@@ -74,8 +84,9 @@
 //
 // A server that begins a response proves all parts of that prompt sound. A server that crashes makes the parts of those of
 // its requests suspect that have no response yet. Requests with a suspect part are sent one at a time over all entries, as
-// probes: a response clears the part, a further crash blocks it. A block ends after a time that grows with each crash, and
-// then the part is probed again, so that a wrong suspicion ends by itself.
+// probes: a response clears the part, a further crash blocks it. A part that alone can be the cause of a crash is blocked
+// at once. A block ends after a time that grows with each crash, and then the part is probed again, so that a wrong
+// suspicion ends by itself.
 class PromptQuarantine {
 public:
     // isLocal tells whether this entry found the change itself, so that the other entries should learn of it at once.
@@ -89,8 +100,8 @@
     // Records that a server has survived the start of the response to a prompt with these parts.
     void recordResponse(gsl::span<const PromptPart> parts);
 
-    // Records that a server crashed before its response to a prompt with these parts, which was sent to it at sentAt.
-    void recordCrash(gsl::span<const PromptPart> parts, TimePoint sentAt);
+    // Records that a server crashed while it had these requests.
+    void recordCrash(gsl::span<const CrashCandidate> candidates);
 
     // Ends the probe of a request that got no result.
     void release(gsl::span<const PromptPart> parts, std::uint64_t requester);
@@ -129,6 +140,10 @@
         TimePoint changedAt;
     };
 
+    void countCrash(PromptPart part, TimePoint sentAt);
+    void recordCause(gsl::span<const CrashCandidate> candidates);
+    void resolveCauses();
+    bool isKnownSound(PromptPart part) const;
     bool isRestricted(const Record& record) const;
     bool isClaimed(const Record& record) const;
     bool isExpired(const Record& record) const;
@@ -152,6 +167,8 @@
     Observer observer_;
     SoundParts soundParts_;
     std::map<PromptPart, Record> records_;
+    // For each crash during the start of a single response, the parts that may be its cause. Resolved when one is left.
+    std::deque<std::vector<PromptPart>> unresolvedCauses_;
     bool isIsolated_ { false };
     // The part after which nextReports() continues.
     PromptPart reportedPart_ { 0 };
--- a/Tests/Forwarding/CrashDetectorTest.cpp
+++ b/Tests/Forwarding/CrashDetectorTest.cpp
@@ -42,7 +42,7 @@
 
     void breakConnection(PromptPart part)
     {
-        detector.connectionBroke(server, std::vector<PromptPart> { part }, sentAt, [this] { ++finished; });
+        detector.connectionBroke(server, { { part }, sentAt, false }, [this] { ++finished; });
     }
 
     ManualClock clock;
@@ -80,8 +80,8 @@
     for (milliseconds sinceLeft : { milliseconds(500), milliseconds(2500) }) {
         for (bool isFoundByRequest : { true, false }) {
             DetectorFixture fixture;
-            fixture.detector.requestAbandoned("s", std::vector<PromptPart> { 1 }, fixture.sentAt);
-            fixture.detector.requestAbandoned("other", std::vector<PromptPart> { 2 }, fixture.sentAt);
+            fixture.detector.requestAbandoned("s", { { 1 }, fixture.sentAt, false });
+            fixture.detector.requestAbandoned("other", { { 2 }, fixture.sentAt, false });
             fixture.clock.advance(sinceLeft);
             if (isFoundByRequest) {
                 fixture.breakConnection(3);
--- a/Tests/Gateway/CrashingPromptTest.cpp
+++ b/Tests/Gateway/CrashingPromptTest.cpp
@@ -91,7 +91,7 @@
     CrashingServersFixture fixture(2);
     std::vector<PromptPart> parts { 666 };
     for (int i = 0; i < 2; ++i)
-        fixture.quarantine.recordCrash(parts, fixture.clock.now());
+        fixture.quarantine.recordCrash(std::vector<CrashCandidate> { { parts, fixture.clock.now(), false } });
     CallerResult result = fixture.call(fixture.requestWithParts("crashing", crashingPart));
     CHECK(result.status == 503);
     double retryAfter = std::stod(result.header("Retry-After"));
--- a/Tests/Quarantine/QuarantineSimulation.cpp
+++ b/Tests/Quarantine/QuarantineSimulation.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds statePeriod { 200 };
 constexpr milliseconds messageTime { 5 };
 constexpr milliseconds timeToResponse { 150 };
+constexpr milliseconds timeToFirstEvent { 50 };
 constexpr milliseconds exposure { 200 };
 // Callers leave a stream without an event after this time.
 constexpr milliseconds patience { 1700 };
@@ -168,17 +169,20 @@
 {
     ++crashes;
     groupUpAt_ = clock.now() + groupDownTime;
+    std::map<std::size_t, std::vector<CrashCandidate>> candidates;
     for (Request& request : requests_) {
         if (!request.isSent)
             continue;
-        PromptQuarantine& quarantine = *entries_[request.entry].quarantine;
         if (request.server == server) {
-            quarantine.recordCrash(request.parts, request.sentAt);
-            quarantine.release(request.parts, request.number);
+            bool hasBegun = clock.now() >= request.beginsAt && clock.now() < request.beginsAt + timeToFirstEvent;
+            candidates[request.entry].push_back({ request.parts, request.sentAt, hasBegun });
+            entries_[request.entry].quarantine->release(request.parts, request.number);
             request.number = 0;
         }
         request.isSent = false;
     }
+    for (const auto& [entry, requests] : candidates)
+        entries_[entry].quarantine->recordCrash(requests);
 }
 
 bool QuarantineSimulation::isCrashing(const std::vector<PromptPart>& parts) const
