Transport: Do not handle a request on a connection that was closed before

What callers saw: during a shutdown, a request on a new connection was passed on to a server and its connection closed without a response.

Cause: closeIdle takes a connection for idle while its bytes are read but their completion handler has not run. The read then reports success, and the request was handled although the connection was closed.

--- a/Source/Transport/HttpConnection.cpp
+++ b/Source/Transport/HttpConnection.cpp
@@ -123,6 +123,9 @@
     stream_.expires_after(limits_.idleTimeout);
     auto self = shared_from_this();
     http::async_read(stream_, buffer_, *parser_, [self](beast::error_code failure, std::size_t) {
+        // A read that was complete when the connection was closed reports success.
+        if (self->closed_)
+            return;
         if (failure)
             self->rejectRequest(failure);
         else
--- a/Tests/Transport/HttpTest.cpp
+++ b/Tests/Transport/HttpTest.cpp
@@ -122,4 +122,29 @@
     REQUIRE(runLoopUntil(loop, [&] { return partial.available() > 0 && busy.available() > 0; }));
 }
 
+// Guards against a request that is processed although its connection was closed before it was read.
+TEST_CASE("a request on a connection that closeIdle has closed is not handled")
+{
+    EventLoop loop;
+    Endpoint endpoint { "127.0.0.1", 18477 };
+    int handled = 0;
+    HttpServer server(loop, endpoint, HttpServerLimits(), [&handled](const std::shared_ptr<HttpExchange>& serverExchange) {
+        ++handled;
+        serverExchange->respond({ 200, {}, "" });
+    });
+    boost::asio::io_context clientContext;
+    boost::asio::ip::tcp::socket client(clientContext);
+    client.connect({ boost::asio::ip::make_address(endpoint.address), endpoint.port });
+    boost::asio::write(client, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    while (server.counters().acceptedConnections == 0)
+        loop.context().run_one();
+    // The server has received the bytes of the request, but its handler for them has not run yet.
+    server.closeIdle();
+    loop.context().poll();
+    std::array<char, 256> bytes {};
+    boost::system::error_code failure;
+    std::size_t count = client.read_some(boost::asio::buffer(bytes), failure);
+    CHECK((handled == 1) == (count > 0));
+}
+
 }
