Forwarding, Transport, Agent: Bound the bytes that are read of a response

Cause: a chunk header without end was kept for the parser without a bound (the new test read 256 MB a request), informational responses and responses to other requests were skipped until the timeout, the body of a refusal was stored up to 16 MB, reports of engines and streams for a caller that does not read had no bound at all, and only each response by itself was limited.

Change: bounds for each of these, and one for all stored responses together. A response beyond its bound counts as broken off.

--- a/Source/Agent/EngineClient.cpp
+++ b/Source/Agent/EngineClient.cpp
@@ -17,6 +17,8 @@
 // Upper limit for one call at the engine. Deadlines end calls much earlier.
 constexpr std::chrono::minutes maxCallTime { 30 };
 constexpr std::chrono::milliseconds controlTimeout { 1000 };
+// All calls that an engine runs at the same time have to fit into the memory of an agent.
+constexpr std::size_t maxResponseBytes = 4U << 20U;
 
 std::optional<ExpertLoadMessage> readExpertLoad(const std::string& body)
 {
@@ -82,8 +84,8 @@
 EngineClient::EngineClient(EventLoop& loop, const AgentSettings& settings)
     : loop_(loop)
     , engine_(settings.engine)
-    , callClient_(loop, maxCallTime)
-    , controlClient_(loop, controlTimeout)
+    , callClient_(loop, maxCallTime, maxResponseBytes)
+    , controlClient_(loop, controlTimeout, maxResponseBytes)
 {
 }
 
--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -94,6 +94,7 @@
 
 ForwardedRequest::~ForwardedRequest()
 {
+    context_.responseBuffers.release(bufferedBytes_);
     if (connection_)
         connection_->close();
 }
@@ -234,6 +235,7 @@
     ++sends_;
     attemptBegunAt_.reset();
     hasSurvivedStart_ = false;
+    refusalBytes_ = 0;
     head_.reset();
     isRefusal_ = false;
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
@@ -327,9 +329,19 @@
     }
     if (!head_)
         return;
-    head_->body.append(body);
-    if (head_->body.size() > context_.settings.maxResponseBytes)
+    if (isRefusal_) {
+        refusalBytes_ += body.size();
+        if (refusalBytes_ > context_.settings.maxRefusalBytes)
+            endAttempt(AttemptFailure::Refused, "server refused");
+        return;
+    }
+    bool isTooLarge = head_->body.size() + body.size() > context_.settings.maxResponseBytes;
+    if (isTooLarge || !context_.responseBuffers.reserve(body.size())) {
         endAttempt(AttemptFailure::Unknown, "response is too large");
+        return;
+    }
+    bufferedBytes_ += body.size();
+    head_->body.append(body);
 }
 
 void ForwardedRequest::handleEvent(const RawEvent& event)
@@ -360,6 +372,8 @@
     ++events_;
     ++context_.counters.events;
     exchange_->write(event.bytes);
+    if (exchange_->pendingBytes() > context_.settings.maxPendingBytes)
+        giveUp("caller does not read");
 }
 
 void ForwardedRequest::recordSurvival()
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -156,6 +156,9 @@
     std::optional<std::chrono::milliseconds> retryAfter_;
     std::optional<HttpResponse> head_;
     bool isRefusal_ { false };
+    std::size_t refusalBytes_ { 0 };
+    // Bytes of responses in all attempts, reserved until the request is finished.
+    std::size_t bufferedBytes_ { 0 };
     // The last error response of a server; sent to the caller if no later attempt succeeds.
     std::optional<HttpResponse> serverFailure_;
     std::optional<EventSplitter> splitter_;
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -6,6 +6,7 @@
 #include "Forwarding/CrashDetector.h"
 #include "Forwarding/HeaderNames.h"
 #include "Forwarding/InFlightTracker.h"
+#include "Forwarding/ResponseBuffers.h"
 #include "Forwarding/ResponseTimes.h"
 #include "Forwarding/ServerRateLimits.h"
 #include "Forwarding/ServerSelector.h"
@@ -64,6 +65,10 @@
     std::size_t maxPromptParts { 64 };
     // Maximum size of a buffered response.
     std::size_t maxResponseBytes { 16U << 20U };
+    // Bytes of the body of a refusal after which its end is not awaited.
+    std::size_t maxRefusalBytes { 64U << 10U };
+    // A stream is broken off if this much of it waits for a caller that does not read.
+    std::size_t maxPendingBytes { 4U << 20U };
 };
 
 struct ForwardingCounters {
@@ -99,6 +104,7 @@
     ServerSelector& selector;
     ServerRateLimits& rateLimits;
     UpstreamPool& pool;
+    ResponseBuffers& responseBuffers;
     OutlierDetector& outliers;
     ServiceRetryBudget& retryBudget;
     DecisionLog& log;
--- a/Source/Forwarding/PooledClient.cpp
+++ b/Source/Forwarding/PooledClient.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Far above the size of any report.
+constexpr std::size_t maxResponseBytes = 4U << 20U;
+
 std::string serializeRequest(const Endpoint& server, const HttpRequest& request)
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + formatEndpoint(server) + "\r\n";
@@ -73,7 +76,12 @@
             call->response = head;
             return true;
         };
-        handlers.onBody = [call](std::string_view body) { call->response.body.append(body); };
+        handlers.onBody = [call](std::string_view body) {
+            if (call->response.body.size() + body.size() > maxResponseBytes)
+                call->fail(ResultCode::ConnectionFailed);
+            else
+                call->response.body.append(body);
+        };
         handlers.onEnd = [pool, call, name] {
             if (call->isDone)
                 return;
--- a/Source/Forwarding/UpstreamConnection.cpp
+++ b/Source/Forwarding/UpstreamConnection.cpp
@@ -23,6 +23,10 @@
 
 constexpr std::size_t readBufferBytes = 16384;
 constexpr int firstFinalStatus = 200;
+// Bytes of responses to other requests, and of informational responses, that are skipped before the expected response.
+constexpr std::size_t maxSkippedBytes = 1U << 20U;
+// Bytes that are kept for the parser because they are not a complete head or chunk header yet.
+constexpr std::size_t maxIncompleteBytes = 64U << 10U;
 
 class TcpUpstreamConnection : public UpstreamConnection {
 public:
@@ -66,6 +70,7 @@
     bool isExchanging_ { false };
     bool isReading_ { false };
     bool isSkippingResponse_ { false };
+    std::size_t skippedBytes_ { 0 };
 };
 
 void TcpUpstreamConnection::connect(const Endpoint& server, std::chrono::milliseconds timeout, std::function<void(bool)> done)
@@ -102,6 +107,7 @@
     onIdleLost_ = nullptr;
     isExchanging_ = true;
     isRequestWritten_ = false;
+    skippedBytes_ = 0;
     startParser();
     auto connection = self();
     asio::async_write(socket_, asio::buffer(request_), [connection](boost::system::error_code failure, std::size_t) {
@@ -224,7 +230,12 @@
         if (!isActive_)
             return;
         buffer_.consume(used);
-        if (failure == beast::http::error::need_more)
+        skippedBytes_ += isSkippingResponse_ ? used : 0;
+        if (skippedBytes_ > maxSkippedBytes) {
+            fail();
+            return;
+        }
+        if (failure == beast::http::error::need_more && buffer_.size() <= maxIncompleteBytes)
             return;
         if (failure) {
             fail();
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds exitMargin { 400 };
 constexpr std::chrono::milliseconds catalogResendPeriod { 500 };
 constexpr std::chrono::milliseconds maxPeerReportAge { 1500 };
+// Far below the memory of a small instance, and several times the responses that are in flight at its usual load.
+constexpr std::size_t maxBufferedResponseBytes = 64U << 20U;
 
 // Each entry sends only a part of the requests to a server, so a few consecutive failures must be enough for an ejection.
 OutlierSettings gatewayOutlierSettings()
@@ -94,11 +96,12 @@
     , rateLimits_(clock, settings_.name, {}, [this](const std::string& serverId, double perSecond, bool isLocal) { handleRateLimit(serverId, perSecond, isLocal); })
     , serverSelector_(clock, fleet_, loads_, outliers_, rateLimits_, random, { settings_.availabilityZone })
     , pool_(clock, {}, [&loop] { return makeUpstreamConnection(loop); })
+    , responseBuffers_(maxBufferedResponseBytes)
     , retryBudget_(clock, { settings_.retryBudgetRatio, settings_.retryBudgetExtra, settings_.retryBudgetWindow })
     , responseTimes_({})
     , quarantine_(clock, settings_.name, {}, [this](PromptPart part, QuarantineEvent event, std::uint32_t crashes, bool isLocal) { handleQuarantineEvent(part, event, crashes, isLocal); })
     , crashDetector_(clock, quarantine_, [&loop] { return makeUpstreamConnection(loop); }, {})
-    , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, {} }
+    , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, {} }
     , forwarder_(loop, context_, catalog_, random)
 {
     PeerGroupSettings peerSettings;
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -81,6 +81,7 @@
     ServerRateLimits rateLimits_;
     ServerSelector serverSelector_;
     UpstreamPool pool_;
+    ResponseBuffers responseBuffers_;
     ServiceRetryBudget retryBudget_;
     ForwardingCounters counters_;
     ResponseTimes responseTimes_;
--- a/Source/Transport/HttpClient.cpp
+++ b/Source/Transport/HttpClient.cpp
@@ -17,11 +17,10 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 16384;
-constexpr std::size_t maxResponseBytes = 64 * 1024 * 1024;
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
-    ClientConnection(EventLoop& loop, HttpResponseHandlers handlers)
+    ClientConnection(EventLoop& loop, std::size_t maxResponseBytes, HttpResponseHandlers handlers)
         : stream_(loop.context())
         , handlers_(std::move(handlers))
     {
@@ -179,15 +178,16 @@
 
 }
 
-HttpClient::HttpClient(EventLoop& loop, std::chrono::milliseconds timeout)
+HttpClient::HttpClient(EventLoop& loop, std::chrono::milliseconds timeout, std::size_t maxResponseBytes)
     : loop_(loop)
     , timeout_(timeout)
+    , maxResponseBytes_(maxResponseBytes)
 {
 }
 
 std::unique_ptr<HttpCall> HttpClient::stream(const Endpoint& server, const HttpRequest& request, HttpResponseHandlers handlers)
 {
-    auto connection = std::make_shared<ClientConnection>(loop_, std::move(handlers));
+    auto connection = std::make_shared<ClientConnection>(loop_, maxResponseBytes_, std::move(handlers));
     connection->start(server, request, timeout_);
     return std::make_unique<ClientCall>(connection);
 }
@@ -201,7 +201,7 @@
     handlers.onBody = [response](std::string_view part) { response->body += part; };
     handlers.onEnd = [response, onResponse = std::move(onResponse)] { onResponse(std::move(*response)); };
     handlers.onFailure = std::move(onFailure);
-    std::make_shared<ClientConnection>(loop_, std::move(handlers))->start(server, request, timeout_);
+    std::make_shared<ClientConnection>(loop_, maxResponseBytes_, std::move(handlers))->start(server, request, timeout_);
 }
 
 }
--- a/Source/Transport/HttpClient.h
+++ b/Source/Transport/HttpClient.h
@@ -6,6 +6,7 @@
 #include "Transport/HttpMessage.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -38,8 +39,10 @@
 // Sends HTTP/1.1 requests. Opens a new connection for each request.
 class HttpClient {
 public:
+    static constexpr std::size_t defaultMaxResponseBytes { 64U << 20U };
+
     // The timeout limits the time from opening the connection to the end of the response.
-    HttpClient(EventLoop& loop, std::chrono::milliseconds timeout);
+    HttpClient(EventLoop& loop, std::chrono::milliseconds timeout, std::size_t maxResponseBytes = defaultMaxResponseBytes);
 
     // Sends a request and calls the handlers as parts of the response arrive.
     // Destroying the returned call cancels the request. A body above the size limit fails with ConnectionFailed.
@@ -53,6 +56,7 @@
 private:
     EventLoop& loop_;
     std::chrono::milliseconds timeout_;
+    std::size_t maxResponseBytes_;
 };
 
 }
--- a/Tests/Forwarding/ScriptedServer.cpp
+++ b/Tests/Forwarding/ScriptedServer.cpp
@@ -31,6 +31,7 @@
     std::size_t connections { 0 };
     std::size_t closed { 0 };
     std::size_t reset { 0 };
+    std::size_t endlessBytes { 0 };
 };
 
 namespace {
@@ -78,7 +79,10 @@
     void write()
     {
         if (sent_ == response_.bytes.size()) {
-            finish();
+            if (!response_.endless)
+                finish();
+            else
+                writeEndless();
             return;
         }
         std::size_t count = response_.isSentBytewise ? 1 : response_.bytes.size();
@@ -91,6 +95,24 @@
         });
     }
 
+    void writeEndless()
+    {
+        constexpr std::size_t blockBytes = 65536;
+        constexpr std::size_t maxBytes = 512U << 20U;
+        if (block_.empty()) {
+            while (block_.size() < blockBytes)
+                block_ += *response_.endless;
+        }
+        auto self = this->shared_from_this();
+        asio::async_write(socket_, asio::buffer(block_), [self](boost::system::error_code failure, std::size_t count) {
+            self->state_->endlessBytes += count;
+            if (failure || self->state_->endlessBytes > maxBytes)
+                ++self->state_->closed;
+            else
+                self->writeEndless();
+        });
+    }
+
     void finish()
     {
         boost::system::error_code ignored;
@@ -112,6 +134,7 @@
     boost::beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     ScriptedResponse response_;
+    std::string block_;
     std::size_t sent_ { 0 };
 };
 
@@ -163,6 +186,11 @@
     return state_->closed;
 }
 
+std::size_t ScriptedServer::endlessBytes() const
+{
+    return state_->endlessBytes;
+}
+
 std::size_t ScriptedServer::resetCount() const
 {
     return state_->reset;
--- a/Tests/Forwarding/ScriptedServer.h
+++ b/Tests/Forwarding/ScriptedServer.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
     AfterResponse after { AfterResponse::KeepOpen };
     // Sends one byte at a time, with a turn of the event loop after each.
     bool isSentBytewise { false };
+    // Sent again and again after the bytes, until the client closes the connection.
+    std::optional<std::string> endless { std::nullopt };
 };
 
 // A server on a loopback port that responds with raw bytes given by the test.
@@ -47,6 +50,8 @@
     std::size_t closedCount() const;
     // Returns how many of these connections were reset.
     std::size_t resetCount() const;
+    // Returns the number of bytes that were sent of endless responses.
+    std::size_t endlessBytes() const;
 
 private:
     struct State;
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -69,7 +69,7 @@
         , log(clock, openDevNull(), "test")
         , quarantine(clock, "test", {}, nullptr)
         , crashDetector(clock, quarantine, [this] { return makeUpstreamConnection(loop); }, {})
-        , context { clock, names, loads, serverSelector, rateLimits, pool, outliers, retryBudget, log, counters, responseTimes, callerAges, decodeParts, quarantine, crashDetector, {} }
+        , context { clock, names, loads, serverSelector, rateLimits, pool, responseBuffers, outliers, retryBudget, log, counters, responseTimes, callerAges, decodeParts, quarantine, crashDetector, {} }
         , forwarder(loop, context, catalog, random)
         , endpoint(freeEndpoint())
         , callerServer(loop, endpoint, HttpServerLimits(), [this](std::shared_ptr<HttpExchange> exchange) { forwarder.handle(std::move(exchange)); })
@@ -171,6 +171,7 @@
     ServerRateLimits rateLimits;
     ServerSelector serverSelector;
     UpstreamPool pool;
+    ResponseBuffers responseBuffers { 64U << 20U };
     ServiceRetryBudget retryBudget;
     DecisionLog log;
     ForwardingCounters counters;
--- a/Tests/Gateway/PooledClientTest.cpp
+++ b/Tests/Gateway/PooledClientTest.cpp
@@ -28,4 +28,26 @@
     CHECK(fast.connectionCount() == 1);
 }
 
+// Guards against an engine whose report fills the memory of its rank agent.
+TEST_CASE("a pooled client gives up a response that never ends")
+{
+    GatewayFixture fixture;
+    ScriptedServer& server = fixture.addServer([](const HttpRequest&) {
+        ScriptedResponse response;
+        response.bytes = "HTTP/1.1 200 OK\r\n\r\n";
+        response.endless = "x";
+        return response;
+    });
+    PooledClient client(fixture.loop, fixture.clock);
+    int failed = 0;
+    constexpr std::chrono::seconds timeout { 15 };
+    client.send(
+        server.endpoint(), HttpRequest(), timeout, [](const HttpResponse&) {}, [&failed](const HttpFailure&) { ++failed; });
+    TimePoint start = fixture.clock.now();
+    REQUIRE(fixture.runUntil([&] { return failed == 1; }));
+    CHECK(fixture.clock.now() - start < timeout);
+    constexpr std::size_t maxReadBytes = 20U << 20U;
+    CHECK(server.endlessBytes() < maxReadBytes);
+}
+
 }
--- a/Tests/Transport/HttpTest.cpp
+++ b/Tests/Transport/HttpTest.cpp
@@ -147,4 +147,31 @@
     CHECK((handled == 1) == (count > 0));
 }
 
+// Guards against a server whose response fills the memory of the client.
+TEST_CASE("a response above the size limit of the client is a failure")
+{
+    EventLoop loop;
+    Endpoint endpoint { "127.0.0.1", 18478 };
+    HttpServer server(loop, endpoint, HttpServerLimits(), [](const std::shared_ptr<HttpExchange>& serverExchange) { serverExchange->respond({ 200, {}, std::string(5000, 'x') }); });
+    for (std::size_t limit : { 4999U, 5000U }) {
+        HttpClient client(loop, testTimeout, limit);
+        std::size_t received = 0;
+        bool hasFailed = false;
+        client.send(
+            endpoint, HttpRequest(),
+            [&](const HttpResponse& response) {
+                received = response.body.size();
+                loop.stop();
+            },
+            [&](const HttpFailure&) {
+                hasFailed = true;
+                loop.stop();
+            });
+        loop.restart();
+        loop.run();
+        CHECK(hasFailed == (limit < 5000));
+        CHECK(received == (limit < 5000 ? 0 : 5000));
+    }
+}
+
 }
