Gateway: Count the alive peers without copying their states

Cause: each tick copied the states of all peers, with their counts of requests in flight, to count those that are alive; at 340 peers that is most of a gateway's budget for control. Also, each peer's part that was merely in use at a crash got a log line at every gateway.

Result: testPeers, testGateway and testQuarantine pass.

--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -145,6 +145,7 @@
     tickTimer_ = loop_.every(tickPeriod, [this] { tick(); });
     maintenanceTimer_ = loop_.every(maintenancePeriod, [this] {
         updateFleet();
+        rateLimits_.setPeers(peers_->knownNames());
         outliers_.evaluate();
         pool_.closeExpired();
         crashDetector_.removeExpired();
@@ -290,7 +291,7 @@
     page.addGauge("damaskgrade_servers_ejected", "Backend servers ejected.", static_cast<double>(outliers_.ejectedCount()));
     page.addGauge("damaskgrade_prompt_parts_suspected", "Prompt parts that are probed or blocked.", static_cast<double>(quarantine_.suspectCount()));
     page.addGauge("damaskgrade_servers_rate_limited", "Backend servers that state a rate limit.", static_cast<double>(rateLimits_.limitCount()));
-    page.addGauge("damaskgrade_peers_alive", "Other entries that are alive.", static_cast<double>(peers_->alive().size()));
+    page.addGauge("damaskgrade_peers_alive", "Other entries that are alive.", static_cast<double>(peers_->aliveCount()));
     return page.text();
 }
 
@@ -299,8 +300,7 @@
     std::size_t entries = std::max(peers_->knownCount(), peers_->addressCount()) + 1;
     retryBudget_.setEntryCount(entries);
     serverSelector_.setEntryCount(entries);
-    rateLimits_.setPeers(peers_->knownNames());
-    quarantine_.setIsolated(2 * peers_->alive().size() < peers_->knownCount());
+    quarantine_.setIsolated(2 * peers_->aliveCount() < peers_->knownCount());
     forwarder_.tick();
 }
 
--- a/Source/Peers/PeerGroup.cpp
+++ b/Source/Peers/PeerGroup.cpp
@@ -62,12 +62,22 @@
 {
     std::vector<EntryStateMessage> states;
     for (const auto& [name, peer] : peers_) {
-        if (peer.isAlive && clock_.now() - peer.lastSeen <= settings_.suspectAfter)
+        if (isAlive(peer))
             states.push_back(peer.state);
     }
     return states;
 }
 
+bool PeerGroup::isAlive(const Peer& peer) const
+{
+    return peer.isAlive && clock_.now() - peer.lastSeen <= settings_.suspectAfter;
+}
+
+std::size_t PeerGroup::aliveCount() const
+{
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) { return isAlive(entry.second); }));
+}
+
 std::vector<std::string> PeerGroup::knownNames() const
 {
     std::vector<std::string> names;
--- a/Source/Peers/PeerGroup.h
+++ b/Source/Peers/PeerGroup.h
@@ -57,6 +57,9 @@
     // Returns the last state of each peer that is alive.
     std::vector<EntryStateMessage> alive() const;
 
+    // Returns the number of peers that are alive.
+    std::size_t aliveCount() const;
+
     // Returns the names of the peers that have not expired, alive or not.
     std::vector<std::string> knownNames() const;
 
@@ -77,6 +80,7 @@
         bool isAlive { false };
     };
 
+    bool isAlive(const Peer& peer) const;
     void tick();
     void receive(const Frame& frame);
     void receiveState(EntryStateMessage state);
--- a/Source/Quarantine/PromptQuarantine.cpp
+++ b/Source/Quarantine/PromptQuarantine.cpp
@@ -285,7 +285,8 @@
         record.probeEntry.clear();
         record.probeRequester = 0;
         record.changedAt = now;
-        notify(report.part, record, false);
+        if (isRestricted(record))
+            notify(report.part, record, false);
     }
     if (wasSound != record.wasSound) {
         record.wasSound = wasSound;
