Gateway: Store blocked prompt parts in the platform's table

Change: the entry that blocks or clears a part writes or deletes its row, until that succeeds; each entry reads the rows at its start.

--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -128,6 +128,7 @@
     registrationSettings.name = settings_.name;
     registrationSettings.link = settings_.link;
     entryRegistration_ = std::make_unique<EntryRegistration>(loop_, platform_.table, *peers_, registrationSettings);
+    quarantineRows_ = std::make_unique<QuarantineRows>(loop_, clock_, platform_.table, quarantine_, QuarantineRowsSettings {});
     auto onCatalogReachable = [this](bool isReachable) { log_.write(LogLine(isReachable ? "catalogSourceRegained" : "catalogSourceLost").add("catalog", catalog_.version())); };
     catalogFollower_ = std::make_unique<CatalogFollower>(loop_, random_, platform_.catalog, catalog_, CatalogFollowerSettings {}, onCatalogReachable);
     catalogFollower_->start();
@@ -203,8 +204,12 @@
 void GatewayProcess::handleQuarantineEvent(PromptPart part, QuarantineEvent event, std::uint32_t crashes, bool isLocal)
 {
     log_.write(LogLine(eventName(event)).add("promptPart", formatPromptParts({ part })).add("crashes", crashes).add("fromPeer", !isLocal));
-    if (isLocal)
-        sendStateSoon();
+    if (!isLocal)
+        return;
+    sendStateSoon();
+    bool isStored = event == QuarantineEvent::Blocked || event == QuarantineEvent::Cleared;
+    if (isStored && quarantineRows_)
+        quarantineRows_->update(part);
 }
 
 void GatewayProcess::handleRateLimit(const std::string& serverId, double perSecond, bool isLocal)
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -8,6 +8,7 @@
 #include "Gateway/FleetReader.h"
 #include "Gateway/Forwarder.h"
 #include "Gateway/GatewaySettings.h"
+#include "Gateway/QuarantineRows.h"
 #include "Peers/PeerGroup.h"
 #include "Platform/Table.h"
 #include "Transport/HttpServer.h"
@@ -94,6 +95,7 @@
     std::unique_ptr<PeerGroup> peers_;
     std::unique_ptr<FleetReader> fleetReader_;
     std::unique_ptr<EntryRegistration> entryRegistration_;
+    std::unique_ptr<QuarantineRows> quarantineRows_;
     std::unique_ptr<CatalogFollower> catalogFollower_;
     std::unique_ptr<HttpServer> callerServer_;
     std::unique_ptr<HttpServer> readinessServer_;
--- a/Source/Quarantine/PromptQuarantine.cpp
+++ b/Source/Quarantine/PromptQuarantine.cpp
@@ -250,6 +250,12 @@
     return report;
 }
 
+std::optional<SuspectReport> PromptQuarantine::report(PromptPart part) const
+{
+    const Record* record = find(part);
+    return record ? std::optional<SuspectReport>(makeReport(part, *record)) : std::nullopt;
+}
+
 void PromptQuarantine::applyReports(gsl::span<const SuspectReport> reports)
 {
     for (const SuspectReport& report : reports)
--- a/Source/Quarantine/PromptQuarantine.h
+++ b/Source/Quarantine/PromptQuarantine.h
@@ -121,6 +121,9 @@
 
     void applyReports(gsl::span<const SuspectReport> reports);
 
+    // Returns what this entry knows of a part, or std::nullopt if it was never suspect.
+    std::optional<SuspectReport> report(PromptPart part) const;
+
     std::size_t suspectCount() const;
     std::size_t recordCount() const { return records_.size(); }
 
