--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -580,7 +580,9 @@
 
 void ForwardedRequest::deliverResponse()
 {
-    recordSurvival();
+    // A server may reject a request without having begun to answer its prompt.
+    if (head_->status < firstFailureStatus)
+        recordSurvival();
     context_.responseTimes.record(options_.service, context_.clock.now() - sentAt_);
     context_.outliers.callSucceeded(server_->id, context_.clock.now() - sentAt_);
     context_.selector.recordSuccess(server_->id);
--- a/Source/Forwarding/ServerRateLimits.h
+++ b/Source/Forwarding/ServerRateLimits.h
@@ -27,7 +27,7 @@
     // Changes are reported in every message for this time, other limits in turn.
     Duration newsTime { std::chrono::seconds(1) };
     std::size_t maxNewsPerReport { 32 };
-    std::size_t maxOthersPerReport { 4 };
+    std::size_t maxOthersPerReport { 2 };
 };
 
 // Keeps the requests of all entries together below the rate limits that servers state in their responses.
--- a/Source/Quarantine/PromptQuarantine.cpp
+++ b/Source/Quarantine/PromptQuarantine.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// About 1.5 MB. More distinct parts than a day of the target size uses.
+// About 1 MB. More distinct parts than a day of the target size uses.
 constexpr std::size_t maxSoundParts = 16384;
 // Time after which a caller may try again while another request is the probe.
 constexpr std::chrono::milliseconds probeRetryDelay { 1000 };
--- a/Source/Quarantine/PromptQuarantine.h
+++ b/Source/Quarantine/PromptQuarantine.h
@@ -27,7 +27,7 @@
     Duration firstBlock { std::chrono::seconds(30) };
     std::uint32_t blockFactor { 8 };
     Duration maxBlock { std::chrono::hours(24) };
-    // A part with this many crashes stays blocked until all entries have been restarted.
+    // A part with this many crashes stays blocked for as long as its record is kept.
     std::uint32_t maxCrashes { 8 };
     // Time between the claim of a probe and its start, in which the other entries learn of the claim. Long enough for a
     // message that is relayed twice.
@@ -49,7 +49,7 @@
     std::size_t maxOthersPerReport { 2 };
 };
 
-// A request whose response a server had not survived the start of when it crashed.
+// A request that a server had when it crashed, and of whose response it had not survived the start.
 struct CrashCandidate {
     std::vector<PromptPart> parts;
     TimePoint sentAt;
@@ -82,7 +82,7 @@
 
 // Finds the prompt parts that crash backend servers and keeps requests with them from the servers.
 //
-// A server that begins a response proves all parts of that prompt sound. A server that crashes makes the parts of those of
+// A server that survives the start of a response proves all parts of that prompt sound. A server that crashes makes the parts of those of
 // its requests suspect that have no response yet. Requests with a suspect part are sent one at a time over all entries, as
 // probes: a response clears the part, a further crash blocks it. A part that alone can be the cause of a crash is blocked
 // at once. A block ends after a time that grows with each crash, and then the part is probed again, so that a wrong
--- a/Tests/Gateway/CrashingPromptTest.cpp
+++ b/Tests/Gateway/CrashingPromptTest.cpp
@@ -85,6 +85,24 @@
     CHECK(fixture.runUntil([&] { return first.resetCount() == 1; }));
 }
 
+// Guards against a crashing part that is taken for sound because a server has rejected a prompt with it.
+TEST_CASE("only a successful response clears a prompt part")
+{
+    for (int status : { 200, 400 }) {
+        GatewayFixture fixture;
+        Route route = streamRoute();
+        route.kind = RequestKind::Idempotent;
+        fixture.setRoute(route);
+        fixture.addServer([status](const HttpRequest& request) { return ScriptedResponse { GatewayFixture::responseTo(request, "body", status), AfterResponse::KeepOpen, false }; });
+        std::vector<PromptPart> parts { 666 };
+        fixture.quarantine.recordCrash(std::vector<CrashCandidate> { { parts, fixture.clock.now(), false } });
+        HttpRequest request = fixture.request("a");
+        request.headers.push_back({ fixture.names.promptParts, crashingPart });
+        CHECK(fixture.call(request).status == status);
+        CHECK(fixture.quarantine.isSuspect(parts) == (status == 400));
+    }
+}
+
 // Guards against callers that retry early, or wait for long, while a prompt part is blocked.
 TEST_CASE("a request with a blocked prompt part is refused at once with the time of the block")
 {
