--- a/Source/Quarantine/PromptQuarantine.cpp
+++ b/Source/Quarantine/PromptQuarantine.cpp
@@ -9,6 +9,8 @@
 
 // About 1 MB. More distinct parts than a day of the target size uses.
 constexpr std::size_t maxSoundParts = 16384;
+// Crashes whose cause may still be found by ruling out other parts.
+constexpr std::size_t maxUnresolvedCrashes = 16;
 // Time after which a caller may try again while another request is the probe.
 constexpr std::chrono::milliseconds probeRetryDelay { 1000 };
 
@@ -25,6 +27,7 @@
     , settings_(settings)
     , observer_(std::move(observer))
     , soundParts_(maxSoundParts)
+    , causes_(maxUnresolvedCrashes)
 {
 }
 
@@ -86,8 +89,7 @@
         if (wasRestricted)
             notify(part, found->second, true);
     }
-    if (!unresolvedCauses_.empty())
-        resolveCauses();
+    blockSingleCauses();
 }
 
 void PromptQuarantine::clear(Record& record, TimePoint at)
@@ -132,28 +134,20 @@
     auto hasBegun = [](const CrashCandidate& candidate) { return candidate.hasBegun; };
     if (std::count_if(candidates.begin(), candidates.end(), hasBegun) != 1)
         return;
-    if (unresolvedCauses_.size() >= settings_.maxUnresolvedCauses)
-        unresolvedCauses_.pop_front();
-    unresolvedCauses_.push_back(std::find_if(candidates.begin(), candidates.end(), hasBegun)->parts);
-    resolveCauses();
+    causes_.add(std::find_if(candidates.begin(), candidates.end(), hasBegun)->parts);
+    blockSingleCauses();
 }
 
 // Counts one more crash for each part that alone is left as the cause of a crash, so that it is blocked without a probe.
-void PromptQuarantine::resolveCauses()
+void PromptQuarantine::blockSingleCauses()
 {
-    for (auto cause = unresolvedCauses_.begin(); cause != unresolvedCauses_.end();) {
-        cause->erase(std::remove_if(cause->begin(), cause->end(), [this](PromptPart part) { return isKnownSound(part); }), cause->end());
-        if (cause->size() > 1) {
-            ++cause;
-            continue;
-        }
-        auto found = cause->empty() ? records_.end() : records_.find(cause->front());
-        cause = unresolvedCauses_.erase(cause);
+    for (PromptPart part : causes_.takeResolved([this](PromptPart candidate) { return isKnownSound(candidate); })) {
+        auto found = records_.find(part);
         if (found == records_.end() || found->second.crashes != settings_.crashesUntilRestricted)
             continue;
         ++found->second.crashes;
         found->second.changedAt = clock_.now();
-        notify(found->first, found->second, true);
+        notify(part, found->second, true);
     }
 }
 
@@ -260,8 +254,7 @@
 {
     for (const SuspectReport& report : reports)
         applyReport(report);
-    if (!unresolvedCauses_.empty())
-        resolveCauses();
+    blockSingleCauses();
 }
 
 // Reports describe the same few facts over and over, so the merge is idempotent: more crashes and a later response win, and
--- a/Source/Quarantine/PromptQuarantine.h
+++ b/Source/Quarantine/PromptQuarantine.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Quarantine/CrashCauses.h"
 #include "Quarantine/PromptPart.h"
 #include "Quarantine/SoundParts.h"
 #include "Quarantine/SuspectReport.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <gsl/span>
 #include <map>
@@ -44,7 +44,6 @@
     // Changed records are reported in every message for this time, other suspect parts in turn.
     Duration newsTime { std::chrono::seconds(2) };
     std::size_t maxRecords { 256 };
-    std::size_t maxUnresolvedCauses { 16 };
     std::size_t maxNewsPerReport { 16 };
     std::size_t maxOthersPerReport { 2 };
 };
@@ -145,7 +144,7 @@
 
     void countCrash(PromptPart part, TimePoint sentAt);
     void recordCause(gsl::span<const CrashCandidate> candidates);
-    void resolveCauses();
+    void blockSingleCauses();
     bool isKnownSound(PromptPart part) const;
     bool isRestricted(const Record& record) const;
     bool isClaimed(const Record& record) const;
@@ -170,8 +169,7 @@
     Observer observer_;
     SoundParts soundParts_;
     std::map<PromptPart, Record> records_;
-    // For each crash during the start of a single response, the parts that may be its cause. Resolved when one is left.
-    std::deque<std::vector<PromptPart>> unresolvedCauses_;
+    CrashCauses causes_;
     bool isIsolated_ { false };
     // The part after which nextReports() continues.
     PromptPart reportedPart_ { 0 };
