--- a/Source/Quarantine/PromptQuarantine.cpp
+++ b/Source/Quarantine/PromptQuarantine.cpp
@@ -202,6 +202,7 @@
         return std::make_pair(isRestricted(leftRecord), leftRecord.changedAt) > std::make_pair(isRestricted(rightRecord), rightRecord.changedAt);
     });
     news.resize(std::min(news.size(), settings_.maxNewsPerReport));
+    reports.reserve(news.size() + settings_.maxOthersPerReport);
     for (PromptPart part : news)
         reports.push_back(makeReport(part, records_[part]));
     for (PromptPart part : nextSuspects()) {
--- a/Tests/Forwarding/ServerRateLimitsTest.cpp
+++ b/Tests/Forwarding/ServerRateLimitsTest.cpp
@@ -243,8 +243,10 @@
 TEST_CASE("an entry that begins to send to a limited server waits as if another had just sent")
 {
     ManualClock clock;
+    constexpr int peerCount = 50;
     std::vector<std::string> peers;
-    for (int i = 0; i < 50; ++i)
+    peers.reserve(peerCount);
+    for (int i = 0; i < peerCount; ++i)
         peers.push_back("peer " + std::to_string(i));
     // With this many entries some of them are no senders.
     int newSenders = 0;
--- a/Tests/Gateway/EndlessResponseTest.cpp
+++ b/Tests/Gateway/EndlessResponseTest.cpp
@@ -97,8 +97,10 @@
         return scripted;
     },
         64);
+    constexpr int requestCount = 20;
     std::vector<std::shared_ptr<CallerResult>> results;
-    for (int i = 0; i < 20; ++i)
+    results.reserve(requestCount);
+    for (int i = 0; i < requestCount; ++i)
         results.push_back(fixture.start(fixture.request(std::to_string(i))));
     std::size_t mostUsed = 0;
     CHECK(fixture.runUntil([&] {
