--- a/Source/Quarantine/PromptQuarantine.cpp
+++ b/Source/Quarantine/PromptQuarantine.cpp
@@ -53,7 +53,7 @@
         hasClaims = hasClaims && isClaimed(*record) && now - record->claimedAt >= settings_.claimDelay;
     }
     if (blocked > Duration::zero())
-        return { QuarantineDecision::Refuse, blocked };
+        return { QuarantineDecision::Refuse, std::min(blocked, settings_.maxBlock) };
     bool isJointProbeEarly = restrictedParts > 1 && now < lastCrashAt + settings_.jointProbeDelay;
     bool mayProbe = !isProbedElsewhere && !isJointProbeEarly && !isIsolated_;
     if (restrictedParts > 0 && !mayProbe)
--- a/Tests/Quarantine/PromptQuarantineTest.cpp
+++ b/Tests/Quarantine/PromptQuarantineTest.cpp
@@ -168,6 +168,8 @@
     }
     CHECK(crashes >= 5);
     CHECK(crashes <= 8);
+    // A caller of a part that stays blocked still gets a useful time.
+    CHECK(quarantine.admit(parts, ++requester).retryAfter <= std::chrono::hours(24));
 }
 
 // Guards against a sound part that is blocked for good after a coincidence.
