--- a/Tests/Forwarding/CrashDetectorTest.cpp
+++ b/Tests/Forwarding/CrashDetectorTest.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <memory>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -97,4 +98,18 @@
     }
 }
 
+// Guards against sound prompts that are suspected because their entry was cut off from all servers.
+TEST_CASE("a loss of the connections to all servers at once makes no prompt suspect" * doctest::should_fail())
+{
+    DetectorFixture fixture;
+    for (PromptPart part = 1; part <= 4; ++part) {
+        fixture.server.id = "s" + std::to_string(part);
+        fixture.breakConnection(part);
+    }
+    for (const std::shared_ptr<PendingConnection>& connection : fixture.connections)
+        connection->onDone(false);
+    for (PromptPart part = 1; part <= 4; ++part)
+        CHECK(!fixture.isSuspect(part));
+}
+
 }
