Catalog: Log each failed read of the catalog with its duration

The logs of the recorded outage do not show when reads of the catalog began, so they can't tell a late read from a late switch. catalogReadFailed states each failed read and how long it took.

--- a/Source/Catalog/CatalogFollower.cpp
+++ b/Source/Catalog/CatalogFollower.cpp
@@ -5,14 +5,15 @@
 
 namespace Damaskgrade {
 
-CatalogFollower::CatalogFollower(EventLoop& loop, Random& random, CatalogSource& source, CatalogHolder& holder, CatalogFollowerSettings settings,
-    std::function<void(bool)> onReachable)
+CatalogFollower::CatalogFollower(EventLoop& loop, const Clock& clock, Random& random, CatalogSource& source, CatalogHolder& holder,
+    CatalogFollowerSettings settings, CatalogFollowerHooks hooks)
     : loop_(loop)
+    , clock_(clock)
     , random_(random)
     , source_(source)
     , holder_(holder)
     , settings_(settings)
-    , onReachable_(std::move(onReachable))
+    , hooks_(std::move(hooks))
     , retryDelay_(settings.minRetryDelay)
 {
 }
@@ -20,12 +21,21 @@
 void CatalogFollower::readAll()
 {
     hasRevision_ = false;
-    source_.read([this](const CatalogReadResult& result) { handle(result); });
+    source_.read(handler());
 }
 
 void CatalogFollower::awaitChange()
 {
-    source_.awaitChange(revision_, settings_.longPollTimeout, [this](const CatalogReadResult& result) { handle(result); });
+    source_.awaitChange(revision_, settings_.longPollTimeout, handler());
+}
+
+CatalogSource::Done CatalogFollower::handler()
+{
+    return [this, startedAt = clock_.now()](const CatalogReadResult& result) {
+        if (result.status == CatalogReadStatus::Unavailable)
+            hooks_.onReadFailed(std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - startedAt));
+        handle(result);
+    };
 }
 
 void CatalogFollower::handle(const CatalogReadResult& result)
@@ -66,7 +76,7 @@
     if (isReachable == isReachable_)
         return;
     isReachable_ = isReachable;
-    onReachable_(isReachable);
+    hooks_.onReachable(isReachable);
 }
 
 }
--- a/Source/Catalog/CatalogFollower.h
+++ b/Source/Catalog/CatalogFollower.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "Catalog/CatalogSource.h"
+#include "Core/Clock.h"
 #include "Core/Random.h"
 #include "Transport/EventLoop.h"
 
+#include <functional>
 #include <memory>
 
 namespace Damaskgrade {
@@ -15,28 +17,36 @@
     std::chrono::milliseconds maxRetryDelay { 600 };
 };
 
+struct CatalogFollowerHooks {
+    // Called with the new state when the source becomes reachable or unreachable.
+    std::function<void(bool)> onReachable;
+    // Called with the duration of each read that failed.
+    std::function<void(std::chrono::milliseconds)> onReadFailed;
+};
+
 // Updates a catalog holder from a source: reads the catalog once, then waits for changes by long polling.
 class CatalogFollower {
 public:
-    // onReachable is called with the new state when the source becomes reachable or unreachable.
-    CatalogFollower(EventLoop& loop, Random& random, CatalogSource& source, CatalogHolder& holder, CatalogFollowerSettings settings,
-        std::function<void(bool)> onReachable);
+    CatalogFollower(EventLoop& loop, const Clock& clock, Random& random, CatalogSource& source, CatalogHolder& holder, CatalogFollowerSettings settings,
+        CatalogFollowerHooks hooks);
 
     void start() { readAll(); }
 
 private:
     void readAll();
     void awaitChange();
+    CatalogSource::Done handler();
     void handle(const CatalogReadResult& result);
     void retryLater();
     void setReachable(bool isReachable);
 
     EventLoop& loop_;
+    const Clock& clock_;
     Random& random_;
     CatalogSource& source_;
     CatalogHolder& holder_;
     CatalogFollowerSettings settings_;
-    std::function<void(bool)> onReachable_;
+    CatalogFollowerHooks hooks_;
     std::unique_ptr<Timer> retryTimer_;
     std::chrono::milliseconds retryDelay_;
     std::uint64_t revision_ { 0 };
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -129,8 +129,12 @@
     registrationSettings.link = settings_.link;
     entryRegistration_ = std::make_unique<EntryRegistration>(loop_, platform_.table, *peers_, registrationSettings);
     quarantineRows_ = std::make_unique<QuarantineRows>(loop_, clock_, platform_.table, quarantine_, QuarantineRowsSettings {});
-    auto onCatalogReachable = [this](bool isReachable) { log_.write(LogLine(isReachable ? "catalogSourceRegained" : "catalogSourceLost").add("catalog", catalog_.version())); };
-    catalogFollower_ = std::make_unique<CatalogFollower>(loop_, random_, platform_.catalog, catalog_, CatalogFollowerSettings {}, onCatalogReachable);
+    CatalogFollowerHooks catalogHooks;
+    catalogHooks.onReachable = [this](bool isReachable) { log_.write(LogLine(isReachable ? "catalogSourceRegained" : "catalogSourceLost").add("catalog", catalog_.version())); };
+    catalogHooks.onReadFailed = [this](std::chrono::milliseconds elapsed) {
+        log_.write(LogLine("catalogReadFailed").add("catalog", catalog_.version()).add("elapsedMs", elapsed.count()));
+    };
+    catalogFollower_ = std::make_unique<CatalogFollower>(loop_, clock_, random_, platform_.catalog, catalog_, CatalogFollowerSettings {}, catalogHooks);
     catalogFollower_->start();
 
     callerServer_ = std::make_unique<HttpServer>(loop_, settings_.callers, callerServerLimits(CallerLimits {}), [this](std::shared_ptr<HttpExchange> exchange) { forwarder_.handle(std::move(exchange)); });
--- a/Tests/Catalog/CatalogFollowerTest.cpp
+++ b/Tests/Catalog/CatalogFollowerTest.cpp
@@ -1,5 +1,6 @@
 #include "Catalog/CatalogFollower.h"
 
+#include "Core/SystemClock.h"
 #include "LoopRunner.h"
 
 #include <doctest/doctest.h>
@@ -65,12 +66,15 @@
         follower.start();
     }
 
+    SystemClock clock;
     EventLoop loop;
     Random random { 1 };
     ScriptedSource source { loop };
     CatalogHolder holder { [](const Catalog&) {} };
     std::vector<bool> reachable;
-    CatalogFollower follower { loop, random, source, holder, CatalogFollowerSettings {}, [this](bool isReachable) { reachable.push_back(isReachable); } };
+    int failedReads { 0 };
+    CatalogFollowerHooks hooks { [this](bool isReachable) { reachable.push_back(isReachable); }, [this](std::chrono::milliseconds) { ++failedReads; } };
+    CatalogFollower follower { loop, clock, random, source, holder, CatalogFollowerSettings {}, hooks };
 };
 
 }
@@ -104,6 +108,7 @@
     REQUIRE(runLoopUntil(fixture.loop, [&] { return fixture.source.awaitedRevisions.size() == 4; }));
     CHECK(fixture.holder.version() == 5);
     CHECK(fixture.reachable == std::vector<bool> { true, false, true });
+    CHECK(fixture.failedReads == 2);
 }
 
 }
