--- a/Source/Catalog/CatalogFollower.cpp
+++ b/Source/Catalog/CatalogFollower.cpp
@@ -5,10 +5,8 @@
 
 namespace Damaskgrade {
 
-CatalogFollower::CatalogFollower(EventLoop& loop, const Clock& clock, Random& random, CatalogSource& source, CatalogHolder& holder,
-    CatalogFollowerSettings settings, CatalogFollowerHooks hooks)
-    : loop_(loop)
-    , clock_(clock)
+CatalogFollower::CatalogFollower(const Clock& clock, Random& random, CatalogSource& source, CatalogHolder& holder, CatalogFollowerSettings settings, CatalogFollowerHooks hooks)
+    : clock_(clock)
     , random_(random)
     , source_(source)
     , holder_(holder)
@@ -63,12 +61,18 @@
     std::chrono::milliseconds half = retryDelay_ / 2;
     std::chrono::milliseconds delay = half + std::chrono::milliseconds(random_.index(static_cast<std::size_t>(half.count()) + 1));
     retryDelay_ = std::min(retryDelay_ * 2, settings_.maxRetryDelay);
-    retryTimer_ = loop_.after(delay, [this] {
-        if (hasRevision_)
-            awaitChange();
-        else
-            readAll();
-    });
+    retryAt_ = clock_.now() + delay;
+}
+
+void CatalogFollower::tick()
+{
+    if (!retryAt_ || clock_.now() < *retryAt_)
+        return;
+    retryAt_.reset();
+    if (hasRevision_)
+        awaitChange();
+    else
+        readAll();
 }
 
 void CatalogFollower::setReachable(bool isReachable)
--- a/Source/Catalog/CatalogFollower.h
+++ b/Source/Catalog/CatalogFollower.h
@@ -3,10 +3,9 @@
 #include "Catalog/CatalogSource.h"
 #include "Core/Clock.h"
 #include "Core/Random.h"
-#include "Transport/EventLoop.h"
 
 #include <functional>
-#include <memory>
+#include <optional>
 
 namespace Damaskgrade {
 
@@ -27,11 +26,13 @@
 // Updates a catalog holder from a source: reads the catalog once, then waits for changes by long polling.
 class CatalogFollower {
 public:
-    CatalogFollower(EventLoop& loop, const Clock& clock, Random& random, CatalogSource& source, CatalogHolder& holder, CatalogFollowerSettings settings,
-        CatalogFollowerHooks hooks);
+    CatalogFollower(const Clock& clock, Random& random, CatalogSource& source, CatalogHolder& holder, CatalogFollowerSettings settings, CatalogFollowerHooks hooks);
 
     void start() { readAll(); }
 
+    // Starts the calls that are due. Call several times per second.
+    void tick();
+
 private:
     void readAll();
     void awaitChange();
@@ -40,14 +41,13 @@
     void retryLater();
     void setReachable(bool isReachable);
 
-    EventLoop& loop_;
     const Clock& clock_;
     Random& random_;
     CatalogSource& source_;
     CatalogHolder& holder_;
     CatalogFollowerSettings settings_;
     CatalogFollowerHooks hooks_;
-    std::unique_ptr<Timer> retryTimer_;
+    std::optional<TimePoint> retryAt_;
     std::chrono::milliseconds retryDelay_;
     std::uint64_t revision_ { 0 };
     bool hasRevision_ { false };
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -134,7 +134,7 @@
     catalogHooks.onReadFailed = [this](std::chrono::milliseconds elapsed) {
         log_.write(LogLine("catalogReadFailed").add("catalog", catalog_.version()).add("elapsedMs", elapsed.count()));
     };
-    catalogFollower_ = std::make_unique<CatalogFollower>(loop_, clock_, random_, platform_.catalog, catalog_, CatalogFollowerSettings {}, catalogHooks);
+    catalogFollower_ = std::make_unique<CatalogFollower>(clock_, random_, platform_.catalog, catalog_, CatalogFollowerSettings {}, catalogHooks);
     catalogFollower_->start();
 
     callerServer_ = std::make_unique<HttpServer>(loop_, settings_.callers, callerServerLimits(CallerLimits {}), [this](std::shared_ptr<HttpExchange> exchange) { forwarder_.handle(std::move(exchange)); });
@@ -310,6 +310,7 @@
     retryBudget_.setEntryCount(entries);
     serverSelector_.setEntryCount(entries);
     quarantine_.setIsolated(2 * peers_->aliveCount() < peers_->knownCount());
+    catalogFollower_->tick();
     forwarder_.tick();
 }
 
--- a/Tests/Catalog/CatalogFollowerTest.cpp
+++ b/Tests/Catalog/CatalogFollowerTest.cpp
@@ -1,10 +1,10 @@
 #include "Catalog/CatalogFollower.h"
 
-#include "Core/SystemClock.h"
-#include "LoopRunner.h"
+#include "Core/ManualClock.h"
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -22,24 +22,19 @@
     return result;
 }
 
-// Responds with the given results in order. Later calls get no response.
+// Responds with the given results in order, one for each call of respond(). Later calls get no response.
 class ScriptedSource : public CatalogSource {
 public:
-    explicit ScriptedSource(EventLoop& loop)
-        : loop_(loop)
-    {
-    }
-
     void read(Done done) override
     {
         ++reads;
-        respond(std::move(done));
+        pending_.push_back(std::move(done));
     }
 
     void awaitChange(std::uint64_t revision, std::chrono::milliseconds, Done done) override
     {
         awaitedRevisions.push_back(revision);
-        respond(std::move(done));
+        pending_.push_back(std::move(done));
     }
 
     CatalogVersion decode(const std::string&) const override { return {}; }
@@ -48,14 +43,19 @@
     std::vector<std::uint64_t> awaitedRevisions;
     int reads { 0 };
 
-private:
-    void respond(Done done)
+    // Returns false if there is no call or no result.
+    bool respond()
     {
-        if (next_ < results.size())
-            loop_.post([done = std::move(done), result = results[next_++]] { done(result); });
+        if (pending_.empty() || next_ == results.size())
+            return false;
+        Done done = std::move(pending_.front());
+        pending_.erase(pending_.begin());
+        done(results[next_++]);
+        return true;
     }
 
-    EventLoop& loop_;
+private:
+    std::vector<Done> pending_;
     std::size_t next_ { 0 };
 };
 
@@ -66,15 +66,27 @@
         follower.start();
     }
 
-    SystemClock clock;
-    EventLoop loop;
+    // Delivers the results, and lets the time between them pass. Returns whether the condition holds within 20 seconds.
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        constexpr std::chrono::milliseconds step { 10 };
+        constexpr int maxSteps = 2000;
+        for (int i = 0; i < maxSteps && !condition(); ++i) {
+            source.respond();
+            clock.advance(step);
+            follower.tick();
+        }
+        return condition();
+    }
+
+    ManualClock clock;
     Random random { 1 };
-    ScriptedSource source { loop };
+    ScriptedSource source;
     CatalogHolder holder { [](const Catalog&) {} };
     std::vector<bool> reachable;
     int failedReads { 0 };
     CatalogFollowerHooks hooks { [this](bool isReachable) { reachable.push_back(isReachable); }, [this](std::chrono::milliseconds) { ++failedReads; } };
-    CatalogFollower follower { loop, clock, random, source, holder, CatalogFollowerSettings {}, hooks };
+    CatalogFollower follower { clock, random, source, holder, CatalogFollowerSettings {}, hooks };
 };
 
 }
@@ -83,7 +95,7 @@
 TEST_CASE("the complete catalog is read after the history is lost")
 {
     CatalogFollowerFixture fixture({ resultOf(CatalogReadStatus::Ok, 4, 40), resultOf(CatalogReadStatus::HistoryLost), resultOf(CatalogReadStatus::Ok, 6, 70) });
-    REQUIRE(runLoopUntil(fixture.loop, [&] { return fixture.source.awaitedRevisions.size() == 2; }));
+    REQUIRE(fixture.runUntil([&] { return fixture.source.awaitedRevisions.size() == 2; }));
     CHECK(fixture.source.reads == 2);
     CHECK(fixture.holder.version() == 6);
     CHECK(fixture.source.awaitedRevisions == std::vector<std::uint64_t> { 40, 70 });
@@ -94,7 +106,7 @@
 TEST_CASE("a snapshot older than the last one changes nothing")
 {
     CatalogFollowerFixture fixture({ resultOf(CatalogReadStatus::Ok, 4, 40), resultOf(CatalogReadStatus::Ok, 3, 30) });
-    REQUIRE(runLoopUntil(fixture.loop, [&] { return fixture.source.awaitedRevisions.size() == 2; }));
+    REQUIRE(fixture.runUntil([&] { return fixture.source.awaitedRevisions.size() == 2; }));
     CHECK(fixture.holder.version() == 4);
     CHECK(fixture.source.awaitedRevisions.back() == 40);
 }
@@ -105,7 +117,7 @@
 {
     CatalogReadResult down = resultOf(CatalogReadStatus::Unavailable);
     CatalogFollowerFixture fixture({ resultOf(CatalogReadStatus::Ok, 4, 40), down, down, resultOf(CatalogReadStatus::Ok, 5, 50) });
-    REQUIRE(runLoopUntil(fixture.loop, [&] { return fixture.source.awaitedRevisions.size() == 4; }));
+    REQUIRE(fixture.runUntil([&] { return fixture.source.awaitedRevisions.size() == 4; }));
     CHECK(fixture.holder.version() == 5);
     CHECK(fixture.reachable == std::vector<bool> { true, false, true });
     CHECK(fixture.failedReads == 2);
