--- /dev/null
+++ b/Tests/Catalog/CatalogSimulation.cpp
@@ -0,0 +1,221 @@
+#include "CatalogSimulation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds step { 10 };
+constexpr int stepsPerTick = 5;
+constexpr milliseconds callTimeout { 900 };
+// An acknowledged version has to be in force within this time.
+constexpr milliseconds applyBound { 2000 };
+constexpr std::size_t maxViolations = 5;
+
+}
+
+std::uint64_t SimulatedCatalogStore::write()
+{
+    ++version_;
+    ++revision_;
+    std::vector<Watch> watches;
+    std::swap(watches, watches_);
+    for (const Watch& watch : watches)
+        answer(watch.entry, watch.done, true);
+    return version_;
+}
+
+void SimulatedCatalogStore::setSilent(bool isSilent)
+{
+    isSilent_ = isSilent;
+    if (isSilent)
+        watches_.clear();
+}
+
+void SimulatedCatalogStore::read(std::size_t entry, CatalogSource::Done done)
+{
+    ++calls_;
+    auto pending = std::make_shared<CatalogSource::Done>(std::move(done));
+    failAfter(callTimeout, pending);
+    at(clock_.now() + latency, [this, entry, pending] {
+        if (isReachable(entry))
+            answer(entry, pending, true);
+    });
+}
+
+void SimulatedCatalogStore::awaitChange(std::size_t entry, std::uint64_t revision, milliseconds wait, CatalogSource::Done done)
+{
+    ++calls_;
+    auto pending = std::make_shared<CatalogSource::Done>(std::move(done));
+    failAfter(wait + callTimeout, pending);
+    at(clock_.now() + latency, [this, entry, revision, wait, pending] {
+        if (!isReachable(entry))
+            return;
+        if (revision < revision_)
+            answer(entry, pending, true);
+        else
+            watches_.push_back({ entry, revision, clock_.now() + wait, pending });
+    });
+}
+
+void SimulatedCatalogStore::tick()
+{
+    while (!events_.empty() && events_.begin()->first <= clock_.now()) {
+        std::function<void()> action = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        action();
+    }
+    std::vector<Watch> remaining;
+    for (const Watch& watch : watches_) {
+        if (cutEntries.count(watch.entry) != 0)
+            continue;
+        if (watch.until <= clock_.now())
+            answer(watch.entry, watch.done, false);
+        else
+            remaining.push_back(watch);
+    }
+    watches_ = std::move(remaining);
+}
+
+CatalogVersion SimulatedCatalogStore::catalog(std::uint64_t version) const
+{
+    if (version == 0)
+        return {};
+    return { std::make_shared<Catalog>(version, std::vector<Route> {}, std::vector<ServiceSpecification> {}, std::vector<CustomerKeys> {}, CallerLimits()), std::to_string(version) };
+}
+
+void SimulatedCatalogStore::failAfter(milliseconds timeout, const std::shared_ptr<CatalogSource::Done>& done)
+{
+    at(clock_.now() + timeout, [done] {
+        if (CatalogSource::Done pending = std::exchange(*done, nullptr))
+            pending({});
+    });
+}
+
+void SimulatedCatalogStore::answer(std::size_t entry, const std::shared_ptr<CatalogSource::Done>& done, bool withCatalog)
+{
+    CatalogReadResult result;
+    result.status = CatalogReadStatus::Ok;
+    result.revision = revision_;
+    if (withCatalog)
+        result.version = catalog(version_);
+    at(clock_.now() + latency, [this, entry, done, result] {
+        if (!isReachable(entry))
+            return;
+        if (CatalogSource::Done pending = std::exchange(*done, nullptr))
+            pending(result);
+    });
+}
+
+CatalogSimulation::Entry::Entry(CatalogSimulation& simulation, std::size_t index)
+    : holder([&simulation, index](const Catalog&) { simulation.sendState(index); })
+    , random(index + 1)
+    , source(simulation.store, index)
+    , follower(simulation.clock_, random, source, holder, CatalogFollowerSettings {}, { [](bool) {}, [](milliseconds) {} })
+    , nextState(simulation.clock_.now() + milliseconds(random.index(static_cast<std::size_t>(statePeriod.count()))))
+{
+}
+
+CatalogSimulation::CatalogSimulation(std::size_t entryCount, std::uint64_t seed)
+    : random_(seed)
+{
+    write();
+    for (std::size_t i = 0; i < entryCount; ++i)
+        entries_.push_back(std::make_unique<Entry>(*this, i));
+    for (const std::unique_ptr<Entry>& entry : entries_)
+        entry->follower.start();
+    run(milliseconds(1000));
+}
+
+std::uint64_t CatalogSimulation::write()
+{
+    std::uint64_t version = store.write();
+    acknowledgedAt_[version] = clock_.now();
+    return version;
+}
+
+void CatalogSimulation::run(milliseconds duration)
+{
+    for (milliseconds elapsed { 0 }; elapsed < duration; elapsed += step) {
+        clock_.advance(step);
+        store.tick();
+        while (!messages_.empty() && messages_.begin()->first <= clock_.now()) {
+            std::function<void()> message = std::move(messages_.begin()->second);
+            messages_.erase(messages_.begin());
+            message();
+        }
+        for (std::size_t i = 0; i < entries_.size(); ++i) {
+            Entry& entry = *entries_[i];
+            if (entry.isPaused)
+                continue;
+            bool isTickDue = (clock_.now().time_since_epoch() / step + static_cast<std::int64_t>(i)) % stepsPerTick == 0;
+            if (isTickDue)
+                entry.follower.tick();
+            if (clock_.now() < entry.nextState)
+                continue;
+            entry.nextState += statePeriod;
+            sendState(i);
+        }
+        check();
+    }
+}
+
+void CatalogSimulation::setPaused(std::size_t entry, bool isPaused)
+{
+    entries_[entry]->isPaused = isPaused;
+    if (isPaused)
+        return;
+    std::vector<std::function<void()>> waiting;
+    std::swap(waiting, entries_[entry]->waiting);
+    for (const std::function<void()>& message : waiting)
+        message();
+}
+
+void CatalogSimulation::sendState(std::size_t sender)
+{
+    State state { sender, entries_[sender]->holder.version() };
+    for (std::size_t peer = 0; peer < entries_.size(); ++peer) {
+        bool isSelected = peer != sender && (entries_.size() <= maxPeers || random_.index(entries_.size()) < maxPeers);
+        if (isSelected && cutLinks.count({ sender, peer }) == 0)
+            deliver(peer, [this, peer, state] { receiveState(peer, state); });
+    }
+}
+
+// As an entry does: sends its catalog to a peer that is behind.
+void CatalogSimulation::receiveState(std::size_t receiver, const State& state)
+{
+    Entry& entry = *entries_[receiver];
+    if (state.version >= entry.holder.version() || cutLinks.count({ receiver, state.sender }) != 0)
+        return;
+    std::uint64_t version = entry.holder.version();
+    deliver(state.sender, [this, peer = state.sender, version] { entries_[peer]->holder.applyIfNewer(store.catalog(version)); });
+}
+
+void CatalogSimulation::deliver(std::size_t receiver, std::function<void()> message)
+{
+    messages_.emplace(clock_.now() + stateLatency, [this, receiver, message = std::move(message)] {
+        if (entries_[receiver]->isPaused)
+            entries_[receiver]->waiting.push_back(message);
+        else
+            message();
+    });
+}
+
+void CatalogSimulation::check()
+{
+    std::uint64_t due = 0;
+    for (const auto& [version, time] : acknowledgedAt_) {
+        if (clock_.now() - time > applyBound)
+            due = version;
+    }
+    for (std::size_t i = 0; i < entries_.size() && violations_.size() < maxViolations; ++i) {
+        if (excused.count(i) == 0 && entries_[i]->holder.version() < due)
+            violations_.push_back("entry " + std::to_string(i) + " has version " + std::to_string(entries_[i]->holder.version()) + ", version " + std::to_string(due) + " is due");
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/Catalog/CatalogSimulation.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "Catalog/CatalogFollower.h"
+#include "Core/ManualClock.h"
+#include "Core/Random.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Damaskgrade {
+
+// A store that contains the catalog of the operator, and the network to it, in simulated time.
+class SimulatedCatalogStore {
+public:
+    explicit SimulatedCatalogStore(const Clock& clock)
+        : clock_(clock)
+    {
+    }
+
+    // Writes the next version of the catalog and returns its number. The write is acknowledged at once.
+    std::uint64_t write();
+
+    // While the store is silent, calls that reach it and answers that it owes are lost.
+    void setSilent(bool isSilent);
+
+    void read(std::size_t entry, CatalogSource::Done done);
+    void awaitChange(std::size_t entry, std::uint64_t revision, std::chrono::milliseconds wait, CatalogSource::Done done);
+
+    // Delivers what is due.
+    void tick();
+
+    std::uint64_t version() const { return version_; }
+    std::uint64_t calls() const { return calls_; }
+    CatalogVersion catalog(std::uint64_t version) const;
+
+    // Entries whose calls and answers are lost.
+    std::set<std::size_t> cutEntries;
+    std::chrono::milliseconds latency { 2 };
+
+private:
+    struct Watch {
+        std::size_t entry { 0 };
+        std::uint64_t revision { 0 };
+        TimePoint until;
+        std::shared_ptr<CatalogSource::Done> done;
+    };
+
+    void at(TimePoint time, std::function<void()> action) { events_.emplace(time, std::move(action)); }
+    // Fails the call after the time-out unless it has been answered by then.
+    void failAfter(std::chrono::milliseconds timeout, const std::shared_ptr<CatalogSource::Done>& done);
+    void answer(std::size_t entry, const std::shared_ptr<CatalogSource::Done>& done, bool withCatalog);
+    bool isReachable(std::size_t entry) const { return !isSilent_ && cutEntries.count(entry) == 0; }
+
+    const Clock& clock_;
+    std::multimap<TimePoint, std::function<void()>> events_;
+    std::vector<Watch> watches_;
+    std::uint64_t version_ { 0 };
+    std::uint64_t revision_ { 0 };
+    std::uint64_t calls_ { 0 };
+    bool isSilent_ { false };
+};
+
+// Entries that follow the catalog of one store and exchange their states.
+class CatalogSimulation {
+public:
+    // How the state of an entry reaches a peer: at most maxPeers randomly selected peers in each period.
+    static constexpr std::chrono::milliseconds statePeriod { 200 };
+    static constexpr std::size_t maxPeers = 24;
+
+    explicit CatalogSimulation(std::size_t entryCount, std::uint64_t seed = 1);
+
+    // Lets the time pass in steps and checks after each that all entries that are in touch have the versions in force that
+    // were acknowledged longer ago than the bound.
+    void run(std::chrono::milliseconds duration);
+
+    std::uint64_t write();
+
+    // A paused entry does nothing, and what it is sent waits.
+    void setPaused(std::size_t entry, bool isPaused);
+
+    // Returns when which entry was first late, or an empty text.
+    std::string firstViolation() const { return violations_.empty() ? "" : violations_.front(); }
+
+    std::uint64_t versionOf(std::size_t entry) const { return entries_[entry]->holder.version(); }
+
+    // Entries to which the bound does not apply, for example because they are paused.
+    std::set<std::size_t> excused;
+    // Pairs of entries between which no state passes.
+    std::set<std::pair<std::size_t, std::size_t>> cutLinks;
+    std::chrono::milliseconds stateLatency { 1 };
+
+private:
+    // The source of one entry.
+    struct Source : CatalogSource {
+        Source(SimulatedCatalogStore& usedStore, std::size_t usedEntry)
+            : store(usedStore)
+            , entry(usedEntry)
+        {
+        }
+
+        void read(Done done) override { store.read(entry, std::move(done)); }
+        void awaitChange(std::uint64_t revision, std::chrono::milliseconds timeout, Done done) override { store.awaitChange(entry, revision, timeout, std::move(done)); }
+        CatalogVersion decode(const std::string&) const override { return {}; }
+
+        SimulatedCatalogStore& store;
+        std::size_t entry;
+    };
+
+    struct Entry {
+        Entry(CatalogSimulation& simulation, std::size_t index);
+
+        CatalogHolder holder;
+        Random random;
+        Source source;
+        CatalogFollower follower;
+        TimePoint nextState;
+        bool isPaused { false };
+        std::vector<std::function<void()>> waiting;
+    };
+
+    // What an entry tells its peers.
+    struct State {
+        std::size_t sender { 0 };
+        std::uint64_t version { 0 };
+    };
+
+    void sendState(std::size_t sender);
+    void receiveState(std::size_t receiver, const State& state);
+    void deliver(std::size_t receiver, std::function<void()> message);
+    void check();
+
+    ManualClock clock_;
+    Random random_;
+    std::multimap<TimePoint, std::function<void()>> messages_;
+    std::vector<std::unique_ptr<Entry>> entries_;
+    // When each version was acknowledged.
+    std::map<std::uint64_t, TimePoint> acknowledgedAt_;
+    std::vector<std::string> violations_;
+
+public:
+    SimulatedCatalogStore store { clock_ };
+};
+
+}
