Gateway: Log when the store replaces its history, and positions that it does not have

The logs did not show positions in the history of the store, nor that the store had lost writes. The generation that the store states with each response is read now and passed on with the results; nothing is decided by it yet.

--- a/Source/Catalog/CatalogFollower.cpp
+++ b/Source/Catalog/CatalogFollower.cpp
@@ -85,6 +85,8 @@
         isReadNeeded_ = result.status == CatalogReadStatus::HistoryLost;
     }
     setReachable(true);
+    if (result.status == CatalogReadStatus::HistoryLost)
+        hooks_.onHistoryLost(revision_);
     if (result.status == CatalogReadStatus::Ok) {
         // The source may return a snapshot that is older than one it returned before.
         revision_ = std::max(revision_, result.revision);
--- a/Source/Catalog/CatalogFollower.h
+++ b/Source/Catalog/CatalogFollower.h
@@ -38,6 +38,8 @@
     std::function<void(bool)> onReachable;
     // Called with the duration of each read that failed.
     std::function<void(std::chrono::milliseconds)> onReadFailed;
+    // Called with the revision after which the source no longer has the changes.
+    std::function<void(std::uint64_t)> onHistoryLost;
     // Returns whether a peer watches the source, so that this entry need not do so.
     std::function<bool()> isWatchedByPeer;
 };
--- a/Source/Catalog/CatalogSource.h
+++ b/Source/Catalog/CatalogSource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Catalog/CatalogHolder.h"
+#include "Platform/StoreGeneration.h"
 
 #include <chrono>
 #include <cstdint>
@@ -24,8 +25,9 @@
     CatalogReadStatus status { CatalogReadStatus::Unavailable };
     // Contains no catalog if there is none, if it has not changed, or if it could not be decoded.
     CatalogVersion version;
-    // The revision to pass to the next call of awaitChange.
+    // The revision to pass to the next call of awaitChange, and the generation that it belongs to.
     std::uint64_t revision { 0 };
+    StoreGeneration generation { 0 };
     // When the source made this answer.
     SourceTime time { 0 };
 };
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -134,6 +134,7 @@
     catalogHooks.onReadFailed = [this](std::chrono::milliseconds elapsed) {
         log_.write(LogLine("catalogReadFailed").add("catalog", catalog_.version()).add("elapsedMs", elapsed.count()));
     };
+    catalogHooks.onHistoryLost = [this](std::uint64_t revision) { log_.write(LogLine("catalogHistoryLost").add("catalog", catalog_.version()).add("revision", revision)); };
     catalogHooks.isWatchedByPeer = [this] { return isCatalogWatchedByPeer(); };
     catalogFollower_ = std::make_unique<CatalogFollower>(clock_, random_, platform_.catalog, catalog_, CatalogFollowerSettings { settings_.catalogApplyBound }, catalogHooks);
     catalogFollower_->tick();
@@ -171,6 +172,15 @@
     log_.write(LogLine("reloaded").add("catalog", catalog_.version()).add("shutdownGraceMs", settings.shutdownGrace.count()));
 }
 
+void GatewayProcess::handleStoreGeneration(StoreGeneration generation)
+{
+    if (generation <= storeGeneration_)
+        return;
+    StoreGeneration previous = std::exchange(storeGeneration_, generation);
+    if (previous > 0)
+        log_.write(LogLine("storeHistoryReplaced").add("generation", generation).add("catalog", catalog_.version()));
+}
+
 EntryStateMessage GatewayProcess::localState()
 {
     EntryStateMessage state;
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -50,6 +50,9 @@
     // Applies the settings that can change at run time. Listen addresses are not changed.
     void reload(const GatewaySettings& settings);
 
+    // Handles the generation that the store has stated. Lower generations than before, of late responses, are ignored.
+    void handleStoreGeneration(StoreGeneration generation);
+
 private:
     EntryStateMessage localState();
     void handleQuarantineEvent(PromptPart part, QuarantineEvent event, std::uint32_t crashes, bool isLocal);
@@ -107,6 +110,7 @@
     std::unique_ptr<Timer> shutdownTimer_;
     std::map<std::string, TimePoint> catalogSentAt_;
     std::set<std::string> knownServers_;
+    StoreGeneration storeGeneration_ { 0 };
     bool isStateSendPosted_ { false };
     bool isDraining_ { false };
     TimePoint drainStartedAt_;
--- a/Source/Platform/Table.h
+++ b/Source/Platform/Table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/ResultCode.h"
+#include "Platform/StoreGeneration.h"
 
 #include <cstdint>
 #include <functional>
@@ -33,12 +34,14 @@
     ResultCode status { ResultCode::TableUnavailable };
     // The requested rows that exist, or all rows that a scan found.
     std::vector<TableRow> rows;
+    StoreGeneration generation { 0 };
 };
 
 // The result of a write. The status is Ok, TableConflict (nothing was written) or TableUnavailable
 // (it is unknown whether the transaction was applied).
 struct TableWriteResult {
     ResultCode status { ResultCode::TableUnavailable };
+    StoreGeneration generation { 0 };
 };
 
 // The platform's transactional table service.
--- a/Tests/Catalog/CatalogFollowerTest.cpp
+++ b/Tests/Catalog/CatalogFollowerTest.cpp
@@ -85,7 +85,7 @@
     std::vector<bool> reachable;
     bool isWatchedByPeer { false };
     int failedReads { 0 };
-    CatalogFollowerHooks hooks { [this](bool isReachable) { reachable.push_back(isReachable); }, [this](std::chrono::milliseconds) { ++failedReads; }, [this] { return isWatchedByPeer; } };
+    CatalogFollowerHooks hooks { [this](bool isReachable) { reachable.push_back(isReachable); }, [this](std::chrono::milliseconds) { ++failedReads; }, [](std::uint64_t) {}, [this] { return isWatchedByPeer; } };
     CatalogFollower follower { clock, random, source, holder, CatalogFollowerSettings {}, hooks };
 };
 
--- a/Tests/Catalog/CatalogSimulation.cpp
+++ b/Tests/Catalog/CatalogSimulation.cpp
@@ -117,7 +117,7 @@
     : holder([&simulation, index](const Catalog&) { simulation.sendState(index); })
     , random(index + 1)
     , source(simulation.store, index)
-    , follower(simulation.clock_, random, source, holder, CatalogFollowerSettings {}, { [](bool) {}, [](milliseconds) {}, [&simulation, index] { return simulation.isWatchedByPeer(index); } })
+    , follower(simulation.clock_, random, source, holder, CatalogFollowerSettings {}, { [](bool) {}, [](milliseconds) {}, [](std::uint64_t) {}, [&simulation, index] { return simulation.isWatchedByPeer(index); } })
     , nextState(simulation.clock_.now() + milliseconds(random.index(static_cast<std::size_t>(statePeriod.count()))))
 {
 }
