--- a/Tests/Catalog/CatalogApplyBoundTest.cpp
+++ b/Tests/Catalog/CatalogApplyBoundTest.cpp
@@ -119,6 +119,40 @@
     }
 }
 
+// Guards against a position in a history that the store has lost: a change that gets this position is taken for known.
+TEST_CASE("changes are in force in time after the store has lost its last writes" * doctest::should_fail())
+{
+    for (int lostWrites = 0; lostWrites <= 12; ++lostWrites) {
+        for (int laterWrites = 0; laterWrites <= 14; ++laterWrites) {
+            CatalogSimulation simulation(today);
+            simulation.run(seconds(2));
+            for (int i = 0; i < lostWrites; ++i) {
+                simulation.run(milliseconds(100));
+                simulation.store.writeOther();
+            }
+            simulation.write();
+            simulation.run(seconds(1));
+            milliseconds away(laterWrites % 3 == 0 ? 0 : 2000);
+            simulation.store.setSilent(true);
+            simulation.run(away);
+            simulation.store.restore(milliseconds(lostWrites * 100 + 2000) + away);
+            simulation.store.setSilent(false);
+            simulation.run(milliseconds(20));
+            simulation.store.writeAgain();
+            simulation.run(seconds(2));
+            for (int i = 0; i < laterWrites; ++i) {
+                simulation.store.writeOther();
+                simulation.run(milliseconds(laterWrites % 2 == 0 ? 10 : 300));
+            }
+            std::uint64_t calls = simulation.store.calls();
+            simulation.write();
+            simulation.run(seconds(3));
+            CHECK_MESSAGE(simulation.firstViolation() == "", lostWrites << " other writes are lost, " << laterWrites << " are made before the next change");
+            CHECK_MESSAGE(simulation.store.calls() - calls <= 30, lostWrites << " other writes are lost, " << laterWrites << " are made before the next change");
+        }
+    }
+}
+
 // Guards against calls to the store that grow with the entries, or that an outage multiplies.
 TEST_CASE("the calls to the store stay within the rates of the store")
 {
--- a/Tests/Catalog/CatalogSimulation.cpp
+++ b/Tests/Catalog/CatalogSimulation.cpp
@@ -21,13 +21,31 @@
 
 std::uint64_t SimulatedCatalogStore::write()
 {
-    ++version_;
-    ++revision_;
+    put(++version_);
+    return version_;
+}
+
+void SimulatedCatalogStore::put(std::uint64_t version)
+{
+    ++content_.revision;
+    content_.version = version;
+    content_.catalogRevision = content_.revision;
     std::vector<Watch> watches;
     std::swap(watches, watches_);
     for (const Watch& watch : watches)
         answer(watch.entry, watch.done, true);
-    return version_;
+}
+
+void SimulatedCatalogStore::restore(milliseconds age)
+{
+    content_ = std::prev(history_.upper_bound(std::max(history_.begin()->first, clock_.now() - age)))->second;
+    ++generation_;
+}
+
+void SimulatedCatalogStore::writeAgain()
+{
+    if (content_.version != version_)
+        put(version_);
 }
 
 void SimulatedCatalogStore::setSilent(bool isSilent)
@@ -56,7 +74,9 @@
     at(clock_.now() + latency, [this, entry, revision, wait, pending] {
         if (!isReachable(entry))
             return;
-        if (revision < revision_)
+        if (revision > content_.revision)
+            respond(entry, pending, { CatalogReadStatus::HistoryLost, {}, 0, statesGeneration ? generation_ : 0 });
+        else if (revision < content_.catalogRevision)
             answer(entry, pending, true);
         else
             watches_.push_back({ entry, revision, clock_.now() + wait, pending });
@@ -65,6 +85,7 @@
 
 void SimulatedCatalogStore::tick()
 {
+    history_[clock_.now()] = content_;
     while (!events_.empty() && events_.begin()->first <= clock_.now()) {
         std::function<void()> action = std::move(events_.begin()->second);
         events_.erase(events_.begin());
@@ -101,10 +122,16 @@
 {
     CatalogReadResult result;
     result.status = CatalogReadStatus::Ok;
-    result.revision = revision_;
+    result.revision = content_.revision;
+    result.generation = statesGeneration ? generation_ : 0;
     result.time = std::chrono::duration_cast<SourceTime>(clock_.now().time_since_epoch());
     if (withCatalog)
-        result.version = catalog(version_);
+        result.version = catalog(content_.version);
+    respond(entry, done, result);
+}
+
+void SimulatedCatalogStore::respond(std::size_t entry, const std::shared_ptr<CatalogSource::Done>& done, const CatalogReadResult& result)
+{
     at(clock_.now() + latency, [this, entry, done, result] {
         if (!isReachable(entry))
             return;
--- a/Tests/Catalog/CatalogSimulation.h
+++ b/Tests/Catalog/CatalogSimulation.h
@@ -25,6 +25,15 @@
     // Writes the next version of the catalog and returns its number. The write is acknowledged at once.
     std::uint64_t write();
 
+    // Another client writes to another table. All tables share the counter of revisions.
+    void writeOther() { ++content_.revision; }
+
+    // Returns to the state of some time ago, with a new generation. What was written since is lost.
+    void restore(std::chrono::milliseconds age);
+
+    // The operator writes the newest version that was acknowledged again.
+    void writeAgain();
+
     // While the store is silent, calls that reach it and answers that it owes are lost.
     void setSilent(bool isSilent);
 
@@ -34,6 +43,7 @@
     // Delivers what is due.
     void tick();
 
+    // The newest version that was acknowledged.
     std::uint64_t version() const { return version_; }
     std::uint64_t calls() const { return calls_; }
     CatalogVersion catalog(std::uint64_t version) const;
@@ -41,10 +51,20 @@
     // Entries whose calls and answers are lost.
     std::set<std::size_t> cutEntries;
     std::chrono::milliseconds latency { 2 };
+    // Without generations, as in a store that does not state them, the others are used as usual.
+    bool statesGeneration { true };
     // After this time, in addition to the time that the store may take, a call fails.
     std::chrono::milliseconds callTimeout { 900 };
 
 private:
+    // The catalog and the revisions at one time.
+    struct Content {
+        std::uint64_t version { 0 };
+        // Revision of the last write of the catalog.
+        std::uint64_t catalogRevision { 0 };
+        std::uint64_t revision { 0 };
+    };
+
     struct Watch {
         std::size_t entry { 0 };
         std::uint64_t revision { 0 };
@@ -55,14 +75,18 @@
     void at(TimePoint time, std::function<void()> action) { events_.emplace(time, std::move(action)); }
     // Fails the call after the time-out unless it has been answered by then.
     void failAfter(std::chrono::milliseconds timeout, const std::shared_ptr<CatalogSource::Done>& done);
+    void put(std::uint64_t version);
     void answer(std::size_t entry, const std::shared_ptr<CatalogSource::Done>& done, bool withCatalog);
+    void respond(std::size_t entry, const std::shared_ptr<CatalogSource::Done>& done, const CatalogReadResult& result);
     bool isReachable(std::size_t entry) const { return !isSilent_ && cutEntries.count(entry) == 0; }
 
     const Clock& clock_;
     std::multimap<TimePoint, std::function<void()>> events_;
     std::vector<Watch> watches_;
     std::uint64_t version_ { 0 };
-    std::uint64_t revision_ { 0 };
+    Content content_;
+    std::map<TimePoint, Content> history_;
+    StoreGeneration generation_ { 1 };
     std::uint64_t calls_ { 0 };
     bool isSilent_ { false };
 };
