--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -10,20 +10,26 @@
     , settings_(settings)
     , onLeave_(std::move(onLeave))
     , graceUntil_(clock.now())
+    , copyUntil_(clock.now())
 {
 }
 
 bool FleetView::apply(const FleetSnapshot& snapshot, TimePoint readAt)
 {
-    if (hasData_ && (snapshot.revision < lastSnapshot_.revision || readAt < asOf_))
+    if (hasData_ && (snapshot.position < lastSnapshot_.position || readAt < asOf_))
         return false;
     if (hasData_ && hasReadFailed_ && readAt - asOf_ > settings_.outageThreshold)
         graceUntil_ = clock_.now() + settings_.returnGrace;
+    if (hasData_ && snapshot.position.generation > lastSnapshot_.position.generation) {
+        graceUntil_ = clock_.now() + settings_.returnGrace;
+        copyUntil_ = clock_.now() + settings_.copyLifetime;
+    }
     hasReadFailed_ = false;
     asOf_ = readAt;
     hasData_ = true;
     bool isChanged = !(lastSnapshot_.servers == snapshot.servers);
     lastSnapshot_ = snapshot;
+    removeOldLeftServers();
 
     std::map<std::string, ServerRecord, std::less<>> next;
     for (const ServerRecord& listed : snapshot.servers) {
@@ -32,7 +38,7 @@
         bool isReplaced = std::any_of(snapshot.servers.begin(), snapshot.servers.end(), [&listed](const ServerRecord& other) {
             return other.address == listed.address && other.startedAt > listed.startedAt;
         });
-        if (isReplaced)
+        if (isReplaced || hasLeft(listed))
             continue;
         ServerRecord record = listed;
         auto known = servers_.find(record.id);
@@ -52,6 +58,7 @@
             continue;
         }
         isChanged = true;
+        left_[id] = { record.address, record.startedAt, clock_.now() };
         if (!record.isDraining)
             onLeave_(record);
     }
@@ -59,6 +66,25 @@
     return isChanged;
 }
 
+// Forgets a server that is listed again, unless the list may be a copy from before it left.
+bool FleetView::hasLeft(const ServerRecord& listed)
+{
+    auto left = left_.find(listed.id);
+    if (left == left_.end())
+        return false;
+    bool isSameStart = left->second.address == listed.address && left->second.startedAt == listed.startedAt;
+    if (isSameStart && clock_.now() < copyUntil_)
+        return true;
+    left_.erase(left);
+    return false;
+}
+
+void FleetView::removeOldLeftServers()
+{
+    for (auto left = left_.begin(); left != left_.end();)
+        left = clock_.now() - left->second.leftAt > settings_.leftMemory ? left_.erase(left) : std::next(left);
+}
+
 void FleetView::recordReadFailure()
 {
     hasReadFailed_ = true;
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -2,19 +2,32 @@
 
 #include "Core/Clock.h"
 #include "Fleet/ServerRecord.h"
+#include "Platform/StoreGeneration.h"
 
 #include <functional>
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace Damaskgrade {
 
+// A position in the history of the registry.
+struct FleetPosition {
+    StoreGeneration generation { 0 };
+    // Increases with each change of the registry within a generation.
+    std::uint64_t revision { 0 };
+};
+
+inline bool operator<(const FleetPosition& left, const FleetPosition& right)
+{
+    return std::tie(left.generation, left.revision) < std::tie(right.generation, right.revision);
+}
+
 // The content of the registry at one point in time.
 struct FleetSnapshot {
-    // Increases with each change of the registry.
-    std::uint64_t revision { 0 };
+    FleetPosition position;
     std::vector<ServerRecord> servers;
 };
 
@@ -25,11 +38,18 @@
     // How long missing servers are kept after an outage of the registry. Live servers register again within about two
     // seconds after the registry is available again.
     Duration returnGrace { std::chrono::milliseconds(2300) };
+    // How long a new generation may list servers that have left, because it began as a copy.
+    Duration copyLifetime { std::chrono::seconds(10) };
+    // How long servers that have left are remembered.
+    Duration leftMemory { std::chrono::seconds(60) };
 };
 
 // Holds the backend servers that the registry lists. A server that is missing right after an outage of the registry is
 // kept for a grace period, because its registry record may have expired during the outage. A server that was listed as
 // draining stays draining until it restarts, that is, until its address or start time changes.
+//
+// A new generation of the registry may be a copy some seconds old. Missing servers are kept as after an outage, and
+// servers that had left stay away until they restart or the lifetime of the copy has passed.
 class FleetView {
 public:
     // Called once for each server that starts to drain or is removed without having drained.
@@ -38,7 +58,7 @@
     FleetView(const Clock& clock, FleetViewSettings settings, LeaveObserver onLeave);
 
     // Applies a snapshot that describes the registry at readAt or later. Returns whether anything changed.
-    // A snapshot with a lower revision or an earlier time than the last one is ignored.
+    // A snapshot with a lower position or an earlier time than the last one is ignored.
     bool apply(const FleetSnapshot& snapshot, TimePoint readAt);
 
     // Records that a read of the registry failed.
@@ -60,6 +80,15 @@
     TimePoint asOf() const { return asOf_; }
 
 private:
+    struct LeftServer {
+        Endpoint address;
+        std::int64_t startedAt { 0 };
+        TimePoint leftAt;
+    };
+
+    bool hasLeft(const ServerRecord& listed);
+    void removeOldLeftServers();
+
     const Clock& clock_;
     FleetViewSettings settings_;
     LeaveObserver onLeave_;
@@ -69,6 +98,10 @@
     bool hasReadFailed_ { false };
     TimePoint asOf_;
     TimePoint graceUntil_;
+    // Until then, the registry may list servers that have left.
+    TimePoint copyUntil_;
+    // Servers that have left, by id.
+    std::map<std::string, LeftServer, std::less<>> left_;
 };
 
 }
--- a/Source/Gateway/FleetReader.cpp
+++ b/Source/Gateway/FleetReader.cpp
@@ -80,16 +80,18 @@
     if (!view_.hasData())
         return;
     TimePoint knownAt = clock_.now() - state.fleetAge;
-    if (state.fleetDigest == digest_) {
+    const FleetPosition& position = view_.lastSnapshot().position;
+    bool isSameHistory = state.fleetPosition.generation >= position.generation;
+    if (state.fleetDigest == digest_ && isSameHistory) {
         // The peer has the same servers. If its snapshot is more recent, it confirms the local one.
         if (knownAt > view_.asOf()) {
             FleetSnapshot confirmed = view_.lastSnapshot();
-            confirmed.revision = std::max(confirmed.revision, state.fleetRevision);
+            confirmed.position = std::max(confirmed.position, state.fleetPosition);
             view_.apply(confirmed, knownAt);
         }
         return;
     }
-    bool isPeerBehind = state.fleetRevision < view_.lastSnapshot().revision;
+    bool isPeerBehind = state.fleetPosition < position;
     TimePoint& sentAt = sentAt_[state.name];
     if (isPeerBehind && clock_.now() - sentAt >= resendPeriod) {
         sentAt = clock_.now();
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -195,7 +195,7 @@
     state.rateLimits = rateLimits_.nextReports();
     if (fleetReader_) {
         state.fleetDigest = fleetReader_->digest();
-        state.fleetRevision = fleet_.lastSnapshot().revision;
+        state.fleetPosition = fleet_.lastSnapshot().position;
         state.fleetAge = fleetReader_->age();
     }
     return state;
--- a/Source/Peers/PeerMessages.cpp
+++ b/Source/Peers/PeerMessages.cpp
@@ -80,7 +80,7 @@
         { { "n", message.name }, { "i", message.incarnation }, { "l", formatEndpoint(message.link) }, { "c", formatEndpoint(message.callers) },
             { "z", message.availabilityZone }, { "r", message.isReady }, { "d", message.isDraining }, { "v", message.catalog.version }, { "cg", message.catalog.generation },
             { "ct", sourceTimeToNumber(message.catalog.completeUntil) }, { "ca", sourceTimeToNumber(message.catalog.answeredAt) },
-            { "fd", message.fleetDigest }, { "fr", message.fleetRevision }, { "fa", message.fleetAge.count() }, { "f", counts }, { "s", suspects }, { "rl", rateLimits } });
+            { "fd", message.fleetDigest }, { "fg", message.fleetPosition.generation }, { "fr", message.fleetPosition.revision }, { "fa", message.fleetAge.count() }, { "f", counts }, { "s", suspects }, { "rl", rateLimits } });
 }
 
 Frame encodeMessage(const CatalogTextMessage& message, HybridTime time)
@@ -93,7 +93,7 @@
     Json servers = Json::array();
     for (const ServerRecord& server : message.snapshot.servers)
         servers.push_back(serverToJson(server));
-    return makeFrame(FleetMessage::type, time, { { "r", message.snapshot.revision }, { "a", message.age.count() }, { "s", servers } });
+    return makeFrame(FleetMessage::type, time, { { "g", message.snapshot.position.generation }, { "r", message.snapshot.position.revision }, { "a", message.age.count() }, { "s", servers } });
 }
 
 EntryStateMessage decodeEntryState(ByteView body)
@@ -112,7 +112,7 @@
         message.catalog.completeUntil = sourceTimeFromNumber(json.value("ct", std::int64_t { -1 }));
         message.catalog.answeredAt = sourceTimeFromNumber(json.value("ca", std::int64_t { -1 }));
         message.fleetDigest = json.at("fd").get<std::uint64_t>();
-        message.fleetRevision = json.at("fr").get<std::uint64_t>();
+        message.fleetPosition = { json.value("fg", StoreGeneration { 0 }), json.at("fr").get<std::uint64_t>() };
         message.fleetAge = std::chrono::milliseconds(json.at("fa").get<std::int64_t>());
         for (const auto& [server, count] : json.at("f").items())
             message.inFlight.emplace(server, count.get<std::uint32_t>());
@@ -133,7 +133,7 @@
 {
     return decodeBody(FleetMessage::type, body, [](const Json& json) {
         FleetMessage message;
-        message.snapshot.revision = json.at("r").get<std::uint64_t>();
+        message.snapshot.position = { json.value("g", StoreGeneration { 0 }), json.at("r").get<std::uint64_t>() };
         message.age = std::chrono::milliseconds(json.at("a").get<std::int64_t>());
         for (const Json& server : json.at("s"))
             message.snapshot.servers.push_back(serverFromJson(server));
--- a/Source/Peers/PeerMessages.h
+++ b/Source/Peers/PeerMessages.h
@@ -29,9 +29,9 @@
     bool isReady { false };
     bool isDraining { false };
     CatalogKnowledge catalog;
-    // Hash of the servers in the last registry snapshot of the entry, the revision of that snapshot and its age.
+    // Hash of the servers in the last registry snapshot of the entry, the position of that snapshot and its age.
     std::uint64_t fleetDigest { 0 };
-    std::uint64_t fleetRevision { 0 };
+    FleetPosition fleetPosition;
     std::chrono::milliseconds fleetAge { 0 };
     InFlightCounts inFlight;
     std::vector<SuspectReport> suspects;
--- a/Tests/Fleet/FleetViewTest.cpp
+++ b/Tests/Fleet/FleetViewTest.cpp
@@ -25,7 +25,7 @@
     std::vector<std::string> leftServers;
     FleetView view { clock, FleetViewSettings(), [this](const ServerRecord& record) { leftServers.push_back(record.id); } };
 
-    void apply(std::uint64_t revision, std::vector<ServerRecord> servers) { view.apply({ revision, std::move(servers) }, clock.now()); }
+    void apply(std::uint64_t revision, std::vector<ServerRecord> servers, StoreGeneration generation = 1) { view.apply({ { generation, revision }, std::move(servers) }, clock.now()); }
 };
 
 }
@@ -95,4 +95,58 @@
     CHECK(fixture.view.ready("s").front()->id == "a");
 }
 
+// Guards against requests to servers that drain or left after the registry has lost its last writes: its revisions are lower.
+TEST_CASE("snapshots of a new generation are applied although their revisions are lower, and those of the one before are not")
+{
+    FleetFixture fixture;
+    fixture.apply(60, { server("a", 1), server("b", 2) });
+    fixture.apply(41, { server("a", 1, true), server("b", 2) }, 2);
+    REQUIRE(fixture.view.ready("s").size() == 1);
+    fixture.apply(61, { server("a", 1), server("b", 2), server("c", 3) });
+    CHECK(fixture.view.ready("s").size() == 1);
+}
+
+// Guards against servers that a copy of the registry lacks, because they registered after it was made.
+TEST_CASE("servers that a new generation lacks are kept for the grace period")
+{
+    FleetFixture fixture;
+    fixture.apply(60, { server("a", 1), server("b", 2) });
+    fixture.apply(41, { server("a", 1) }, 2);
+    CHECK(fixture.view.ready("s").size() == 2);
+    fixture.clock.advance(std::chrono::milliseconds(2400));
+    fixture.apply(42, { server("a", 1) }, 2);
+    CHECK(fixture.view.ready("s").size() == 1);
+}
+
+// Guards against requests to servers that have left, and against restarted servers that are taken for them.
+TEST_CASE("a server that has left stays away while a copy of the registry lists it, unless it has started again")
+{
+    FleetFixture fixture;
+    fixture.apply(60, { server("a", 1), server("b", 2), server("c", 3), server("d", 4, true) });
+    fixture.apply(61, { server("a", 1) });
+    REQUIRE(fixture.view.ready("s").size() == 1);
+    fixture.apply(41, { server("a", 1), server("b", 2), server("c", 3, false, 7), server("d", 4) }, 2);
+    CHECK(fixture.view.find("b") == nullptr);
+    CHECK(fixture.view.find("c") != nullptr);
+    CHECK(fixture.view.find("d") == nullptr);
+    fixture.clock.advance(std::chrono::seconds(5));
+    fixture.apply(30, { server("a", 1), server("b", 2) }, 3);
+    CHECK(fixture.view.find("b") == nullptr);
+    fixture.clock.advance(std::chrono::seconds(11));
+    fixture.apply(44, { server("a", 1), server("b", 2) }, 3);
+    CHECK(fixture.view.find("b") != nullptr);
+}
+
+// Guards against a server that does not come back after its record had expired within one generation.
+TEST_CASE("a server that is listed again in the same generation is used again")
+{
+    FleetFixture fixture;
+    fixture.apply(60, { server("a", 1), server("b", 2) });
+    fixture.apply(61, { server("a", 1) });
+    fixture.apply(62, { server("a", 1), server("b", 2) });
+    CHECK(fixture.view.ready("s").size() == 2);
+    fixture.apply(12, { server("a", 1), server("b", 2) }, 2);
+    CHECK(fixture.view.ready("s").size() == 2);
+}
+
 }
--- a/Tests/Forwarding/ServerSelectorTest.cpp
+++ b/Tests/Forwarding/ServerSelectorTest.cpp
@@ -50,7 +50,7 @@
     EntriesSimulation()
     {
         FleetSnapshot snapshot;
-        snapshot.revision = 1;
+        snapshot.position.revision = 1;
         for (std::size_t i = 0; i < serverCount; ++i) {
             ServerRecord server;
             server.id = "s" + std::to_string(i);
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -87,7 +87,7 @@
         record.address = servers.back()->endpoint();
         record.slots = slots;
         snapshot.servers.push_back(record);
-        ++snapshot.revision;
+        ++snapshot.position.revision;
         fleet.apply(snapshot, clock.now());
         return *servers.back();
     }
