RankMaps: Give no term out again after the table has lost its rows

After a loss the row shows an earlier term, so that an agent without contact to the controller could acquire a term that was already used, and the orders of two controllers would pass the same fence.

Change: the terms of a generation are above those of lower ones. A write that is answered by another generation than the read before it does not acquire the lease. A controller whose term is of a lost history acquires a new one; agents see the generation in the term of its messages, read the rows of their group and write their own again if it is missing.

--- a/Source/RankMaps/ControllerLease.cpp
+++ b/Source/RankMaps/ControllerLease.cpp
@@ -1,5 +1,6 @@
 #include "RankMaps/ControllerLease.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -28,6 +29,11 @@
     return row;
 }
 
+std::uint64_t lowestTerm(StoreGeneration generation)
+{
+    return generation == 0 ? 0 : (generation - 1) * ControllerLease::termsPerGeneration;
+}
+
 }
 
 ControllerLease::ControllerLease(Table& table, const std::string& group, std::string name, Changed onChanged, Failed onFailed)
@@ -54,7 +60,7 @@
         if (row.term > knownTerm)
             onChanged_(row.term, row.controller);
         else
-            write(knownTerm + 1, row.version);
+            write(std::max(knownTerm, lowestTerm(result.generation)) + 1, row.version, result.generation);
     });
 }
 
@@ -73,14 +79,15 @@
     });
 }
 
-void ControllerLease::write(std::uint64_t term, RowVersion version)
+void ControllerLease::write(std::uint64_t term, RowVersion version, StoreGeneration generation)
 {
     isBusy_ = true;
     // If the write succeeds but its acknowledgement is lost, the next read returns the row with this name, and the
     // lease counts as acquired.
-    table_.write({ { key_, std::to_string(term) + " " + name_, version } }, [this, term](const TableWriteResult& result) {
+    table_.write({ { key_, std::to_string(term) + " " + name_, version } }, [this, term, generation](const TableWriteResult& result) {
         isBusy_ = false;
-        if (result.status == ResultCode::Ok)
+        // Versions of another generation than that of the read can't be compared, so the condition proves nothing.
+        if (result.status == ResultCode::Ok && result.generation == generation)
             onChanged_(term, name_);
         else
             onFailed_();
--- a/Source/RankMaps/RankAgentProcess.cpp
+++ b/Source/RankMaps/RankAgentProcess.cpp
@@ -21,6 +21,8 @@
 // Agents seldom start or stop, and at this rate it costs little that each agent reads all rows.
 constexpr std::chrono::milliseconds agentScanPeriod { 30000 };
 constexpr std::chrono::milliseconds agentScanRetryDelay { 2000 };
+// Half of the longest delay before the rows are read after the table has lost writes.
+constexpr std::chrono::milliseconds agentScanAfterLoss { 1000 };
 
 }
 
@@ -66,26 +68,63 @@
     });
 }
 
-// Keeps a list of the agents, because this agent may have to take control while the table is unavailable.
+// Keeps a list of the agents, because this agent may have to take control while the table is unavailable. Writes the row
+// of this agent again if the table has lost it.
 void RankAgentProcess::readAgents()
 {
     platform_.table.scan(rankAgentGroupPrefix(leaseGroup_), [this](const TableReadResult& result) {
         bool isRead = result.status == ResultCode::Ok;
-        if (isRead)
+        if (isRead) {
             knownAgents_ = parseRankAgentRows(result.rows);
-        std::chrono::milliseconds delay = isRead ? agentScanPeriod : agentScanRetryDelay;
-        agentsTimer_ = loop_.after(delay + std::chrono::milliseconds(random_.index(static_cast<std::size_t>(delay.count()))), [this] { readAgents(); });
+            bool isRegistered = std::any_of(knownAgents_.begin(), knownAgents_.end(), [this](const RankAgentRow& agent) {
+                return agent.name == settings_.name && agent.link == settings_.link && agent.engine == settings_.engine;
+            });
+            if (!isRegistered)
+                registerAgent();
+        }
+        scheduleAgentScan(isRead ? agentScanPeriod : agentScanRetryDelay);
     });
 }
 
+// Random, so that the agents do not all read in the same moment.
+void RankAgentProcess::scheduleAgentScan(std::chrono::milliseconds delay)
+{
+    agentsTimer_ = loop_.after(delay + std::chrono::milliseconds(random_.index(static_cast<std::size_t>(delay.count()))), [this] { readAgents(); });
+}
+
+void RankAgentProcess::handleStoreGeneration(StoreGeneration generation)
+{
+    if (generation <= storeGeneration_)
+        return;
+    StoreGeneration previous = std::exchange(storeGeneration_, generation);
+    if (previous == 0)
+        return;
+    log_.write(LogLine("storeHistoryReplaced").add("generation", generation).add("group", leaseGroup_).add("term", agent_.term()));
+    if (lease_)
+        scheduleAgentScan(agentScanAfterLoss);
+}
+
+// Returns whether this agent controls its group under a term of a history that the table has lost.
+bool RankAgentProcess::isLeaseLost() const
+{
+    return control_ && control_->mayPlan() && ControllerLease::generationOf(control_->term()) < storeGeneration_;
+}
+
 void RankAgentProcess::receive(const std::shared_ptr<LinkSession>& session, const Frame& frame)
 {
     hybridClock_.observe(frame.time);
+    auto observeTerm = [this](std::uint64_t term) {
+        // Before the first response of the table, its generation is not known to have changed.
+        if (storeGeneration_ > 0)
+            handleStoreGeneration(ControllerLease::generationOf(term));
+    };
     auto sendStatus = [this, session](const RankStatus& status) { session->send(encodeMessage(status, hybridClock_.tick())); };
     try {
         if (frame.type == RankStatusRequest::type) {
             RankStatusRequest request = decodeRankStatusRequest(frame.body);
             bool isForLocalGroup = !agent_.isOtherGroup(request.group);
+            if (isForLocalGroup)
+                observeTerm(request.term);
             if (control_ && isForLocalGroup && request.term >= control_->term() && request.controller != settings_.name)
                 stopControl(request.term);
             agent_.receive(request, sendStatus);
@@ -101,7 +140,7 @@
 void RankAgentProcess::tick()
 {
     log_.flush();
-    if (control_ && control_->mayPlan())
+    if (control_ && control_->mayPlan() && !isLeaseLost())
         return;
     takeOverIfControllerTimedOut();
 }
--- a/Source/RankMaps/RankAgentProcess.h
+++ b/Source/RankMaps/RankAgentProcess.h
@@ -28,11 +28,16 @@
     RankAgentProcess(const RankAgentProcess&) = delete;
     RankAgentProcess& operator=(const RankAgentProcess&) = delete;
 
+    // Handles the generation that the table has stated. Lower generations than before, of late responses, are ignored.
+    void handleStoreGeneration(StoreGeneration generation);
+
 private:
     void registerAgent();
     void readAgents();
     void receive(const std::shared_ptr<LinkSession>& session, const Frame& frame);
     void tick();
+    bool isLeaseLost() const;
+    void scheduleAgentScan(std::chrono::milliseconds delay);
     void takeOverIfControllerTimedOut();
     void leaseChanged(std::uint64_t term, const std::string& controller);
     void leaseFailed();
@@ -62,6 +67,7 @@
     // The agents of the group when the table was last read.
     std::vector<RankAgentRow> knownAgents_;
     TimePoint leaseTriedAt_;
+    StoreGeneration storeGeneration_ { 0 };
     TimePoint reportRequestedAt_;
 };
 
--- a/Tests/RankMaps/RankAgentProcessTest.cpp
+++ b/Tests/RankMaps/RankAgentProcessTest.cpp
@@ -61,11 +61,20 @@
             if (result.status == ResultCode::Ok && write.value)
                 rows[write.key] = { write.key, *write.value, ++version_ };
         }
+        result.generation = generation;
         loop_.post([result, done] { done(result); });
     }
 
+    // Returns to earlier rows, which begins a new generation.
+    void restore(const std::map<std::string, TableRow>& copy)
+    {
+        rows = copy;
+        ++generation;
+    }
+
     bool isDown { false };
     std::map<std::string, TableRow> rows;
+    StoreGeneration generation { 1 };
 
 private:
     void respond(TableReadResult result, const std::function<void(const TableReadResult&)>& done)
@@ -73,6 +82,7 @@
         result.status = isDown ? ResultCode::TableUnavailable : ResultCode::Ok;
         if (isDown)
             result.rows.clear();
+        result.generation = generation;
         loop_.post([result, done] { done(result); });
     }
 
@@ -211,4 +221,21 @@
     CHECK(simulation.areAllRanksArmed());
 }
 
+// Guards against a controller that goes on under a term which the table has lost, and against agents that are missing.
+TEST_CASE("after the table has lost writes the controller acquires a higher term, and agents write their rows again")
+{
+    RankAgentSimulation simulation;
+    for (std::uint32_t rank = 0; rank < rankCount; ++rank)
+        simulation.start(rank);
+    REQUIRE(simulation.runUntil([&] { return simulation.controllerRow().substr(0, 9) == "1 agent0#" && simulation.table.rows.size() == rankCount + 1; }));
+    for (const std::unique_ptr<RankAgentProcess>& agent : simulation.agents)
+        agent->handleStoreGeneration(1);
+    // By then every agent has read the rows for the first time.
+    simulation.runUntil([&, until = simulation.clock.now() + std::chrono::milliseconds(800)] { return simulation.clock.now() >= until; });
+    simulation.table.restore({});
+    simulation.agents[0]->handleStoreGeneration(2);
+    CHECK(simulation.runUntil([&] { return simulation.controllerRow().substr(0, 13) == "10001 agent0#"; }));
+    CHECK(simulation.runUntil([&] { return simulation.table.rows.size() == rankCount + 1; }));
+}
+
 }
