Gateway: Write the rows of entries and blocked prompts again after the store has lost writes

When the store states a higher generation, each entry now reads the rows of entries again and writes or deletes its own, and writes the rows of the prompt parts again that it has blocked or cleared.

--- a/Source/Gateway/EntryRegistration.cpp
+++ b/Source/Gateway/EntryRegistration.cpp
@@ -23,6 +23,14 @@
     read();
 }
 
+void EntryRegistration::readAgain()
+{
+    if (isUnregistered_)
+        unregister();
+    else
+        scheduleRead(settings_.retryDelay);
+}
+
 void EntryRegistration::unregister()
 {
     isUnregistered_ = true;
--- a/Source/Gateway/EntryRegistration.h
+++ b/Source/Gateway/EntryRegistration.h
@@ -25,6 +25,9 @@
 public:
     EntryRegistration(EventLoop& loop, Table& table, PeerGroup& peers, EntryRegistrationSettings settings);
 
+    // Reads the rows again, and writes the row of this entry again if the table has lost it.
+    void readAgain();
+
     // Deletes the row of this entry. Call before a planned shutdown.
     void unregister();
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -177,8 +177,11 @@
     if (generation <= storeGeneration_)
         return;
     StoreGeneration previous = std::exchange(storeGeneration_, generation);
-    if (previous > 0)
-        log_.write(LogLine("storeHistoryReplaced").add("generation", generation).add("catalog", catalog_.version()));
+    if (previous == 0)
+        return;
+    log_.write(LogLine("storeHistoryReplaced").add("generation", generation).add("catalog", catalog_.version()));
+    entryRegistration_->readAgain();
+    quarantineRows_->writeAgain();
 }
 
 EntryStateMessage GatewayProcess::localState()
--- a/Source/Gateway/QuarantineRows.cpp
+++ b/Source/Gateway/QuarantineRows.cpp
@@ -15,6 +15,8 @@
 constexpr int hexadecimal = 16;
 // A transaction of the platform's table holds at most 100 writes.
 constexpr std::size_t maxRowsPerWrite = 50;
+// As many as the quarantine keeps records of. Beyond this, a row may be missing after the table has lost writes.
+constexpr std::size_t maxUpdatedParts = 256;
 
 std::string rowKey(PromptPart part)
 {
@@ -79,6 +81,15 @@
 void QuarantineRows::update(PromptPart part)
 {
     pending_.insert(part);
+    updated_.insert(part);
+    if (updated_.size() > maxUpdatedParts)
+        updated_.erase(*updated_.begin() == part ? std::next(updated_.begin()) : updated_.begin());
+    write();
+}
+
+void QuarantineRows::writeAgain()
+{
+    pending_.insert(updated_.begin(), updated_.end());
     write();
 }
 
--- a/Source/Gateway/QuarantineRows.h
+++ b/Source/Gateway/QuarantineRows.h
@@ -20,7 +20,8 @@
 };
 
 // Stores the blocked prompt parts in the table, so that entries which are all restarted at once still know them. An entry
-// reads the rows at its start, and writes those of the parts whose block or clearance it has found itself.
+// reads the rows at its start, and writes those of the parts whose block or clearance it has found itself, again if the
+// table has lost writes.
 class QuarantineRows {
 public:
     QuarantineRows(EventLoop& loop, const Clock& clock, Table& table, PromptQuarantine& quarantine, QuarantineRowsSettings settings);
@@ -28,6 +29,9 @@
     // Writes the row of a part, or deletes it if the part is not suspect any more. Repeats this until it succeeds.
     void update(PromptPart part);
 
+    // Writes the rows again that this entry has written, because the table may have lost them.
+    void writeAgain();
+
 private:
     void read();
     void handleRows(const std::vector<TableRow>& rows);
@@ -41,6 +45,8 @@
     QuarantineRowsSettings settings_;
     // Parts whose rows are to be written.
     std::set<PromptPart> pending_;
+    // Parts whose rows this entry has written or deleted.
+    std::set<PromptPart> updated_;
     std::vector<std::string> expiredKeys_;
     bool isWriting_ { false };
     std::unique_ptr<Timer> readTimer_;
--- a/Tests/Gateway/QuarantineRowsTest.cpp
+++ b/Tests/Gateway/QuarantineRowsTest.cpp
@@ -113,4 +113,28 @@
     CHECK(table.table.scan("quarantine/").rows.size() == 3);
 }
 
+// Guards against a block that only a table knows which has lost it, and against a clearance that it has lost.
+TEST_CASE("the rows of blocked and cleared prompt parts are written again after the table has lost writes")
+{
+    EventLoop loop;
+    ManualClock clock;
+    StoredTable table;
+    MemoryTable beforeBlock = table.table;
+    EntryStart entry(loop, clock, table);
+    TimePoint sentAt = clock.now();
+    clock.advance(milliseconds(100));
+    entry.crash(sentAt);
+    MemoryTable beforeClearance = table.table;
+    REQUIRE(table.table.scan("quarantine/").rows.size() == 1);
+    table.table = beforeBlock;
+    entry.rows->writeAgain();
+    CHECK(table.table.scan("quarantine/").rows.size() == 1);
+    clock.advance(seconds(40));
+    CHECK(entry.admit(2) == QuarantineDecision::Wait);
+    entry.quarantine.recordResponse(std::vector<PromptPart> { crashing });
+    table.table = beforeClearance;
+    entry.rows->writeAgain();
+    CHECK(table.table.scan("quarantine/").rows.empty());
+}
+
 }
