--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -18,13 +18,16 @@
 {
     if (hasData_ && (snapshot.position < lastSnapshot_.position || readAt < asOf_))
         return false;
-    if (hasData_ && hasReadFailed_ && readAt - asOf_ > settings_.outageThreshold)
-        graceUntil_ = clock_.now() + settings_.returnGrace;
+    // An outage ends with a snapshot that was read after it. Peers may state older ones in the meantime.
+    if (outageSince_ && readAt >= lastFailureAt_) {
+        if (readAt - *outageSince_ > settings_.outageThreshold)
+            graceUntil_ = clock_.now() + settings_.returnGrace;
+        outageSince_.reset();
+    }
     if (hasData_ && snapshot.position.generation > lastSnapshot_.position.generation) {
         graceUntil_ = clock_.now() + settings_.returnGrace;
         copyUntil_ = clock_.now() + settings_.copyLifetime;
     }
-    hasReadFailed_ = false;
     asOf_ = readAt;
     hasData_ = true;
     bool isChanged = !(lastSnapshot_.servers == snapshot.servers);
@@ -87,7 +90,9 @@
 
 void FleetView::recordReadFailure()
 {
-    hasReadFailed_ = true;
+    if (hasData_ && !outageSince_)
+        outageSince_ = asOf_;
+    lastFailureAt_ = clock_.now();
 }
 
 const ServerRecord* FleetView::find(std::string_view id) const
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -95,8 +96,11 @@
     std::map<std::string, ServerRecord, std::less<>> servers_;
     FleetSnapshot lastSnapshot_;
     bool hasData_ { false };
-    bool hasReadFailed_ { false };
     TimePoint asOf_;
+    // Since when no read has been followed by a successful one, as the time of the last snapshot by then, and the time of
+    // the last failure.
+    std::optional<TimePoint> outageSince_;
+    TimePoint lastFailureAt_;
     TimePoint graceUntil_;
     // Until then, the registry may list servers that have left.
     TimePoint copyUntil_;
--- a/Tests/Fleet/FleetViewTest.cpp
+++ b/Tests/Fleet/FleetViewTest.cpp
@@ -69,6 +69,21 @@
     CHECK(fixture.view.ready("s").size() == 1);
 }
 
+// Guards against an outage that counts as over because peers repeat to each other what they knew before it.
+TEST_CASE("a confirmation of the last snapshot by a peer does not end an outage")
+{
+    FleetFixture fixture;
+    fixture.apply(1, { server("a", 1), server("b", 2) });
+    FleetSnapshot known = fixture.view.lastSnapshot();
+    for (int second = 1; second <= 4; ++second) {
+        fixture.clock.advance(std::chrono::seconds(1));
+        fixture.view.recordReadFailure();
+        fixture.view.apply(known, fixture.view.asOf() + std::chrono::milliseconds(600));
+    }
+    fixture.apply(9, { server("b", 2) });
+    CHECK(fixture.view.ready("s").size() == 2);
+}
+
 // Guards against a delayed removal if there was no outage.
 TEST_CASE("a server that is missing without an outage is removed immediately")
 {
