Configuration: Commit a document again that the table has lost

After the table had lost a commit, all later changes were refused until every entry had been restarted, and then the lost change was gone although it had been accepted.

Change: a head row that is older than one received before it was requested proves the loss, without a generation. The entries then commit the document that they have learned again, on the condition of the row that they have read, at the staggered times at which they mark versions in force.

--- a/Source/Configuration/ChangeProtocol.cpp
+++ b/Source/Configuration/ChangeProtocol.cpp
@@ -150,11 +150,12 @@
 }
 
 // The coordinator marks its version immediately. If it has failed, the peers do so, each after a
-// different delay.
+// different delay. A document that the table has lost is committed again in the same way.
 bool ChangeProtocol::isMarkDue() const
 {
     const std::optional<HeadState>& head = member_.head();
-    if (!head || !headLagSince_ || head->row.committed < member_.inForceVersion())
+    bool isCommitted = head && (head->row.committed >= member_.inForceVersion() || member_.hasTableLostCommit());
+    if (!isCommitted || !headLagSince_)
         return false;
     TimePoint now = clock_.now();
     if (markedAt_ && now - *markedAt_ < settings_.limits.headPollInterval)
@@ -168,7 +169,11 @@
 void ChangeProtocol::markInForce()
 {
     markedAt_ = clock_.now();
-    store_.markInForce(*member_.head(), member_.inForceVersion(), [this](ResultCode) { pollHead(); });
+    auto readAgain = [this](ResultCode) { pollHead(); };
+    if (member_.hasTableLostCommit())
+        store_.commitAgain(*member_.head(), *member_.learned(), member_.inForceVersion(), readAgain);
+    else
+        store_.markInForce(*member_.head(), member_.inForceVersion(), readAgain);
 }
 
 void ChangeProtocol::receive(const std::string& from, const ConfigurationMessage& message)
--- a/Source/Configuration/ConfigurationStore.cpp
+++ b/Source/Configuration/ConfigurationStore.cpp
@@ -111,4 +111,18 @@
     });
 }
 
+void ConfigurationStore::commitAgain(const HeadState& head, const CommittedDocument& document, ConfigurationVersion inForce, std::function<void(ResultCode)> done)
+{
+    std::weak_ptr<int> lifetime = lifetime_;
+    HeadRow row { document.version, inForce, document.changeId };
+    std::vector<TableWrite> writes {
+        { headKey, encodeHead(row), head.rowVersion },
+        { documentKey(document.version), encodeDocumentRow(document), std::nullopt },
+    };
+    table_.write(writes, [lifetime, done = std::move(done)](const TableWriteResult& result) {
+        if (lifetime.lock())
+            done(result.status);
+    });
+}
+
 }
--- a/Source/Configuration/ConfigurationStore.h
+++ b/Source/Configuration/ConfigurationStore.h
@@ -42,6 +42,10 @@
     // are the same as for commit().
     void markInForce(const HeadState& head, ConfigurationVersion version, std::function<void(ResultCode)> done);
 
+    // Writes a committed document again that the table has lost, with the version that is in force. The condition and the
+    // results are the same as for commit().
+    void commitAgain(const HeadState& head, const CommittedDocument& document, ConfigurationVersion inForce, std::function<void(ResultCode)> done);
+
 private:
     Table& table_;
     const Clock& clock_;
--- a/Source/Configuration/MemberState.cpp
+++ b/Source/Configuration/MemberState.cpp
@@ -15,8 +15,13 @@
 {
     gate_.recordCommitted(head.row.committed, now);
     gate_.recordHead(head.sentAt);
-    if (!head_ || head.rowVersion >= head_->rowVersion)
-        head_ = head;
+    // An older row can be a late response. If it was requested after the newer one was received, the table has lost writes.
+    bool isOlder = head_ && head.rowVersion < head_->rowVersion;
+    if (isOlder && head.sentAt <= headReceivedAt_)
+        return;
+    isHeadOlder_ = isOlder || (isHeadOlder_ && head.rowVersion == head_->rowVersion);
+    head_ = head;
+    headReceivedAt_ = now;
 }
 
 void MemberState::recordVersions(const std::string& slot, const VersionDigest& versions, TimePoint now)
--- a/Source/Configuration/MemberState.h
+++ b/Source/Configuration/MemberState.h
@@ -38,6 +38,9 @@
 
     void recordCommitted(ConfigurationVersion version, TimePoint now) { gate_.recordCommitted(version, now); }
     void recordHead(const HeadState& head, TimePoint now);
+    // Returns whether the table has lost a committed document that this entry has learned. Cleared when the head row names
+    // the document again.
+    bool hasTableLostCommit() const { return isHeadOlder_ && head_ && head_->row.committed < learnedVersion(); }
     // Records that a slot has learned these versions, now or earlier.
     void recordVersions(const std::string& slot, const VersionDigest& versions, TimePoint now);
     // Records contact with a slot that has read the table since its start and had these versions
@@ -66,6 +69,9 @@
     std::vector<std::string> slots_;
     AdmissionGate gate_;
     std::optional<HeadState> head_;
+    TimePoint headReceivedAt_;
+    // The last head row is older than one that was received before it was requested.
+    bool isHeadOlder_ { false };
     DocumentPointer learned_;
     DocumentPointer inForce_;
     std::map<std::string, VersionDigest> versions_;
--- a/Tests/Configuration/ChangeProtocolTest.cpp
+++ b/Tests/Configuration/ChangeProtocolTest.cpp
@@ -359,4 +359,31 @@
     CHECK(code == ResultCode::TableConflict);
 }
 
+// Guards against changes that are refused for ever, and against entries that return to an older document, because the table
+// has lost a commit.
+TEST_CASE("a document that the table has lost is committed again, and the next change comes into force on all entries")
+{
+    for (bool isRestarted : { false, true }) {
+        RunningSimulation simulation;
+        MemoryTable copy = simulation.copyTable();
+        simulation.submit(0, "models");
+        simulation.advance(seconds(5));
+        REQUIRE(simulation.head().committed == 2);
+        simulation.restoreTable(copy);
+        REQUIRE(simulation.head().committed == 1);
+        if (isRestarted) {
+            simulation.kill(2);
+            simulation.start(2);
+        }
+        simulation.advance(seconds(6));
+        CHECK(simulation.head().committed == 2);
+        CHECK(simulation.head().inForce == 2);
+        std::string change = simulation.submit(1, "models");
+        simulation.advance(seconds(5));
+        CHECK(simulation.stateOf(1, change) == ChangeState::Accepted);
+        for (std::size_t i = 0; i < slotCount; ++i)
+            CHECK(simulation.inForceAt(i) == 3);
+    }
+}
+
 }
--- a/Tests/Configuration/ConfigurationSimulation.h
+++ b/Tests/Configuration/ConfigurationSimulation.h
@@ -75,6 +75,9 @@
     void partition(unsigned mask, bool tableBit);
     void setTable(TableMode mode) { tableMode_ = mode; }
     void setNetwork(const NetworkMode& mode) { network_ = mode; }
+    // Returns the rows of the table, and replaces them by earlier ones.
+    MemoryTable copyTable() const { return rows_; }
+    void restoreTable(MemoryTable copy) { rows_ = std::move(copy); }
     void clearFaults();
     // Frames for which the filter returns false are lost.
     void setFilter(std::function<bool(const std::string& to, const Frame&)> filter) { filter_ = std::move(filter); }
