Fleet, Forwarding: Send nothing more to a server that states that it leaves

New rule of the users: an engine that leaves says so in all its answers; a request that is sent 2 s later must not reach it from the entry that has passed such an answer on, whether or not the registry knows.

Change: the head of any response is read for the statement. It belongs to this start of the server and marks it as draining in the fleet view, through which every path selects its server: first attempts, repeats, resumed streams and probes. Idle connections to it are closed, open streams are delivered, and peers learn it with the next state message. If all servers of a service leave, requests wait as in an outage and are then refused as not executed.

--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -41,12 +41,15 @@
         bool isReplaced = std::any_of(snapshot.servers.begin(), snapshot.servers.end(), [&listed](const ServerRecord& other) {
             return other.address == listed.address && other.startedAt > listed.startedAt;
         });
-        if (isReplaced || hasLeft(listed))
+        bool wasDraining = false;
+        if (isReplaced || hasLeft(listed, wasDraining))
             continue;
         ServerRecord record = listed;
         auto known = servers_.find(record.id);
         bool isSameStart = known != servers_.end() && known->second.address == record.address && known->second.startedAt == record.startedAt;
-        if (isSameStart && known->second.isDraining)
+        if (record.isDraining)
+            statedLeaving_.erase(record.id);
+        if (wasDraining || (isSameStart && known->second.isDraining))
             record.isDraining = true;
         if (isSameStart && !known->second.isDraining && record.isDraining)
             onLeave_(record);
@@ -61,7 +64,8 @@
             continue;
         }
         isChanged = true;
-        left_[id] = { record.address, record.startedAt, clock_.now() };
+        left_[id] = { record.address, record.startedAt, clock_.now(), record.isDraining };
+        statedLeaving_.erase(id);
         if (!record.isDraining)
             onLeave_(record);
     }
@@ -69,13 +73,35 @@
     return isChanged;
 }
 
-// Forgets a server that is listed again, unless the list may be a copy from before it left.
-bool FleetView::hasLeft(const ServerRecord& listed)
+bool FleetView::recordLeaving(const ServerStart& server)
+{
+    auto known = servers_.find(server.id);
+    if (known == servers_.end() || known->second.startedAt != server.startedAt || known->second.isDraining)
+        return false;
+    known->second.isDraining = true;
+    statedLeaving_[server.id] = server.startedAt;
+    onLeave_(known->second);
+    return true;
+}
+
+std::vector<ServerStart> FleetView::statedLeaving() const
+{
+    std::vector<ServerStart> servers;
+    servers.reserve(statedLeaving_.size());
+    for (const auto& [id, startedAt] : statedLeaving_)
+        servers.push_back({ id, startedAt });
+    return servers;
+}
+
+// Forgets a server that is listed again, unless the list may be a copy from before it left. Sets wasDraining if it is the same
+// start and was draining when it left.
+bool FleetView::hasLeft(const ServerRecord& listed, bool& wasDraining)
 {
     auto left = left_.find(listed.id);
     if (left == left_.end())
         return false;
     bool isSameStart = left->second.address == listed.address && left->second.startedAt == listed.startedAt;
+    wasDraining = isSameStart && left->second.wasDraining;
     if (isSameStart && clock_.now() < copyUntil_)
         return true;
     left_.erase(left);
--- a/Source/Fleet/FleetView.h
+++ b/Source/Fleet/FleetView.h
@@ -47,7 +47,8 @@
 
 // Holds the backend servers that the registry lists. A server that is missing right after an outage of the registry is
 // kept for a grace period, because its registry record may have expired during the outage. A server that was listed as
-// draining stays draining until it restarts, that is, until its address or start time changes.
+// draining, or has stated itself that it leaves, stays draining until it restarts, that is, until its address or start time
+// changes.
 //
 // A new generation of the registry may be a copy some seconds old. Missing servers are kept as after an outage, and
 // servers that had left stay away until they restart or the lifetime of the copy has passed.
@@ -62,6 +63,13 @@
     // A snapshot with a lower position or an earlier time than the last one is ignored.
     bool apply(const FleetSnapshot& snapshot, TimePoint readAt);
 
+    // Records that the server has stated that it leaves. Does nothing and returns false if another start of the server is known
+    // by now, or if it is known to drain.
+    bool recordLeaving(const ServerStart& server);
+
+    // Returns the servers that have stated that they leave, while the registry does not list them as draining.
+    std::vector<ServerStart> statedLeaving() const;
+
     // Records that a read of the registry failed.
     void recordReadFailure();
 
@@ -85,9 +93,10 @@
         Endpoint address;
         std::int64_t startedAt { 0 };
         TimePoint leftAt;
+        bool wasDraining { false };
     };
 
-    bool hasLeft(const ServerRecord& listed);
+    bool hasLeft(const ServerRecord& listed, bool& wasDraining);
     void removeOldLeftServers();
 
     const Clock& clock_;
@@ -106,6 +115,9 @@
     TimePoint copyUntil_;
     // Servers that have left, by id.
     std::map<std::string, LeftServer, std::less<>> left_;
+    // Start times of the servers that have stated that they leave, by id, until the registry lists them as draining or no
+    // longer.
+    std::map<std::string, std::int64_t> statedLeaving_;
 };
 
 }
--- a/Source/Fleet/ServerRecord.h
+++ b/Source/Fleet/ServerRecord.h
@@ -8,6 +8,13 @@
 
 namespace Damaskgrade {
 
+// Identifies one start of a backend server. A restarted server may keep its id.
+struct ServerStart {
+    std::string id;
+    // As in the registry record.
+    std::int64_t startedAt { 0 };
+};
+
 // The registry record of one backend server.
 struct ServerRecord {
     // Identifies the server process. A restarted server may keep it, see startedAt.
--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -286,6 +286,8 @@
     }
     head_ = head;
     isRefusal_ = isMarkedNotExecuted;
+    if (findHeader(head.headers, context_.names.leaving) == "1" && context_.fleet.recordLeaving({ server_->id, server_->startedAt }))
+        context_.log.write(LogLine("serverStatedLeaving").add("server", server_->id).add("request", requestId_).add("status", head.status));
     bool isSuccess = head.status < firstFailureStatus;
     recordRateLimit(head, isSuccess && !isRefusal_);
     if (!isRefusal_ && isSuccess && !isResponseAuthentic(head)) {
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -114,6 +114,7 @@
     PromptPartsDecoder decodePromptParts;
     PromptQuarantine& quarantine;
     CrashDetector& crashDetector;
+    FleetView& fleet;
     ForwardingSettings settings;
 };
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -102,7 +102,7 @@
     , quarantine_(clock, settings_.name, {}, [this](PromptPart part, QuarantineEvent event, std::uint32_t crashes, bool isLocal) { handleQuarantineEvent(part, event, crashes, isLocal); })
     , crashDetector_(
           clock, quarantine_, [&loop] { return makeUpstreamConnection(loop); }, {}, [this](const std::set<std::string>& excludedIds) { return selectWitness(excludedIds); })
-    , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, {} }
+    , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, fleet_, {} }
     , forwarder_(loop, context_, catalog_, random)
 {
     PeerGroupSettings peerSettings;
@@ -197,6 +197,7 @@
     state.inFlight = loads_.localCounts();
     state.suspects = quarantine_.nextReports();
     state.rateLimits = rateLimits_.nextReports();
+    state.leavingServers = fleet_.statedLeaving();
     if (fleetReader_) {
         state.fleetDigest = fleetReader_->digest();
         state.fleetPosition = fleet_.lastSnapshot().position;
@@ -210,6 +211,8 @@
     loads_.setPeerCounts(state.name, state.inFlight);
     quarantine_.applyReports(state.suspects);
     rateLimits_.applyReports(state.rateLimits);
+    for (const ServerStart& server : state.leavingServers)
+        fleet_.recordLeaving(server);
     fleetReader_->handlePeerState(state);
     catalogFollower_->handlePeer(state.catalog);
     if (state.catalog.version >= catalog_.version())
@@ -292,6 +295,7 @@
 {
     log_.write(LogLine(server.isDraining ? "serverDrains" : "serverGone").add("server", server.id).add("service", server.service).add("address", formatEndpoint(server.address)));
     pool_.closeIdleConnections(server.id);
+    sendStateSoon();
 }
 
 bool GatewayProcess::isReady() const
--- a/Source/Peers/PeerMessages.cpp
+++ b/Source/Peers/PeerMessages.cpp
@@ -76,11 +76,14 @@
     Json rateLimits = Json::array();
     for (const RateLimitReport& report : message.rateLimits)
         rateLimits.push_back(Json::array({ report.serverId, report.version, report.perSecond, report.age.count() }));
+    Json leaving = Json::array();
+    for (const ServerStart& server : message.leavingServers)
+        leaving.push_back(Json::array({ server.id, server.startedAt }));
     return makeFrame(EntryStateMessage::type, time,
         { { "n", message.name }, { "i", message.incarnation }, { "l", formatEndpoint(message.link) }, { "c", formatEndpoint(message.callers) },
             { "z", message.availabilityZone }, { "r", message.isReady }, { "d", message.isDraining }, { "v", message.catalog.version }, { "cg", message.catalog.generation },
             { "ct", sourceTimeToNumber(message.catalog.completeUntil) }, { "ca", sourceTimeToNumber(message.catalog.answeredAt) },
-            { "fd", message.fleetDigest }, { "fg", message.fleetPosition.generation }, { "fr", message.fleetPosition.revision }, { "fa", message.fleetAge.count() }, { "f", counts }, { "s", suspects }, { "rl", rateLimits } });
+            { "fd", message.fleetDigest }, { "fg", message.fleetPosition.generation }, { "fr", message.fleetPosition.revision }, { "fa", message.fleetAge.count() }, { "f", counts }, { "s", suspects }, { "rl", rateLimits }, { "ls", leaving } });
 }
 
 Frame encodeMessage(const CatalogTextMessage& message, HybridTime time)
@@ -118,6 +121,8 @@
             message.inFlight.emplace(server, count.get<std::uint32_t>());
         for (const Json& suspect : json.value("s", Json::array()))
             message.suspects.push_back(suspectFromJson(suspect));
+        for (const Json& server : json.value("ls", Json::array()))
+            message.leavingServers.push_back({ server.at(0).get<std::string>(), server.at(1).get<std::int64_t>() });
         for (const Json& limit : json.value("rl", Json::array()))
             message.rateLimits.push_back({ limit.at(0).get<std::string>(), limit.at(1).get<std::uint64_t>(), limit.at(2).get<double>(), std::chrono::milliseconds(limit.at(3).get<std::int64_t>()) });
         return message;
--- a/Source/Peers/PeerMessages.h
+++ b/Source/Peers/PeerMessages.h
@@ -33,6 +33,8 @@
     std::uint64_t fleetDigest { 0 };
     FleetPosition fleetPosition;
     std::chrono::milliseconds fleetAge { 0 };
+    // Servers that have stated that they leave, before the registry states it.
+    std::vector<ServerStart> leavingServers;
     InFlightCounts inFlight;
     std::vector<SuspectReport> suspects;
     std::vector<RateLimitReport> rateLimits;
--- a/Tests/Fleet/FleetViewTest.cpp
+++ b/Tests/Fleet/FleetViewTest.cpp
@@ -164,4 +164,31 @@
     CHECK(fixture.view.ready("s").size() == 2);
 }
 
+// Guards against requests to a server that has stated that it leaves, because the registry, a peer or a later listing does not
+// know it yet, and against a restarted server that is taken for it.
+TEST_CASE("a server that has stated that it leaves stays draining until it starts again")
+{
+    FleetFixture fixture;
+    fixture.apply(1, { server("a", 1), server("b", 2) });
+    fixture.view.recordLeaving({ "a", 7 });
+    fixture.view.recordLeaving({ "unknown", 1 });
+    CHECK(fixture.view.ready("s").size() == 2);
+    fixture.view.recordLeaving({ "a", 1 });
+    fixture.view.recordLeaving({ "a", 1 });
+    CHECK(fixture.leftServers == std::vector<std::string> { "a" });
+    REQUIRE(fixture.view.statedLeaving().size() == 1);
+    CHECK(fixture.view.statedLeaving()[0].id == "a");
+    fixture.apply(2, { server("a", 1), server("b", 2) });
+    fixture.apply(1, { server("a", 1), server("b", 2) }, 2);
+    CHECK(fixture.view.ready("s").size() == 1);
+    fixture.apply(3, { server("a", 1, true), server("b", 2) }, 2);
+    CHECK(fixture.view.statedLeaving().empty());
+    fixture.clock.advance(std::chrono::seconds(20));
+    fixture.apply(4, { server("b", 2) }, 2);
+    fixture.apply(5, { server("a", 1), server("b", 2) }, 2);
+    CHECK(fixture.view.ready("s").size() == 1);
+    fixture.apply(6, { server("a", 1, false, 9), server("b", 2) }, 2);
+    CHECK(fixture.view.ready("s").size() == 2);
+}
+
 }
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -31,6 +31,7 @@
     names.expectedServer = "Expected-Server";
     names.serverLoad = "Server-Load";
     names.rateLimit = "Rate-Limit";
+    names.leaving = "Leaving";
     names.notExecuted = "Not-Executed";
     names.engineUrgency = "Urgency";
     names.lastEventId = "Last-Event-Id";
@@ -69,7 +70,7 @@
         , log(clock, openDevNull(), "test")
         , quarantine(clock, "test", {}, nullptr)
         , crashDetector(clock, quarantine, [this] { return makeUpstreamConnection(loop); }, {})
-        , context { clock, names, loads, serverSelector, rateLimits, pool, responseBuffers, outliers, retryBudget, log, counters, responseTimes, callerAges, decodeParts, quarantine, crashDetector, {} }
+        , context { clock, names, loads, serverSelector, rateLimits, pool, responseBuffers, outliers, retryBudget, log, counters, responseTimes, callerAges, decodeParts, quarantine, crashDetector, fleet, {} }
         , forwarder(loop, context, catalog, random)
         , endpoint(freeEndpoint())
         , callerServer(loop, endpoint, HttpServerLimits(), [this](std::shared_ptr<HttpExchange> exchange) { forwarder.handle(std::move(exchange)); })
--- a/Tests/Peers/PeerGroupTest.cpp
+++ b/Tests/Peers/PeerGroupTest.cpp
@@ -134,6 +134,7 @@
     state.callers = { "10.0.0.1", 8 };
     state.fleetAge = std::chrono::milliseconds(120);
     state.fleetPosition = { 3, 8 };
+    state.leavingServers = { { "s2", 77 } };
     state.catalog = { 7, 2, SourceTime(12), std::nullopt };
     state.inFlight = { { "s1", 3 } };
     EntryStateMessage copy = decodeEntryState(encodeMessage(state, 0).body);
@@ -141,6 +142,9 @@
     CHECK(copy.fleetAge == state.fleetAge);
     CHECK(copy.fleetPosition.generation == 3);
     CHECK(copy.fleetPosition.revision == 8);
+    REQUIRE(copy.leavingServers.size() == 1);
+    CHECK(copy.leavingServers[0].id == "s2");
+    CHECK(copy.leavingServers[0].startedAt == 77);
     CHECK(copy.catalog.version == 7);
     CHECK(copy.catalog.generation == 2);
     CHECK(copy.catalog.completeUntil == SourceTime(12));
