Forwarding: Leave a server in peace for the pause that it asks for

New rule of the users: an engine that refuses a request with 503 may state Retry-After; from half a second later until its end at most two requests may reach it from the entry that was told.

Change: the selector, which every send passes, keeps the pause of this start of the server on the steady clock, beside the rate limits; successes and the end of an outage do not clear it, a later statement replaces it. A request whose connection was being opened meanwhile goes elsewhere (not covered by a test of its own). After the pause the requests in flight rise from one to the slots within 1 s. If all servers of a service are paused or limited, requests that can't wait are refused at once, during a pause with times that differ by up to a quarter after its end.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -19,6 +19,10 @@
 constexpr int firstServerFailureStatus = 500;
 // The urgency for the engine ranges from 0, the most urgent, to this value.
 constexpr int lowestUrgency = 9;
+// Bounds what is logged of a value that a server states.
+constexpr std::size_t maxLoggedValue = 32;
+// Number of different times that callers are told who are refused at the same time.
+constexpr int retryAfterSteps = 16;
 constexpr std::string_view brokenConnection = "connection broke";
 constexpr std::string_view incompleteStream = "stream ended within an event";
 constexpr std::string_view quarantinedPrompt = "prompt part may crash servers";
@@ -42,7 +46,7 @@
 }
 
 // Returns std::nullopt unless the text is a finite number that is not negative.
-std::optional<double> parseRate(std::string_view text)
+std::optional<double> parseNonNegative(std::string_view text)
 {
     double value = 0;
     std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -151,8 +155,10 @@
     // Only a request that can still meet its target latency is queued at a server without a free slot.
     ServerSelection selection = context_.selector.select(options_.service, tried_, !willBeLate());
     if (selection.kind == SelectionKind::RateLimited && executions_ == 0 && context_.clock.now() + selection.retryAfter > waitUntil_) {
-        retryAfter_ = std::max(context_.settings.retryAfter, std::chrono::duration_cast<std::chrono::milliseconds>(selection.retryAfter));
-        giveUp("servers have reached their rate limits");
+        // Callers that are refused during a pause are told different times after its end, so that they do not return at once.
+        Duration spread = selection.isPause ? selection.retryAfter * static_cast<int>(number_ % retryAfterSteps) / (4 * retryAfterSteps) : Duration::zero();
+        retryAfter_ = std::max(context_.settings.retryAfter, std::chrono::duration_cast<std::chrono::milliseconds>(selection.retryAfter + spread));
+        giveUp(selection.isPause ? "servers have asked for a pause" : "servers have reached their rate limits");
         return;
     }
     if (selection.kind != SelectionKind::Server) {
@@ -218,6 +224,14 @@
 
 void ForwardedRequest::connected(std::uint32_t attempt, std::shared_ptr<UpstreamConnection> connection, bool isReused)
 {
+    // The server may have asked for a pause while the connection was opened.
+    if (connection && context_.selector.isPaused(*server_)) {
+        connection_ = std::move(connection);
+        releaseServer();
+        state_ = State::Waiting;
+        send();
+        return;
+    }
     if (!connection) {
         endAttempt(AttemptFailure::NotConnected, "connection failed");
         return;
@@ -289,6 +303,7 @@
     if (findHeader(head.headers, context_.names.leaving) == "1" && context_.fleet.recordLeaving({ server_->id, server_->startedAt }))
         context_.log.write(LogLine("serverStatedLeaving").add("server", server_->id).add("request", requestId_).add("status", head.status));
     bool isSuccess = head.status < firstFailureStatus;
+    recordPause(head);
     recordRateLimit(head, isSuccess && !isRefusal_);
     if (!isRefusal_ && isSuccess && !isResponseAuthentic(head)) {
         ++context_.counters.rejectedResponses;
@@ -304,12 +319,30 @@
     return true;
 }
 
+// A server that refuses requests may state how long it wants none.
+void ForwardedRequest::recordPause(const HttpResponse& head)
+{
+    std::optional<std::string> text = findHeader(head.headers, context_.names.retryAfter);
+    if (head.status != statusUnavailable || !text)
+        return;
+    std::optional<double> seconds = parseNonNegative(*text);
+    LogLine line("serverPaused");
+    line.add("server", server_->id).add("request", requestId_).add("stated", text->substr(0, maxLoggedValue));
+    if (seconds) {
+        Duration duration = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(*seconds, std::chrono::duration<double>(context_.settings.maxServerPause).count())));
+        context_.selector.pause(*server_, duration);
+        ++context_.counters.serverPauses;
+        line.add("pauseMs", milliseconds(duration));
+    }
+    context_.log.write(line);
+}
+
 // Any response may state a limit. That a server has none is taken only from a response of the server itself, which a
 // refusal may not be.
 void ForwardedRequest::recordRateLimit(const HttpResponse& head, bool isSuccess)
 {
     std::optional<std::string> text = findHeader(head.headers, context_.names.rateLimit);
-    std::optional<double> perSecond = text ? parseRate(*text) : std::nullopt;
+    std::optional<double> perSecond = text ? parseNonNegative(*text) : std::nullopt;
     if (perSecond || (!text && isSuccess && isResponseAuthentic(head)))
         context_.rateLimits.recordResponse(server_->id, perSecond, sentAt_);
 }
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -100,6 +100,7 @@
     bool canRetry(AttemptFailure failure);
 
     bool isStreamStarted() const { return streamStarted_; }
+    void recordPause(const HttpResponse& head);
     void recordRateLimit(const HttpResponse& head, bool isSuccess);
     bool isResponseAuthentic(const HttpResponse& head) const;
     void deliverResponse();
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -57,6 +57,8 @@
     std::uint32_t maxRefusals { 8 };
     // Failed connection attempts of one request after which it is not retried.
     std::uint32_t maxFailedConnections { 4 };
+    // A longer pause that a server asks for is treated as this one, so that a wrong value does not exclude it for good.
+    std::chrono::milliseconds maxServerPause { 60000 };
     // A request that cannot succeed in time is answered with an error this long before the caller's deadline.
     std::chrono::milliseconds deadlineMargin { 40 };
     // A server that crashes within this time after the first event of a response may have crashed because of its prompt.
@@ -84,6 +86,8 @@
     std::uint64_t resumedStreams { 0 };
     std::uint64_t repeatedSends { 0 };
     std::uint64_t cancelled { 0 };
+    // Refusals in which a server has asked for a pause.
+    std::uint64_t serverPauses { 0 };
     // Refused because of a prompt part that may crash servers.
     std::uint64_t quarantined { 0 };
     std::uint64_t events { 0 };
--- a/Source/Forwarding/ServerSelector.cpp
+++ b/Source/Forwarding/ServerSelector.cpp
@@ -35,13 +35,13 @@
     std::vector<const ServerRecord*> localServers;
     std::vector<const ServerRecord*> remoteServers;
     std::size_t limitedServers = 0;
-    std::optional<Duration> timeUntilSend;
+    std::optional<Duration> shortestWait;
     for (const ServerRecord* server : ready) {
-        std::optional<Duration> wait = rateLimits_.timeUntilSend(server->id);
+        std::optional<Duration> wait = timeUntilSend(*server);
         if (!wait || *wait > Duration::zero()) {
             ++limitedServers;
             if (wait)
-                timeUntilSend = std::min(*wait, timeUntilSend.value_or(*wait));
+                shortestWait = std::min(*wait, shortestWait.value_or(*wait));
             continue;
         }
         if ((!haveAllBeenTried && isTried(server)) || isAvoided(*server))
@@ -49,7 +49,7 @@
         double share = areAllEjected ? 1 : outliers_.admissionShare(server->id);
         if (share <= 0 || (share < 1 && random_.fraction() > share))
             continue;
-        if (loads_.inFlight(server->id) >= slotsOf(*server) + (mayQueue ? settings_.queuedPerServer : 0))
+        if (loads_.inFlight(server->id) >= capacityOf(*server, mayQueue))
             continue;
         (server->availabilityZone == settings_.localZone ? localServers : remoteServers).push_back(server);
     }
@@ -66,8 +66,10 @@
             best = server;
         }
     }
-    if (limitedServers == ready.size())
-        return { SelectionKind::RateLimited, nullptr, timeUntilSend.value_or(settings_.unknownRateLimitWait) };
+    if (limitedServers == ready.size()) {
+        bool isPause = std::any_of(ready.begin(), ready.end(), [this](const ServerRecord* server) { return isPaused(*server); });
+        return { SelectionKind::RateLimited, nullptr, shortestWait.value_or(settings_.unknownRateLimitWait), isPause };
+    }
     if (!best)
         return { SelectionKind::Busy, nullptr };
     if (isProbe)
@@ -89,6 +91,44 @@
     avoidedUntil_[serverId] = until;
 }
 
+void ServerSelector::pause(const ServerRecord& server, Duration duration)
+{
+    TimePoint forgetBefore = clock_.now() - settings_.pauseRampUpTime;
+    for (auto entry = pauses_.begin(); entry != pauses_.end();)
+        entry = entry->second.until < forgetBefore ? pauses_.erase(entry) : std::next(entry);
+    pauses_[server.id] = { server.startedAt, clock_.now() + duration };
+}
+
+const ServerSelector::Pause* ServerSelector::findPause(const ServerRecord& server) const
+{
+    auto found = pauses_.find(server.id);
+    return found != pauses_.end() && found->second.startedAt == server.startedAt ? &found->second : nullptr;
+}
+
+Duration ServerSelector::pauseLeft(const ServerRecord& server) const
+{
+    const Pause* pause = findPause(server);
+    return pause ? std::max(Duration::zero(), pause->until - clock_.now()) : Duration::zero();
+}
+
+// Returns std::nullopt if the requests to the server are divided among other entries.
+std::optional<Duration> ServerSelector::timeUntilSend(const ServerRecord& server) const
+{
+    std::optional<Duration> wait = rateLimits_.timeUntilSend(server.id);
+    return wait ? std::optional(std::max(*wait, pauseLeft(server))) : std::nullopt;
+}
+
+// Returns the number of requests in flight from which on the server gets no further one.
+double ServerSelector::capacityOf(const ServerRecord& server, bool mayQueue) const
+{
+    double capacity = slotsOf(server) + (mayQueue ? settings_.queuedPerServer : 0);
+    const Pause* pause = findPause(server);
+    if (!pause || clock_.now() - pause->until >= settings_.pauseRampUpTime)
+        return capacity;
+    double share = std::chrono::duration<double>(clock_.now() - pause->until) / std::chrono::duration<double>(settings_.pauseRampUpTime);
+    return std::max(1.0, capacity * share);
+}
+
 void ServerSelector::recordSuccess(const std::string& serverId)
 {
     avoidedUntil_.erase(serverId);
--- a/Source/Forwarding/ServerSelector.h
+++ b/Source/Forwarding/ServerSelector.h
@@ -9,6 +9,7 @@
 
 #include <gsl/span>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,9 @@
     // A service still counts as unavailable for this time after its first success, so that waiting requests
     // get time to find a server.
     std::chrono::milliseconds recoveryTime { 400 };
+    // Time after a pause in which the requests in flight at the server may rise from one to its slots, so that the requests
+    // that have waited do not arrive all at once.
+    std::chrono::milliseconds pauseRampUpTime { 1000 };
     // Callers whose requests failed in an outage retry within this time after its end.
     std::chrono::milliseconds retrySurgeTime { 5000 };
 };
@@ -46,7 +50,7 @@
     Server,
     // All servers are full, avoided for now or were already tried, or the service refuses all requests.
     Busy,
-    // All servers of the service have reached the rate limits that they state.
+    // All servers of the service have reached the rate limits that they state, or have asked for a pause.
     RateLimited,
     // The registry lists no ready server of the service.
     None,
@@ -55,8 +59,9 @@
 struct ServerSelection {
     SelectionKind kind { SelectionKind::None };
     const ServerRecord* server { nullptr };
-    // Time until a server may be sent the next request, if all have reached their rate limits.
+    // Time until a server may be sent the next request, and whether a server has asked for it, if the kind is RateLimited.
     Duration retryAfter { 0 };
+    bool isPause { false };
 };
 
 // Selects the backend server for a request: the least loaded one, by the requests that all entries have in flight
@@ -77,6 +82,12 @@
     // Excludes the server from the selection until this time.
     void avoid(const std::string& serverId, TimePoint until);
 
+    // Sends the server nothing for this time, as it has asked for. Replaces an earlier pause of the server.
+    void pause(const ServerRecord& server, Duration duration);
+
+    // Returns whether the server has asked for a pause that has not ended.
+    bool isPaused(const ServerRecord& server) const { return pauseLeft(server) > Duration::zero(); }
+
     // Records that the server responded, so that it is no longer avoided.
     void recordSuccess(const std::string& serverId);
 
@@ -113,11 +124,21 @@
         TimePoint recoveringUntil;
     };
 
+    // A pause that a server has asked for. It does not hold for a later start of the server.
+    struct Pause {
+        std::int64_t startedAt { 0 };
+        TimePoint until;
+    };
+
     bool isRefusing(const Outage& outage) const { return outage.refusalsInRow >= settings_.refusalsUntilOutage; }
 
     void reduceToSample(std::vector<const ServerRecord*>& servers);
     void endOutage(std::string_view service, Outage& outage);
     double slotsOf(const ServerRecord& server) const;
+    double capacityOf(const ServerRecord& server, bool mayQueue) const;
+    const Pause* findPause(const ServerRecord& server) const;
+    Duration pauseLeft(const ServerRecord& server) const;
+    std::optional<Duration> timeUntilSend(const ServerRecord& server) const;
     bool isAvoided(const ServerRecord& server) const;
 
     const Clock& clock_;
@@ -128,6 +149,7 @@
     Random& random_;
     ServerSelectorSettings settings_;
     std::map<std::string, TimePoint, std::less<>> avoidedUntil_;
+    std::map<std::string, Pause, std::less<>> pauses_;
     std::map<std::string, Progress, std::less<>> progress_;
     std::map<std::string, Outage, std::less<>> outages_;
     // End of the last outage by service.
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -325,6 +325,7 @@
     page.addCounter("damaskgrade_requests_refused_total", "Requests that were refused as not executed.", static_cast<double>(counters_.refused));
     page.addCounter("damaskgrade_requests_failed_total", "Requests that failed with an unknown outcome.", static_cast<double>(counters_.failed));
     page.addCounter("damaskgrade_requests_quarantined_total", "Requests refused because a part of their prompt may crash servers.", static_cast<double>(counters_.quarantined));
+    page.addCounter("damaskgrade_server_pauses_total", "Refusals in which a server asked for a pause.", static_cast<double>(counters_.serverPauses));
     page.addCounter("damaskgrade_requests_cancelled_total", "Requests whose caller left.", static_cast<double>(counters_.cancelled));
     page.addCounter("damaskgrade_streams_cut_total", "Streams that were broken off.", static_cast<double>(counters_.cutStreams));
     page.addCounter("damaskgrade_streams_resumed_total", "Streams that were continued at another server.", static_cast<double>(counters_.resumedStreams));
--- a/Tests/Forwarding/ServerSelectorTest.cpp
+++ b/Tests/Forwarding/ServerSelectorTest.cpp
@@ -141,4 +141,106 @@
     CHECK(sampledQueuedShare < unsampledQueuedShare);
 }
 
+namespace {
+
+// One entry and two servers with four slots each.
+struct PauseFixture {
+    PauseFixture()
+        : entry(clock, fleet, 1, "z")
+    {
+        list(1);
+    }
+
+    void list(std::int64_t startedAt)
+    {
+        FleetSnapshot snapshot;
+        snapshot.position.revision = static_cast<std::uint64_t>(startedAt);
+        for (const char* id : { "a", "b" }) {
+            ServerRecord server;
+            server.id = id;
+            server.service = "app";
+            server.slots = 4;
+            server.startedAt = startedAt;
+            snapshot.servers.push_back(server);
+        }
+        fleet.apply(snapshot, clock.now());
+    }
+
+    void pause(const char* id, std::chrono::milliseconds duration) { entry.selector.pause(*fleet.find(id), duration); }
+
+    // Returns how many of 40 selections select the server.
+    int selections(std::string_view id)
+    {
+        int count = 0;
+        for (int i = 0; i < 40; ++i) {
+            ServerSelection selection = entry.selector.select("app", {}, false);
+            count += selection.server && selection.server->id == id ? 1 : 0;
+        }
+        return count;
+    }
+
+    ManualClock clock;
+    FleetView fleet { clock, {}, [](const ServerRecord&) {} };
+    SimulatedEntry entry;
+};
+
+}
+
+// Guards against requests to a server during a pause that it has asked for, also after its successes or an outage.
+TEST_CASE("a server gets nothing during a pause, and a later pause replaces it")
+{
+    PauseFixture fixture;
+    fixture.pause("a", std::chrono::milliseconds(3000));
+    for (int i = 0; i < 29; ++i) {
+        CHECK(fixture.selections("a") == 0);
+        fixture.entry.selector.recordSuccess("a");
+        fixture.entry.selector.recordProgress("app", "a");
+        fixture.clock.advance(std::chrono::milliseconds(100));
+    }
+    CHECK(fixture.selections("b") == 40);
+    fixture.clock.advance(std::chrono::milliseconds(2000));
+    CHECK(fixture.selections("a") > 0);
+    fixture.pause("a", std::chrono::milliseconds(9000));
+    fixture.pause("a", std::chrono::milliseconds(500));
+    CHECK(fixture.selections("a") == 0);
+    fixture.clock.advance(std::chrono::milliseconds(500));
+    CHECK(fixture.selections("a") > 0);
+}
+
+// Guards against requests that wait for nothing, and against a new start that is taken for the server that asked for a pause.
+TEST_CASE("the time until the first of the paused servers is stated, and a restarted server is not paused")
+{
+    PauseFixture fixture;
+    fixture.pause("a", std::chrono::milliseconds(3000));
+    fixture.pause("b", std::chrono::milliseconds(5000));
+    ServerSelection selection = fixture.entry.selector.select("app", {}, true);
+    CHECK(selection.kind == SelectionKind::RateLimited);
+    CHECK(selection.isPause);
+    CHECK(selection.retryAfter == std::chrono::milliseconds(3000));
+    fixture.list(2);
+    CHECK(fixture.entry.selector.select("app", {}, true).kind == SelectionKind::Server);
+}
+
+// Guards against all requests that have waited for the end of a pause arriving at its first moment.
+TEST_CASE("the requests in flight at a server rise gradually after a pause")
+{
+    PauseFixture fixture;
+    fixture.pause("a", std::chrono::milliseconds(1000));
+    fixture.pause("b", std::chrono::milliseconds(60000));
+    fixture.clock.advance(std::chrono::milliseconds(1000));
+    int inFlight = 0;
+    auto fill = [&] {
+        while (fixture.entry.selector.select("app", {}, false).server) {
+            fixture.entry.loads.started("a");
+            ++inFlight;
+        }
+        return inFlight;
+    };
+    CHECK(fill() == 1);
+    fixture.clock.advance(std::chrono::milliseconds(500));
+    CHECK(fill() == 2);
+    fixture.clock.advance(std::chrono::milliseconds(500));
+    CHECK(fill() == 4);
+}
+
 }
