Fleet, Catalog: Forget the statement of a server that has started again, and split a header

Found in reading the change: the statement of a server that it leaves stayed in the messages to peers after the server had started again under its id. What entries tell each other of the catalog is in a header of its own, so that the messages do not depend on the follower. No other change of behaviour.

--- a/Source/Catalog/CatalogFollower.h
+++ b/Source/Catalog/CatalogFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Catalog/CatalogKnowledge.h"
 #include "Catalog/CatalogSource.h"
 #include "Core/Clock.h"
 #include "Core/Random.h"
@@ -24,17 +25,6 @@
     std::chrono::milliseconds maxAge() const { return applyBound * 7 / 10; }
 };
 
-// What an entry knows of the catalog. Entries tell it to each other.
-struct CatalogKnowledge {
-    std::uint64_t version { 0 };
-    // The generation that the times below belong to.
-    StoreGeneration generation { 0 };
-    // All versions that the source had acknowledged by then are known, from its own answers or from peers.
-    std::optional<SourceTime> completeUntil;
-    // When the source last answered the entry itself.
-    std::optional<SourceTime> answeredAt;
-};
-
 struct CatalogFollowerHooks {
     // Called with the new state when the source becomes reachable or unreachable.
     std::function<void(bool)> onReachable;
--- a/Source/Catalog/CatalogSource.h
+++ b/Source/Catalog/CatalogSource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Catalog/CatalogHolder.h"
+#include "Catalog/CatalogKnowledge.h"
 #include "Platform/StoreGeneration.h"
 
 #include <chrono>
@@ -10,9 +11,6 @@
 
 namespace Damaskgrade {
 
-// Time of the steady clock of the source, since a moment that is the same for all entries.
-using SourceTime = std::chrono::milliseconds;
-
 enum class CatalogReadStatus {
     Ok,
     // The source no longer has the changes since the given revision.
--- a/Source/Fleet/FleetView.cpp
+++ b/Source/Fleet/FleetView.cpp
@@ -47,7 +47,7 @@
         ServerRecord record = listed;
         auto known = servers_.find(record.id);
         bool isSameStart = known != servers_.end() && known->second.address == record.address && known->second.startedAt == record.startedAt;
-        if (record.isDraining)
+        if (record.isDraining || !isSameStart)
             statedLeaving_.erase(record.id);
         if (wasDraining || (isSameStart && known->second.isDraining))
             record.isDraining = true;
--- a/Source/Peers/PeerMessages.h
+++ b/Source/Peers/PeerMessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Catalog/CatalogFollower.h"
+#include "Catalog/CatalogKnowledge.h"
 #include "Core/Endpoint.h"
 #include "Fleet/FleetView.h"
 #include "Forwarding/InFlightTracker.h"
--- a/Tests/Fleet/FleetViewTest.cpp
+++ b/Tests/Fleet/FleetViewTest.cpp
@@ -189,6 +189,9 @@
     CHECK(fixture.view.ready("s").size() == 1);
     fixture.apply(6, { server("a", 1, false, 9), server("b", 2) }, 2);
     CHECK(fixture.view.ready("s").size() == 2);
+    fixture.view.recordLeaving({ "a", 9 });
+    fixture.apply(7, { server("a", 1, false, 10), server("b", 2) }, 2);
+    CHECK(fixture.view.statedLeaving().empty());
 }
 
 }
