Tests: Count all calls after failed reads, and state why four checks were changed

-, "reads of an unavailable source are retried": the condition of four long polls became two, because a failed long poll is followed by a read. Before, one read and four long polls were asserted, and five calls in all. The positions that are asked for had been added, but the reads were no longer counted, so that the check was weaker. It now asserts three reads and two long polls, five calls as before; a new mutant (no read after a failure) is detected by testCatalog.

--- a/Tests/Catalog/CatalogFollowerTest.cpp
+++ b/Tests/Catalog/CatalogFollowerTest.cpp
@@ -152,6 +152,7 @@
     CatalogReadResult down = resultOf(CatalogReadStatus::Unavailable);
     CatalogFollowerFixture fixture({ resultOf(CatalogReadStatus::Ok, 4, 40), down, down, resultOf(CatalogReadStatus::Ok, 5, 50) });
     REQUIRE(fixture.runUntil([&] { return fixture.source.awaitedRevisions.size() == 2; }));
+    CHECK(fixture.source.reads == 3);
     CHECK(fixture.holder.version() == 5);
     CHECK(fixture.source.awaitedRevisions == std::vector<std::uint64_t> { 40, 50 });
     CHECK(fixture.reachable == std::vector<bool> { true, false, true });
