RankMaps: Separate the duties of a rank agent in its group from its process

Cause: the control of a group could only be tested with real sockets and real time, so that a group of the size of the large fleet was never run in a test. Change: GroupMember has what RankAgentProcess decided; it and GroupControl get their timers and links through the interfaces TaskScheduler and ProcessLinks.

--- a/Source/Agent/MapLinks.cpp
+++ b/Source/Agent/MapLinks.cpp
@@ -61,9 +61,9 @@
     return hooks;
 }
 
-LinkDirectoryHooks MapLinks::directoryHooks()
+ProcessLinkHooks MapLinks::directoryHooks()
 {
-    LinkDirectoryHooks hooks;
+    ProcessLinkHooks hooks;
     hooks.onOpen = [this](const std::string& agent) { agents_.send(agent, encodeMessage(self_, hybridClock_.tick())); };
     // Each agent sends over the links that it opened and receives over the links that other agents opened.
     hooks.onFrame = [](const std::string&, const Frame&) {};
--- a/Source/Agent/MapLinks.h
+++ b/Source/Agent/MapLinks.h
@@ -37,7 +37,7 @@
 private:
     MapAgentSettings agentSettings(const AgentSettings& settings) const;
     MapAgentHooks agentHooks();
-    LinkDirectoryHooks directoryHooks();
+    ProcessLinkHooks directoryHooks();
     void updateLinks();
     void receiveLoadRequest(const std::string& entry, const ExpertLoadRequestMessage& request);
     void reportExpertLoad(const std::string& entry);
--- a/Source/Entry/EntryProcess.cpp
+++ b/Source/Entry/EntryProcess.cpp
@@ -101,9 +101,9 @@
     return hooks;
 }
 
-LinkDirectoryHooks EntryProcess::agentLinkHooks()
+ProcessLinkHooks EntryProcess::agentLinkHooks()
 {
-    LinkDirectoryHooks hooks;
+    ProcessLinkHooks hooks;
     hooks.onOpen = [this](const std::string& agent) { agents_.send(agent, encodeMessage(hello(), hybridClock_.tick())); };
     hooks.onFrame = [this](const std::string& agent, const Frame& frame) { receiveFromAgent(agent, frame); };
     hooks.onClose = [this](const std::string& agent) { calls_.agentDisconnected(agent); };
--- a/Source/Entry/EntryProcess.h
+++ b/Source/Entry/EntryProcess.h
@@ -40,7 +40,7 @@
     CallServiceHooks callHooks();
     CallerApiHooks callerHooks();
     ConfigurationNodeHooks configurationHooks();
-    LinkDirectoryHooks agentLinkHooks();
+    ProcessLinkHooks agentLinkHooks();
     AdministrationHooks administrationHooks();
 
     void receiveFromAgent(const std::string& agent, const Frame& frame);
--- a/Source/Entry/PeerLinks.cpp
+++ b/Source/Entry/PeerLinks.cpp
@@ -37,9 +37,9 @@
     return handlers;
 }
 
-LinkDirectoryHooks PeerLinks::makeClientHooks()
+ProcessLinkHooks PeerLinks::makeClientHooks()
 {
-    LinkDirectoryHooks hooks;
+    ProcessLinkHooks hooks;
     hooks.onOpen = [this](const std::string& name) { directory_.send(name, encodeMessage(self_, hybridClock_.tick())); };
     hooks.onFrame = [](const std::string&, const Frame&) {};
     hooks.onClose = [](const std::string&) {};
--- a/Source/Entry/PeerLinks.h
+++ b/Source/Entry/PeerLinks.h
@@ -31,7 +31,7 @@
 
 private:
     LinkHandlers makeServerHandlers();
-    LinkDirectoryHooks makeClientHooks();
+    ProcessLinkHooks makeClientHooks();
     void receive(const std::shared_ptr<LinkSession>& session, const Frame& frame);
 
     HybridClock& hybridClock_;
--- a/Source/Peers/PeerGroup.cpp
+++ b/Source/Peers/PeerGroup.cpp
@@ -17,7 +17,7 @@
     , hooks_(std::move(hooks))
     , hybridClock_(clock)
 {
-    LinkDirectoryHooks linkHooks;
+    ProcessLinkHooks linkHooks;
     linkHooks.onOpen = [this](const std::string& name) {
         openedAt_[name] = clock_.now();
         EntryStateMessage state = hooks_.localState();
--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -25,9 +25,9 @@
 
 }
 
-GroupControl::GroupControl(EventLoop& loop, const Clock& clock, Random& random, const RankAgentSettings& settings, const std::string& group, std::uint32_t localRank,
+GroupControl::GroupControl(TaskScheduler& scheduler, const Clock& clock, const RankAgentSettings& settings, const std::string& group, std::uint32_t localRank,
     std::uint64_t term, bool mayPlan, GroupControlDependencies dependencies, DecisionLog& log)
-    : loop_(loop)
+    : scheduler_(scheduler)
     , clock_(clock)
     , settings_(settings)
     , group_(group)
@@ -41,8 +41,7 @@
           [this](std::string_view decision, RankMapVersion version, std::uint64_t pass) {
               log_.write(LogLine("mapChange").add("decision", decision).add("group", group_).add("version", version).add("pass", pass).add("term", term_).add("epoch", switch_.epoch()));
           })
-    , links_(loop, random, settings.linkKeys,
-          { [](const std::string&) {}, [this](const std::string& name, const Frame& frame) { receive(name, frame); }, [](const std::string&) {} })
+    , links_(dependencies_.makeLinks({ [](const std::string&) {}, [this](const std::string& name, const Frame& frame) { receive(name, frame); }, [](const std::string&) {} }))
     , nextPoll_(clock.now())
     , nextCounts_(clock.now())
     , nextPlan_(clock.now())
@@ -53,7 +52,7 @@
     readMembers();
     if (mayPlan_)
         readEngineModel();
-    timer_ = loop_.every(tickPeriod, [this] { tick(); });
+    timer_ = scheduler_.every(tickPeriod, [this] { tick(); });
 }
 
 GroupControl::~GroupControl()
@@ -69,8 +68,8 @@
             return;
         addMembers(parseRankAgentRows(result.rows));
         std::size_t size = switch_.reports().empty() ? 0 : switch_.reports().begin()->second.groupSize;
-        bool isComplete = size > 0 && switch_.reports().size() == size && links_.openCount() >= size;
-        memberTimer_ = loop_.after(isComplete ? memberScanPeriod : missingMemberScanPeriod, [this] { readMembers(); });
+        bool isComplete = size > 0 && switch_.reports().size() == size && links_->openCount() >= size;
+        memberTimer_ = scheduler_.after(isComplete ? memberScanPeriod : missingMemberScanPeriod, [this] { readMembers(); });
     });
 }
 
@@ -89,7 +88,7 @@
         if (!member.isInOtherGroup)
             targets[name] = member.link;
     }
-    links_.setTargets(targets);
+    links_->setTargets(targets);
 }
 
 void GroupControl::readEngineModel()
@@ -100,7 +99,7 @@
             return;
         const ServiceSpecification* service = result.version.catalog ? result.version.catalog->findService(settings_.service) : nullptr;
         if (!service || !service->engine) {
-            engineModelTimer_ = loop_.after(engineModelRetryDelay, [this] { readEngineModel(); });
+            engineModelTimer_ = scheduler_.after(engineModelRetryDelay, [this] { readEngineModel(); });
             return;
         }
         engineModel_ = *service->engine;
@@ -179,7 +178,7 @@
         bool isPolled = !member.isInOtherGroup && (areCountsRequested || request.includeLists || !member.isRankKnown || switch_.isWaitingFor(member.rank));
         if (!isPolled)
             continue;
-        links_.send(name, areCountsRequested ? frameWithCounts : frame);
+        links_->send(name, areCountsRequested ? frameWithCounts : frame);
         // A held group can't wait until an agent is available again. Whether the group is held is known only after all
         // ranks have reported.
         bool isReportRequired = isChangeInProgress || !switch_.isComplete();
@@ -363,7 +362,7 @@
         }
         switch_.handleOrderResult(rank, kind, version, pass, result);
         if (result == RankOrderResult::Accepted)
-            links_.send(name, encodeMessage(RankStatusRequest { group_, term_, settings_.name, false, false }, hybridClock_.tick()));
+            links_->send(name, encodeMessage(RankStatusRequest { group_, term_, settings_.name, false, false }, hybridClock_.tick()));
     });
 }
 
@@ -384,10 +383,10 @@
     message.controller = settings_.name;
     message.order = order;
     if (order.kind != RankOrderKind::Prepare) {
-        links_.send(name, encodeMessage(message, hybridClock_.tick()));
+        links_->send(name, encodeMessage(message, hybridClock_.tick()));
         return;
     }
-    links_.send(name, loadOrders_.encode(message, member.sentMap, hybridClock_.tick()));
+    links_->send(name, loadOrders_.encode(message, member.sentMap, hybridClock_.tick()));
     member.sentMap = order.version;
 }
 
@@ -407,7 +406,7 @@
 
 bool GroupControl::isResponsive(const std::string& name, const Member& member) const
 {
-    return links_.isOpen(name) && clock_.now() - member.lastSeen < settings_.agentTimeout;
+    return links_->isOpen(name) && clock_.now() - member.lastSeen < settings_.agentTimeout;
 }
 
 RankEngine& GroupControl::remoteEngine(Member& member)
--- a/Source/RankMaps/GroupControl.h
+++ b/Source/RankMaps/GroupControl.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "Catalog/CatalogSource.h"
-#include "Core/Random.h"
 #include "Logging/DecisionLog.h"
 #include "Platform/Table.h"
 #include "RankMaps/LoadOrderEncoder.h"
@@ -12,7 +11,8 @@
 #include "RankMaps/RankEngine.h"
 #include "RankMaps/RankMessages.h"
 #include "RankMaps/SwitchController.h"
-#include "Transport/LinkDirectory.h"
+#include "Transport/ProcessLinks.h"
+#include "Transport/TaskScheduler.h"
 
 #include <functional>
 #include <map>
@@ -28,6 +28,8 @@
     CatalogSource& catalog;
     // Creates a client that reaches an engine over the network, for holds and for ranks whose agent does not respond.
     std::function<std::unique_ptr<RankEngine>(const Endpoint&)> remoteEngine;
+    // Creates the links to the agents of the group.
+    MakeProcessLinks makeLinks;
     // Called when another controller has a higher term: with that term, or with the current one if it is not known.
     std::function<void(std::uint64_t term)> onLeadershipLost;
     // Agents of the group that are already known, so that control can start while the table is unavailable.
@@ -40,7 +42,7 @@
 // Unless mayPlan is set, it starts no changes and only completes those that are in progress.
 class GroupControl {
 public:
-    GroupControl(EventLoop& loop, const Clock& clock, Random& random, const RankAgentSettings& settings, const std::string& group, std::uint32_t localRank,
+    GroupControl(TaskScheduler& scheduler, const Clock& clock, const RankAgentSettings& settings, const std::string& group, std::uint32_t localRank,
         std::uint64_t term, bool mayPlan, GroupControlDependencies dependencies, DecisionLog& log);
     ~GroupControl();
     GroupControl(const GroupControl&) = delete;
@@ -92,7 +94,7 @@
     bool isResponsive(const std::string& name, const Member& member) const;
     RankEngine& remoteEngine(Member& member);
 
-    EventLoop& loop_;
+    TaskScheduler& scheduler_;
     const Clock& clock_;
     const RankAgentSettings& settings_;
     std::string group_;
@@ -111,7 +113,7 @@
     LoadOrderEncoder loadOrders_;
     // The member that was last selected to report counts.
     std::string lastCountMember_;
-    LinkDirectory links_;
+    std::unique_ptr<ProcessLinks> links_;
     std::unique_ptr<Timer> timer_;
     std::unique_ptr<Timer> memberTimer_;
     std::unique_ptr<Timer> engineModelTimer_;
--- a/Source/RankMaps/GroupMember.cpp
+++ b/Source/RankMaps/GroupMember.cpp
@@ -1,7 +1,6 @@
-#include "RankMaps/RankAgentProcess.h"
+#include "RankMaps/GroupMember.h"
 
 #include "Core/Error.h"
-#include "Metrics/MetricsPage.h"
 #include "RankMaps/RankAgentRows.h"
 
 #include <glog/logging.h>
@@ -26,12 +25,13 @@
 
 }
 
-RankAgentProcess::RankAgentProcess(EventLoop& loop, const Clock& clock, Random& random, RankAgentSettings settings, RankAgentPlatform platform, DecisionLog& log)
-    : loop_(loop)
+GroupMember::GroupMember(TaskScheduler& scheduler, const Clock& clock, Random& random, RankAgentSettings settings, RankAgentPlatform platform, MakeProcessLinks makeLinks, DecisionLog& log)
+    : scheduler_(scheduler)
     , clock_(clock)
     , random_(random)
     , settings_(std::move(settings))
     , platform_(std::move(platform))
+    , makeLinks_(std::move(makeLinks))
     , log_(log)
     , incarnationName_(settings_.name + "#" + random.identifier().substr(0, 12))
     , hybridClock_(clock)
@@ -40,37 +40,23 @@
     , leaseTriedAt_(clock.now())
     , reportRequestedAt_(clock.now() - localReportPeriod)
 {
-    LinkHandlers handlers;
-    handlers.onOpen = [](const std::shared_ptr<LinkSession>&) {};
-    handlers.onFrame = [this](const std::shared_ptr<LinkSession>& session, const Frame& frame) { receive(session, frame); };
-    handlers.onClose = [](const std::shared_ptr<LinkSession>&) {};
-    server_ = std::make_unique<LinkServer>(loop_, settings_.link, settings_.linkKeys, handlers);
-    metricsServer_ = std::make_unique<HttpServer>(loop_, settings_.metrics, HttpServerLimits {}, [this](std::shared_ptr<HttpExchange> exchange) {
-        exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText() });
-    });
-    timer_ = loop_.every(tickPeriod, [this] { tick(); });
-    loop_.onTermination([this] {
-        log_.write(LogLine("stopped").add("role", "rankAgent"));
-        log_.flush();
-        loop_.stop();
-    });
-    log_.write(LogLine("started").add("role", "rankAgent").add("version", DAMASKGRADE_VERSION).add("engine", formatEndpoint(settings_.engine)));
+    timer_ = scheduler_.every(tickPeriod, [this] { tick(); });
 }
 
-RankAgentProcess::~RankAgentProcess() = default;
+GroupMember::~GroupMember() = default;
 
-void RankAgentProcess::registerAgent()
+void GroupMember::registerAgent()
 {
     RankAgentRow row { settings_.name, leaseGroup_, settings_.link, settings_.engine };
     platform_.table.write({ makeRankAgentRowWrite(row) }, [this](const TableWriteResult& result) {
         if (result.status != ResultCode::Ok)
-            registerTimer_ = loop_.after(registrationRetryDelay + std::chrono::milliseconds(random_.index(200)), [this] { registerAgent(); });
+            registerTimer_ = scheduler_.after(registrationRetryDelay + std::chrono::milliseconds(random_.index(200)), [this] { registerAgent(); });
     });
 }
 
 // Keeps a list of the agents, because this agent may have to take control while the table is unavailable. Writes the row
 // of this agent again if the table has lost it.
-void RankAgentProcess::readAgents()
+void GroupMember::readAgents()
 {
     platform_.table.scan(rankAgentGroupPrefix(leaseGroup_), [this](const TableReadResult& result) {
         bool isRead = result.status == ResultCode::Ok;
@@ -87,12 +73,12 @@
 }
 
 // Random, so that the agents do not all read in the same moment.
-void RankAgentProcess::scheduleAgentScan(std::chrono::milliseconds delay)
+void GroupMember::scheduleAgentScan(std::chrono::milliseconds delay)
 {
-    agentsTimer_ = loop_.after(delay + std::chrono::milliseconds(random_.index(static_cast<std::size_t>(delay.count()))), [this] { readAgents(); });
+    agentsTimer_ = scheduler_.after(delay + std::chrono::milliseconds(random_.index(static_cast<std::size_t>(delay.count()))), [this] { readAgents(); });
 }
 
-void RankAgentProcess::handleStoreGeneration(StoreGeneration generation)
+void GroupMember::handleStoreGeneration(StoreGeneration generation)
 {
     if (generation <= storeGeneration_)
         return;
@@ -105,12 +91,12 @@
 }
 
 // Returns whether this agent controls its group under a term of a history that the table has lost.
-bool RankAgentProcess::isLeaseLost() const
+bool GroupMember::isLeaseLost() const
 {
     return control_ && control_->mayPlan() && ControllerLease::generationOf(control_->term()) < storeGeneration_;
 }
 
-void RankAgentProcess::receive(const std::shared_ptr<LinkSession>& session, const Frame& frame)
+void GroupMember::receive(const std::shared_ptr<LinkSession>& session, const Frame& frame)
 {
     hybridClock_.observe(frame.time);
     auto observeTerm = [this](std::uint64_t term) {
@@ -137,15 +123,14 @@
     }
 }
 
-void RankAgentProcess::tick()
+void GroupMember::tick()
 {
-    log_.flush();
     if (control_ && control_->mayPlan() && !isLeaseLost())
         return;
     takeOverIfControllerTimedOut();
 }
 
-void RankAgentProcess::takeOverIfControllerTimedOut()
+void GroupMember::takeOverIfControllerTimedOut()
 {
     TimePoint now = clock_.now();
     if (!agent_.report()) {
@@ -167,7 +152,7 @@
         // Reads the current term before it is needed for a takeover.
         lease_->read();
         registerAgent();
-        agentsTimer_ = loop_.after(settings_.firstAgentScanDelay, [this] { readAgents(); });
+        agentsTimer_ = scheduler_.after(settings_.firstAgentScanDelay, [this] { readAgents(); });
         return;
     }
     bool isControllerTimedOut = now - agent_.controllerLastSeen() >= settings_.controllerTimeout + settings_.controllerTimeoutPerRank * report.rank;
@@ -180,7 +165,7 @@
     lease_->takeOver(agent_.term());
 }
 
-void RankAgentProcess::leaseChanged(std::uint64_t term, const std::string& controller)
+void GroupMember::leaseChanged(std::uint64_t term, const std::string& controller)
 {
     agent_.recordTerm(term);
     if (controller.empty())
@@ -203,23 +188,23 @@
 
 // Without the table no agent can acquire the lease, but a held group must not wait until it is available. A change in
 // progress is completed under the current term.
-void RankAgentProcess::leaseFailed()
+void GroupMember::leaseFailed()
 {
     if (!control_ && agent_.term() > 0 && agent_.report())
         startControl(agent_.term(), false);
 }
 
-void RankAgentProcess::startControl(std::uint64_t term, bool mayPlan)
+void GroupMember::startControl(std::uint64_t term, bool mayPlan)
 {
-    GroupControlDependencies dependencies { platform_.table, platform_.catalog, platform_.engine, [this](std::uint64_t newTerm) {
-                                               loop_.post([this, newTerm] { stopControl(newTerm); });
+    GroupControlDependencies dependencies { platform_.table, platform_.catalog, platform_.engine, makeLinks_, [this](std::uint64_t newTerm) {
+                                               scheduler_.post([this, newTerm] { stopControl(newTerm); });
                                            },
         knownAgents_, agent_.controller() == settings_.name ? std::string() : agent_.controller() };
     log_.write(LogLine("controlTaken").add("group", leaseGroup_).add("term", term).add("mayPlan", mayPlan));
-    control_ = std::make_unique<GroupControl>(loop_, clock_, random_, settings_, leaseGroup_, agent_.report()->rank, term, mayPlan, dependencies, log_);
+    control_ = std::make_unique<GroupControl>(scheduler_, clock_, settings_, leaseGroup_, agent_.report()->rank, term, mayPlan, dependencies, log_);
 }
 
-void RankAgentProcess::stopControl(std::uint64_t term)
+void GroupMember::stopControl(std::uint64_t term)
 {
     if (!control_)
         return;
@@ -229,23 +214,4 @@
     control_ = nullptr;
 }
 
-std::string RankAgentProcess::metricsText() const
-{
-    MetricsPage page;
-    page.addGauge("damaskgrade_controls_group", "1 if this agent controls its group.", control_ ? 1 : 0);
-    page.addGauge("damaskgrade_controller_term", "Highest term of a controller seen.", static_cast<double>(agent_.term()));
-    if (agent_.report()) {
-        page.addGauge("damaskgrade_map_version", "Version of the map in use.", static_cast<double>(agent_.report()->mapVersion));
-        page.addGauge("damaskgrade_group_epoch", "Epoch of the group.", static_cast<double>(agent_.report()->epoch));
-    }
-    if (control_) {
-        page.addGauge("damaskgrade_expert_skew", "Load of the fullest rank over the mean, averaged over the sets.", control_->skew());
-        page.addCounter("damaskgrade_map_changes_started_total", "Map changes started.", static_cast<double>(control_->counters().started));
-        page.addCounter("damaskgrade_map_changes_completed_total", "Map changes completed.", static_cast<double>(control_->counters().completed));
-        page.addCounter("damaskgrade_map_changes_given_up_total", "Map changes given up.", static_cast<double>(control_->counters().givenUp));
-    }
-    page.addCounter("damaskgrade_log_lines_dropped_total", "Log lines left out.", static_cast<double>(log_.droppedLines()));
-    return page.text();
-}
-
 }
--- a/Source/RankMaps/GroupMember.h
+++ b/Source/RankMaps/GroupMember.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "Core/Random.h"
 #include "RankMaps/ControllerLease.h"
 #include "RankMaps/GroupControl.h"
 #include "RankMaps/RankAgent.h"
 #include "RankMaps/RankAgentSettings.h"
-#include "Transport/HttpServer.h"
-#include "Transport/LinkServer.h"
+#include "Transport/Link.h"
+#include "Transport/ProcessLinks.h"
+#include "Transport/TaskScheduler.h"
 
 #include <functional>
 #include <memory>
@@ -19,22 +21,28 @@
     std::function<std::unique_ptr<RankEngine>(const Endpoint&)> engine;
 };
 
-// The agent process beside one rank: serves the controller of the group, and becomes the controller if no message of
-// one is received within the timeout.
-class RankAgentProcess {
+// What one rank agent does in its group: registers, serves the controller, and becomes the controller if no message of
+// one is received within the timeout. The process around it provides the links and the timers.
+class GroupMember {
 public:
-    RankAgentProcess(EventLoop& loop, const Clock& clock, Random& random, RankAgentSettings settings, RankAgentPlatform platform, DecisionLog& log);
-    ~RankAgentProcess();
-    RankAgentProcess(const RankAgentProcess&) = delete;
-    RankAgentProcess& operator=(const RankAgentProcess&) = delete;
+    GroupMember(TaskScheduler& scheduler, const Clock& clock, Random& random, RankAgentSettings settings, RankAgentPlatform platform, MakeProcessLinks makeLinks, DecisionLog& log);
+    ~GroupMember();
+    GroupMember(const GroupMember&) = delete;
+    GroupMember& operator=(const GroupMember&) = delete;
 
     // Handles the generation that the table has stated. Lower generations than before, of late responses, are ignored.
     void handleStoreGeneration(StoreGeneration generation);
 
+    // Handles a frame from another agent of the group.
+    void receive(const std::shared_ptr<LinkSession>& session, const Frame& frame);
+
+    const RankAgent& agent() const { return agent_; }
+    // Null unless this agent controls its group.
+    const GroupControl* control() const { return control_.get(); }
+
 private:
     void registerAgent();
     void readAgents();
-    void receive(const std::shared_ptr<LinkSession>& session, const Frame& frame);
     void tick();
     bool isLeaseLost() const;
     void scheduleAgentScan(std::chrono::milliseconds delay);
@@ -43,21 +51,19 @@
     void leaseFailed();
     void startControl(std::uint64_t term, bool mayPlan);
     void stopControl(std::uint64_t term);
-    std::string metricsText() const;
 
-    EventLoop& loop_;
+    TaskScheduler& scheduler_;
     const Clock& clock_;
     Random& random_;
     RankAgentSettings settings_;
     RankAgentPlatform platform_;
+    MakeProcessLinks makeLinks_;
     DecisionLog& log_;
     // Name of this incarnation of the process. It identifies the lease that this process holds.
     std::string incarnationName_;
     HybridClock hybridClock_;
     std::unique_ptr<RankEngine> engine_;
     RankAgent agent_;
-    std::unique_ptr<LinkServer> server_;
-    std::unique_ptr<HttpServer> metricsServer_;
     std::unique_ptr<ControllerLease> lease_;
     std::string leaseGroup_;
     std::unique_ptr<GroupControl> control_;
--- a/Source/Transport/EventLoop.h
+++ b/Source/Transport/EventLoop.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Transport/TaskScheduler.h"
+
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -10,17 +12,11 @@
 
 namespace Damaskgrade {
 
-// A handle to a scheduled task. Destroying it cancels the task.
-class Timer {
-public:
-    virtual ~Timer() = default;
-};
-
 // The single-threaded event loop of a process. All handlers run on its thread.
-class EventLoop {
+class EventLoop : public TaskScheduler {
 public:
     EventLoop();
-    ~EventLoop();
+    ~EventLoop() override;
     EventLoop(const EventLoop&) = delete;
     EventLoop& operator=(const EventLoop&) = delete;
 
@@ -32,15 +28,9 @@
     // Prepares the loop for another call of run() after stop().
     void restart();
 
-    // Runs the task once, after the handlers that are already queued.
-    void post(std::function<void()> task);
-
-    // Runs the task once after the delay, unless the returned timer is destroyed first.
-    std::unique_ptr<Timer> after(std::chrono::milliseconds delay, std::function<void()> task);
-
-    // Runs the task once per period until the returned timer is destroyed. Each period starts when the previous
-    // run of the task has ended.
-    std::unique_ptr<Timer> every(std::chrono::milliseconds period, std::function<void()> task);
+    void post(std::function<void()> task) override;
+    std::unique_ptr<Timer> after(std::chrono::milliseconds delay, std::function<void()> task) override;
+    std::unique_ptr<Timer> every(std::chrono::milliseconds period, std::function<void()> task) override;
 
     // Runs the task on each SIGTERM or SIGINT.
     void onTermination(std::function<void()> task);
--- a/Source/Transport/LinkDirectory.cpp
+++ b/Source/Transport/LinkDirectory.cpp
@@ -20,7 +20,7 @@
 
 }
 
-LinkDirectory::LinkDirectory(EventLoop& loop, Random& random, const LinkKeys& keys, LinkDirectoryHooks hooks)
+LinkDirectory::LinkDirectory(EventLoop& loop, Random& random, const LinkKeys& keys, ProcessLinkHooks hooks)
     : loop_(loop)
     , random_(random)
     , keys_(keys)
