--- a/Source/RankMaps/ControllerLease.cpp
+++ b/Source/RankMaps/ControllerLease.cpp
@@ -86,6 +86,11 @@
     // lease counts as acquired.
     table_.write({ { key_, std::to_string(term) + " " + name_, version } }, [this, term, generation](const TableWriteResult& result) {
         isBusy_ = false;
+        // Another agent has acquired the lease, or this write was applied and then sent again.
+        if (result.status == ResultCode::TableConflict) {
+            read();
+            return;
+        }
         // Versions of another generation than that of the read can't be compared, so the condition proves nothing.
         if (result.status == ResultCode::Ok && result.generation == generation)
             onChanged_(term, name_);
--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -18,7 +18,16 @@
 // Period between reads of the agents' rows while all reports and links are present.
 constexpr std::chrono::milliseconds memberScanPeriod { 15000 };
 constexpr std::chrono::milliseconds engineModelRetryDelay { 1000 };
-constexpr std::chrono::milliseconds planPeriod { 120 };
+// Approximate size of a request and of a status on the link, with the headers of the frame.
+constexpr std::size_t statusBytes = 300;
+// Size of the headers of a message with counts on the link.
+constexpr std::size_t frameBytes = 200;
+// Time in which an agent starts to pass a message on, beside the time that its link needs.
+constexpr std::chrono::milliseconds relayTime { 30 };
+// An order to load a map that is sent to an engine over the network has this many bytes for each expert of the map.
+constexpr std::size_t remoteLoadBytesPerExpert = 5;
+// A change is only started if the maps that have to be sent over the network are transmitted in this time.
+constexpr std::chrono::milliseconds maxRemoteLoadTime { 1000 };
 constexpr int permille = 1000;
 // Responses that arrived during a process pause are read from the links within this time.
 constexpr std::chrono::milliseconds staleReportPeriod { 100 };
@@ -42,9 +51,9 @@
               log_.write(LogLine("mapChange").add("decision", decision).add("group", group_).add("version", version).add("pass", pass).add("term", term_).add("epoch", switch_.epoch()));
           })
     , links_(dependencies_.makeLinks({ [](const std::string&) {}, [this](const std::string& name, const Frame& frame) { receive(name, frame); }, [](const std::string&) {} }))
+    , budget_(settings.linkBytesPerSecond)
     , nextPoll_(clock.now())
     , nextCounts_(clock.now())
-    , nextPlan_(clock.now())
     , pauseDetector_(clock, settings.controllerTimeout)
 {
     switch_.setFencingToken(term_);
@@ -76,12 +85,10 @@
 void GroupControl::addMembers(const std::vector<RankAgentRow>& agents)
 {
     for (const RankAgentRow& agent : agents) {
-        bool isNew = members_.count(agent.name) == 0;
         Member& member = members_[agent.name];
         member.link = agent.link;
         member.engine = agent.engine;
-        if (isNew)
-            member.lastSeen = clock_.now();
+        member.availabilityZone = agent.availabilityZone;
     }
     std::map<std::string, Endpoint> targets;
     for (const auto& [name, member] : members_) {
@@ -115,8 +122,10 @@
     const EngineModel& engine = *engineModel_;
     std::uint32_t ranks = switch_.reports().begin()->second.groupSize;
     ExpertLayout layout { ranks, engine.expertSets, engine.expertsPerSet, engine.expertSlotsPerRank, std::max(1U, engine.spareExpertSlots) };
+    MapPlannerSettings plannerSettings;
+    plannerSettings.requestSlots = static_cast<std::size_t>(requestSlotsPerRank_) * ranks;
     if (layout.sets > 0 && layout.expertsPerSet > 0 && ranks > 0)
-        planner_ = std::make_unique<MapPlanner>(clock_, layout, MapPlannerSettings {});
+        planner_ = std::make_unique<MapPlanner>(clock_, layout, plannerSettings);
 }
 
 void GroupControl::tick()
@@ -128,9 +137,12 @@
         nextPoll_ = now + pollPeriod();
         pollMembers();
     }
+    if (planner_ && now >= nextCounts_)
+        requestCounts();
     switch_.tick();
     if (isOnlyPredecessorMissing())
         switch_.tickWithoutPredecessor();
+    sendLoads();
     if (switch_.counters().completed != handledCompletions_) {
         handledCompletions_ = switch_.counters().completed;
         if (planner_ && !pendingMap_.empty())
@@ -141,21 +153,48 @@
         plannedEpoch_ = switch_.epoch();
         pendingMap_.clear();
     }
-    if (planner_ && now >= nextPlan_ && switch_.canStart()) {
-        nextPlan_ = now + planPeriod;
-        plan();
+    bool areCountsComplete = missingCounts_ == 0 || now >= countsDueAt_;
+    if (planner_ && areCountsNew_ && areCountsComplete && switch_.canStart() && canLoadEverywhere()) {
+        areCountsNew_ = false;
+        if (!isDemandShifting())
+            plan();
+        sendLoads();
     }
 }
 
-// During a change the members are polled more often. In a large group the period grows with the number of ranks, so
-// that the controller has time left to send its orders.
+// Returns whether the counts show only a part of a shift of the demand yet: the skew still rises from one round of counts
+// to the next. A map for such counts would have to be replaced as soon as it is in use.
+bool GroupControl::isDemandShifting()
+{
+    constexpr double risingFactor = 1.1;
+    constexpr int maxDeferredRounds = 1;
+    double skew = planner_->skew();
+    bool isRising = skew > lastSkew_ * risingFactor && lastSkew_ > 0;
+    lastSkew_ = skew;
+    deferredRounds_ = isRising && deferredRounds_ < maxDeferredRounds ? deferredRounds_ + 1 : 0;
+    return deferredRounds_ > 0;
+}
+
+// During a change, and while something is missing to start one, the members are polled more often. In a large group the
+// period grows with the number of ranks.
 std::chrono::milliseconds GroupControl::pollPeriod() const
 {
-    constexpr std::chrono::microseconds pollTimePerRank { 2000 };
-    if (switch_.stage() == SwitchStage::Idle)
-        return settings_.pollPeriod;
-    auto minimumPeriod = std::chrono::duration_cast<std::chrono::milliseconds>(pollTimePerRank * switch_.reports().size());
-    return std::max(settings_.changePollPeriod, minimumPeriod);
+    std::size_t bytes = statusBytes * switch_.reports().size();
+    if (switch_.stage() == SwitchStage::Idle && switch_.isComplete() && !areListsRequired())
+        return std::max(settings_.pollPeriod, budget_.periodOf(bytes, settings_.statusLinkShare));
+    return std::max(settings_.changePollPeriod, budget_.periodOf(bytes, settings_.changeLinkShare));
+}
+
+// The controller receives the counts of each availability zone, and other agents those of the agents that they pass the
+// request on to.
+std::chrono::milliseconds GroupControl::countPeriod() const
+{
+    std::set<std::string> zones;
+    for (const auto& [name, member] : members_)
+        zones.insert(member.availabilityZone);
+    std::size_t counts = static_cast<std::size_t>(planner_->layout().sets) * planner_->layout().expertsPerSet;
+    std::size_t messages = std::max(zones.size(), relayFanOut + 1);
+    return std::max(settings_.countPollPeriod, budget_.periodOf(messages * (counts + frameBytes), settings_.countLinkShare));
 }
 
 void GroupControl::pollMembers()
@@ -164,43 +203,92 @@
     request.group = group_;
     request.term = term_;
     request.controller = settings_.name;
-    bool areCountsDue = planner_ && clock_.now() >= nextCounts_;
-    // After a group restart the lists are requested before the group opens, so that the first map can be planned at once.
-    bool isPlanPending = planner_ && switch_.stage() == SwitchStage::Idle && !planner_->hasMap(switch_.mapVersion());
-    request.includeLists = isPlanPending || (switch_.needsMapInUse() && !mapInUse());
+    request.includeLists = areListsRequired();
     Frame frame = encodeMessage(request, hybridClock_.tick());
-    request.includeCounts = true;
-    Frame frameWithCounts = encodeMessage(request, hybridClock_.tick());
-    std::set<std::string> countMembers = areCountsDue ? selectMembersForCounts() : std::set<std::string>();
     bool isChangeInProgress = switch_.stage() != SwitchStage::Idle;
     for (auto& [name, member] : members_) {
-        bool areCountsRequested = countMembers.count(name) != 0;
-        bool isPolled = !member.isInOtherGroup && (areCountsRequested || request.includeLists || !member.isRankKnown || switch_.isWaitingFor(member.rank));
+        bool isPolled = !member.isInOtherGroup && (request.includeLists || !member.isRankKnown || switch_.isWaitingFor(member.rank));
         if (!isPolled)
             continue;
-        links_->send(name, areCountsRequested ? frameWithCounts : frame);
+        links_->send(name, frame);
+        if (!member.unansweredSince)
+            member.unansweredSince = clock_.now();
         // A held group can't wait until an agent is available again. Whether the group is held is known only after all
         // ranks have reported.
-        bool isReportRequired = isChangeInProgress || !switch_.isComplete();
-        if (isReportRequired && clock_.now() - member.lastSeen >= settings_.agentTimeout)
+        bool isReportRequired = isChangeInProgress || !switch_.isComplete() || request.includeLists;
+        if (isReportRequired && isOverdue(member))
             requestEngineReport(name, member);
     }
 }
 
-// Selects the members that report counts next, in turn. In a large group only some members report in each period,
-// because the counts of all of them would saturate the controller's link. Their counts are a sample for the whole group.
-std::set<std::string> GroupControl::selectMembersForCounts()
+// After a group restart the lists are requested before the group opens, so that the first map can be planned at once.
+bool GroupControl::areListsRequired() const
 {
-    nextCounts_ = clock_.now() + settings_.countPollPeriod;
-    std::set<std::string> selected;
-    auto next = members_.upper_bound(lastCountMember_);
-    for (std::size_t i = 0; i < members_.size() && selected.size() < settings_.maxCountRequestsPerPeriod; ++i, ++next) {
-        if (next == members_.end())
-            next = members_.begin();
-        if (!next->second.isInOtherGroup)
-            selected.insert(lastCountMember_ = next->first);
+    bool isPlanPending = planner_ && switch_.stage() == SwitchStage::Idle && !planner_->hasMap(switch_.mapVersion());
+    return isPlanPending || (switch_.needsMapInUse() && !mapInUse());
+}
+
+void GroupControl::requestCounts()
+{
+    std::vector<std::string> names;
+    for (const auto& [name, member] : members_) {
+        if (!member.isInOtherGroup && member.isRankKnown && isResponsive(name, member))
+            names.push_back(name);
+    }
+    RankCountsRequest request;
+    request.group = group_;
+    request.term = term_;
+    request.controller = settings_.name;
+    request.round = ++countRound_;
+    // The next round begins only after the last response.
+    std::chrono::milliseconds period = countPeriod();
+    request.wait = period / 2;
+    countsDueAt_ = clock_.now() + period * 3 / 4;
+    nextCounts_ = clock_.now() + period;
+    std::vector<RelayBranch> branches = branchesByZone(names, 0);
+    missingCounts_ = branches.size();
+    for (RelayBranch& branch : branches) {
+        request.receivers = std::move(branch.rest);
+        links_->send(nameOf(branch.head), encodeMessage(request, hybridClock_.tick()));
     }
-    return selected;
+}
+
+void GroupControl::receiveCounts(const RankCounts& counts)
+{
+    if (counts.round != countRound_ || missingCounts_ == 0)
+        return;
+    --missingCounts_;
+    if (!planner_ || counts.ranks == 0)
+        return;
+    planner_->addCounts(unpackCounts(counts).counts);
+    areCountsNew_ = true;
+}
+
+// Returns the branches of a tree for each availability zone. The local agent is a branch of its own, as messages to it do
+// not use the link. In another round other agents pass the message on.
+std::vector<RelayBranch> GroupControl::branchesByZone(const std::vector<std::string>& names, std::size_t round) const
+{
+    std::map<std::string, std::vector<Endpoint>> receivers;
+    std::vector<RelayBranch> branches;
+    for (const std::string& name : names) {
+        const Member& member = members_.at(name);
+        if (name == settings_.name)
+            branches.push_back({ member.link, {} });
+        else
+            receivers[member.availabilityZone].push_back(member.link);
+    }
+    for (auto& [zone, links] : receivers) {
+        std::rotate(links.begin(), links.begin() + static_cast<std::ptrdiff_t>(round % links.size()), links.end());
+        for (RelayBranch& branch : splitIntoBranches(links, 1))
+            branches.push_back(std::move(branch));
+    }
+    return branches;
+}
+
+std::string GroupControl::nameOf(const Endpoint& link) const
+{
+    auto found = std::find_if(members_.begin(), members_.end(), [&link](const auto& entry) { return entry.second.link == link; });
+    return found == members_.end() ? std::string() : found->first;
 }
 
 // Requests the report directly from the engine of an agent that does not respond.
@@ -221,7 +309,7 @@
         polledMember.rank = report->rank;
         polledMember.isRankKnown = true;
         switch_.observe(*report);
-        if (switch_.needsMapInUse())
+        if (areListsRequired())
             requestEngineLists(polledMember);
     });
 }
@@ -244,6 +332,8 @@
             receiveStatus(decodeRankStatus(frame.body));
         } else if (frame.type == RankOrderResultMessage::type) {
             receiveResult(decodeRankOrderResult(frame.body));
+        } else if (frame.type == RankCounts::type) {
+            receiveCounts(decodeRankCounts(frame.body));
         }
     } catch (const Error& error) {
         LOG(WARNING) << "rejected a frame from a rank agent: " << error.what();
@@ -260,7 +350,7 @@
     if (member == members_.end())
         return;
     if (result.result == RankOrderResult::BaseMissing)
-        member->second.sentMap = 0;
+        member->second.knownMap = 0;
     switch_.handleOrderResult(member->second.rank, result.kind, result.version, result.pass, result.result);
 }
 
@@ -279,18 +369,13 @@
     if (found == members_.end() || !status.report || clock_.now() < ignoreReportsUntil_)
         return;
     Member& member = found->second;
-    member.lastSeen = clock_.now();
+    member.unansweredSince.reset();
     member.rank = status.report->rank;
     member.engine = status.engine;
     member.isRankKnown = true;
     switch_.observe(*status.report);
-    if (planner_ && !status.counts.empty()) {
-        std::vector<double> counts;
-        counts.reserve(status.counts.size());
-        for (std::uint16_t count : status.counts)
-            counts.push_back(count * status.countUnit);
-        planner_->addCounts(counts);
-    }
+    if (status.report->prepared == loadOrder_.version)
+        member.knownMap = loadOrder_.version;
     if (status.lists)
         recordLists(member.rank, *status.lists);
     switch_.tick();
@@ -336,33 +421,120 @@
 
 void GroupControl::sendOrder(std::uint32_t rank, const RankOrder& order)
 {
+    if (order.kind == RankOrderKind::Prepare && order.version != loadOrder_.version) {
+        loadOrder_ = order;
+        loadTargets_.clear();
+        remoteLoadTargets_.clear();
+        loadRound_ = 0;
+    }
     for (auto& [name, member] : members_) {
         if (!member.isRankKnown || member.rank != rank)
             continue;
+        bool isLoad = order.kind == RankOrderKind::Prepare;
         // A hold is always sent directly to the engine over the network and not through its agent. If the sending machine
         // pauses right after the order, the held engine is on another machine, so the next controller can release the pass.
-        if (isResponsive(name, member) && order.kind != RankOrderKind::Hold)
-            sendOrderToAgent(name, member, order);
-        else
+        bool isRemote = !isResponsive(name, member) || order.kind == RankOrderKind::Hold;
+        if (isLoad && isRemote)
+            remoteLoadTargets_.insert(name);
+        else if (isLoad)
+            loadTargets_.push_back(name);
+        else if (isRemote)
             sendRemoteOrder(name, member, order);
+        else
+            links_->send(name, encodeMessage(messageOf(order), hybridClock_.tick()));
+        return;
+    }
+}
+
+RankOrderMessage GroupControl::messageOf(const RankOrder& order) const
+{
+    RankOrderMessage message;
+    message.group = group_;
+    message.term = term_;
+    message.controller = settings_.name;
+    message.order = order;
+    message.order.map = nullptr;
+    return message;
+}
+
+// Sends the map to all agents that it has to be sent to. Each time other agents pass it on, because those that passed it on
+// the last time may have been the reason why it did not arrive.
+void GroupControl::sendLoads()
+{
+    sendRemoteLoads();
+    if (loadTargets_.empty())
         return;
+    std::vector<std::string> names = std::exchange(loadTargets_, {});
+    RankMapVersion base = members_[names.front()].knownMap;
+    bool haveSameBase = std::all_of(names.begin(), names.end(), [this, base](const std::string& name) { return members_[name].knownMap == base; });
+    const EncodedMap& encoded = loadOrders_.encode(loadOrder_.version, loadOrder_.map, haveSameBase ? base : 0);
+    RankOrderMessage message = messageOf(loadOrder_);
+    message.baseVersion = encoded.baseVersion;
+    message.encodedMap = encoded.bytes;
+    for (RelayBranch& branch : branchesByZone(names, loadRound_++)) {
+        message.receivers = std::move(branch.rest);
+        links_->send(nameOf(branch.head), encodeMessage(message, hybridClock_.tick()));
     }
+    switch_.setLoadResendDelay(2 * loadTime(encoded.bytes.size()));
+}
+
+// Returns the time in which a message of this size reaches all members.
+std::chrono::milliseconds GroupControl::loadTime(std::size_t bytes) const
+{
+    std::map<std::string, std::size_t> sizes;
+    for (const auto& [name, member] : members_)
+        ++sizes[member.availabilityZone];
+    std::size_t largest = 0;
+    for (const auto& [zone, size] : sizes)
+        largest = std::max(largest, size);
+    std::size_t levels = relayLevels(largest);
+    return budget_.transmissionTime(bytes * (sizes.size() + levels * relayFanOut)) + relayTime * (levels + 1);
+}
+
+// One at a time: each order has the complete map, and one that waits behind others gets no response in time.
+void GroupControl::sendRemoteLoads()
+{
+    if (remoteLoadTargets_.empty() || isRemoteLoadPending_)
+        return;
+    std::string name = *remoteLoadTargets_.begin();
+    remoteLoadTargets_.erase(remoteLoadTargets_.begin());
+    isRemoteLoadPending_ = true;
+    sendRemoteOrder(name, members_[name], loadOrder_);
+}
+
+// Returns the size of an order to load a map that is sent to an engine over the network.
+std::size_t GroupControl::remoteLoadBytes() const
+{
+    if (!loadOrder_.map)
+        return 0;
+    std::size_t experts = 0;
+    for (const std::vector<std::vector<std::uint32_t>>& set : *loadOrder_.map) {
+        for (const std::vector<std::uint32_t>& rank : set)
+            experts += rank.size();
+    }
+    return experts * remoteLoadBytesPerExpert;
 }
 
 void GroupControl::sendRemoteOrder(const std::string& name, Member& member, const RankOrder& order)
 {
     std::shared_ptr<bool> alive = alive_;
-    remoteEngine(member).order(order, [this, alive, name, rank = member.rank, kind = order.kind, version = order.version, pass = order.pass](RankOrderResult result) {
+    std::chrono::milliseconds timeout = engineOrderTimeout;
+    // The complete map is transmitted on two links, behind what is queued there.
+    if (order.map)
+        timeout += 3 * budget_.transmissionTime(remoteLoadBytes());
+    remoteEngine(member).order(order, timeout, [this, alive, name, rank = member.rank, kind = order.kind, version = order.version, pass = order.pass](RankOrderResult result) {
         if (!*alive)
             return;
         resetAfterPause();
+        if (kind == RankOrderKind::Prepare)
+            isRemoteLoadPending_ = false;
         if (result == RankOrderResult::Fenced) {
             dependencies_.onLeadershipLost(term_);
             return;
         }
         switch_.handleOrderResult(rank, kind, version, pass, result);
         if (result == RankOrderResult::Accepted)
-            links_->send(name, encodeMessage(RankStatusRequest { group_, term_, settings_.name, false, false }, hybridClock_.tick()));
+            links_->send(name, encodeMessage(RankStatusRequest { group_, term_, settings_.name, false }, hybridClock_.tick()));
     });
 }
 
@@ -375,21 +547,6 @@
     });
 }
 
-void GroupControl::sendOrderToAgent(const std::string& name, Member& member, const RankOrder& order)
-{
-    RankOrderMessage message;
-    message.group = group_;
-    message.term = term_;
-    message.controller = settings_.name;
-    message.order = order;
-    if (order.kind != RankOrderKind::Prepare) {
-        links_->send(name, encodeMessage(message, hybridClock_.tick()));
-        return;
-    }
-    links_->send(name, loadOrders_.encode(message, member.sentMap, hybridClock_.tick()));
-    member.sentMap = order.version;
-}
-
 void GroupControl::plan()
 {
     double running = 0;
@@ -406,7 +563,21 @@
 
 bool GroupControl::isResponsive(const std::string& name, const Member& member) const
 {
-    return links_->isOpen(name) && clock_.now() - member.lastSeen < settings_.agentTimeout;
+    return links_->isOpen(name) && !isOverdue(member);
+}
+
+bool GroupControl::isOverdue(const Member& member) const
+{
+    return member.unansweredSince && clock_.now() - *member.unansweredSince >= settings_.agentTimeout;
+}
+
+// Returns whether few enough agents do not respond that the map reaches their engines over the network in time.
+bool GroupControl::canLoadEverywhere() const
+{
+    auto unresponsive = static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [this](const auto& entry) { return !entry.second.isInOtherGroup && !isResponsive(entry.first, entry.second); }));
+    const ExpertLayout& layout = planner_->layout();
+    std::size_t experts = static_cast<std::size_t>(layout.ranks) * layout.slotsPerRank * layout.sets;
+    return budget_.transmissionTime(unresponsive * experts * remoteLoadBytesPerExpert) <= maxRemoteLoadTime;
 }
 
 RankEngine& GroupControl::remoteEngine(Member& member)
--- a/Source/RankMaps/GroupControl.h
+++ b/Source/RankMaps/GroupControl.h
@@ -3,6 +3,7 @@
 #include "Catalog/CatalogSource.h"
 #include "Logging/DecisionLog.h"
 #include "Platform/Table.h"
+#include "RankMaps/ControlBudget.h"
 #include "RankMaps/LoadOrderEncoder.h"
 #include "RankMaps/MapPlanner.h"
 #include "RankMaps/ProcessPauseDetector.h"
@@ -10,6 +11,7 @@
 #include "RankMaps/RankAgentSettings.h"
 #include "RankMaps/RankEngine.h"
 #include "RankMaps/RankMessages.h"
+#include "RankMaps/RelayTree.h"
 #include "RankMaps/SwitchController.h"
 #include "Transport/ProcessLinks.h"
 #include "Transport/TaskScheduler.h"
@@ -38,7 +40,9 @@
     std::string predecessor;
 };
 
-// Controls the expert maps of one group: polls the agents of all ranks, plans map changes and executes them.
+// Controls the expert maps of one group: polls the agents of all ranks, plans map changes and executes them. Maps and counts
+// go through trees of agents, one for each availability zone, because the link of one agent does not carry those of all
+// ranks of a large group. Everything else is small and goes directly to each agent.
 // Unless mayPlan is set, it starts no changes and only completes those that are in progress.
 class GroupControl {
 public:
@@ -58,14 +62,15 @@
     struct Member {
         Endpoint link;
         Endpoint engine;
+        std::string availabilityZone;
         std::uint32_t rank { 0 };
         bool isRankKnown { false };
         // The rank belongs to another group of the service.
         bool isInOtherGroup { false };
-        // Version of the map that was last sent to the agent; 0 if there is none.
-        RankMapVersion sentMap { 0 };
-        // When the last status of the agent was received, or when the agent was added.
-        TimePoint lastSeen;
+        // Version of the last map that the agent has, as it reported; 0 if there is none.
+        RankMapVersion knownMap { 0 };
+        // Since when the agent owes a status.
+        std::optional<TimePoint> unansweredSince;
         std::unique_ptr<RankEngine> remote;
         bool isRemoteReportPending { false };
     };
@@ -75,23 +80,35 @@
     void readEngineModel();
     void tick();
     void pollMembers();
-    std::set<std::string> selectMembersForCounts();
+    bool areListsRequired() const;
+    void requestCounts();
+    void receiveCounts(const RankCounts& counts);
     void receive(const std::string& agent, const Frame& frame);
     void receiveResult(const RankOrderResultMessage& result);
     void receiveStatus(const RankStatus& status);
     void recordLists(std::uint32_t rank, const RankLists& lists);
     std::optional<GroupMap> mapInUse() const;
     void sendOrder(std::uint32_t rank, const RankOrder& order);
-    void sendOrderToAgent(const std::string& name, Member& member, const RankOrder& order);
+    RankOrderMessage messageOf(const RankOrder& order) const;
     void sendRemoteOrder(const std::string& name, Member& member, const RankOrder& order);
+    void sendRemoteLoads();
+    std::size_t remoteLoadBytes() const;
+    void sendLoads();
+    std::vector<RelayBranch> branchesByZone(const std::vector<std::string>& names, std::size_t round) const;
+    std::string nameOf(const Endpoint& link) const;
     std::chrono::milliseconds pollPeriod() const;
+    std::chrono::milliseconds countPeriod() const;
+    std::chrono::milliseconds loadTime(std::size_t bytes) const;
     bool isOnlyPredecessorMissing() const;
     void requestEngineReport(const std::string& name, Member& member);
     void requestEngineLists(Member& member);
+    bool isDemandShifting();
     void plan();
     void createPlanner();
     void resetAfterPause();
     bool isResponsive(const std::string& name, const Member& member) const;
+    bool isOverdue(const Member& member) const;
+    bool canLoadEverywhere() const;
     RankEngine& remoteEngine(Member& member);
 
     TaskScheduler& scheduler_;
@@ -111,15 +128,31 @@
     std::map<std::uint32_t, RankLists> lists_;
     std::map<std::string, Member> members_;
     LoadOrderEncoder loadOrders_;
-    // The member that was last selected to report counts.
-    std::string lastCountMember_;
+    // The map to load, and the agents that it has yet to be sent to. They are sent it together.
+    RankOrder loadOrder_;
+    std::vector<std::string> loadTargets_;
+    // How often the map was sent.
+    std::size_t loadRound_ { 0 };
+    // Agents that do not respond, whose engines have yet to be sent the map directly, and whether such an order is under
+    // way.
+    std::set<std::string> remoteLoadTargets_;
+    bool isRemoteLoadPending_ { false };
+    // Number of the last request for counts, and how many responses to it are missing.
+    std::uint64_t countRound_ { 0 };
+    std::size_t missingCounts_ { 0 };
+    bool areCountsNew_ { false };
+    // The skew after the last round of counts, and for how many rounds a plan has been put off.
+    double lastSkew_ { 0 };
+    int deferredRounds_ { 0 };
     std::unique_ptr<ProcessLinks> links_;
+    ControlBudget budget_;
     std::unique_ptr<Timer> timer_;
     std::unique_ptr<Timer> memberTimer_;
     std::unique_ptr<Timer> engineModelTimer_;
     TimePoint nextPoll_;
     TimePoint nextCounts_;
-    TimePoint nextPlan_;
+    // When a plan no longer waits for missing counts.
+    TimePoint countsDueAt_;
     ProcessPauseDetector pauseDetector_;
     // Reports that are received before this time are ignored.
     TimePoint ignoreReportsUntil_;
--- a/Source/RankMaps/GroupMember.cpp
+++ b/Source/RankMaps/GroupMember.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Error.h"
 #include "RankMaps/RankAgentRows.h"
+#include "RankMaps/RelayTree.h"
 
 #include <glog/logging.h>
 
@@ -36,7 +37,15 @@
     , incarnationName_(settings_.name + "#" + random.identifier().substr(0, 12))
     , hybridClock_(clock)
     , engine_(platform_.engine(settings_.engine))
-    , agent_(clock, settings_.name, settings_.engine, *engine_, log)
+    , delayedTasks_(scheduler)
+    , agent_(
+          clock, settings_.name, settings_.engine, *engine_, [this](std::chrono::milliseconds delay, std::function<void()> task) { delayedTasks_.run(delay, std::move(task)); }, log)
+    , relayLinks_(clock, makeLinks_, [this](const Frame& frame) { receiveFromReceiver(frame); })
+    , countCollection_(clock, [this](std::uint64_t round, const CountSum& sum) {
+        if (std::shared_ptr<LinkSession> session = countsSession_.lock())
+            session->send(encodeMessage(packCounts(round, sum), hybridClock_.tick()));
+    })
+    , suspicion_(clock, settings_.controllerAnswerTimeout)
     , leaseTriedAt_(clock.now())
     , reportRequestedAt_(clock.now() - localReportPeriod)
 {
@@ -47,7 +56,7 @@
 
 void GroupMember::registerAgent()
 {
-    RankAgentRow row { settings_.name, leaseGroup_, settings_.link, settings_.engine };
+    RankAgentRow row { settings_.name, leaseGroup_, settings_.link, settings_.engine, settings_.availabilityZone };
     platform_.table.write({ makeRankAgentRowWrite(row) }, [this](const TableWriteResult& result) {
         if (result.status != ResultCode::Ok)
             registerTimer_ = scheduler_.after(registrationRetryDelay + std::chrono::milliseconds(random_.index(200)), [this] { registerAgent(); });
@@ -99,37 +108,130 @@
 void GroupMember::receive(const std::shared_ptr<LinkSession>& session, const Frame& frame)
 {
     hybridClock_.observe(frame.time);
-    auto observeTerm = [this](std::uint64_t term) {
-        // Before the first response of the table, its generation is not known to have changed.
-        if (storeGeneration_ > 0)
-            handleStoreGeneration(ControllerLease::generationOf(term));
-    };
-    auto sendStatus = [this, session](const RankStatus& status) { session->send(encodeMessage(status, hybridClock_.tick())); };
     try {
         if (frame.type == RankStatusRequest::type) {
-            RankStatusRequest request = decodeRankStatusRequest(frame.body);
-            bool isForLocalGroup = !agent_.isOtherGroup(request.group);
-            if (isForLocalGroup)
-                observeTerm(request.term);
-            if (control_ && isForLocalGroup && request.term >= control_->term() && request.controller != settings_.name)
-                stopControl(request.term);
-            agent_.receive(request, sendStatus);
+            receiveStatusRequest(session, decodeRankStatusRequest(frame.body));
         } else if (frame.type == RankOrderMessage::type) {
-            agent_.receive(
-                decodeRankOrder(frame.body), [this, session](const RankOrderResultMessage& result) { session->send(encodeMessage(result, hybridClock_.tick())); }, sendStatus);
+            receiveOrder(session, decodeRankOrder(frame.body));
+        } else if (frame.type == RankCountsRequest::type) {
+            receiveCountsRequest(session, decodeRankCountsRequest(frame.body));
+        } else if (frame.type == ControllerQuestion::type) {
+            if (control_ && control_->mayPlan() && decodeControllerQuestion(frame.body).group == leaseGroup_)
+                session->send(encodeMessage(ControllerAnswer { leaseGroup_, control_->term() }, hybridClock_.tick()));
         }
     } catch (const Error& error) {
-        LOG(WARNING) << "rejected a frame from a controller: " << error.what();
+        LOG(WARNING) << "rejected a frame from another agent: " << error.what();
     }
 }
 
+void GroupMember::receiveStatusRequest(const std::shared_ptr<LinkSession>& session, const RankStatusRequest& request)
+{
+    bool isForLocalGroup = !agent_.isOtherGroup(request.group);
+    if (isForLocalGroup)
+        observeTerm(request.term);
+    if (control_ && isForLocalGroup && request.term >= control_->term() && request.controller != settings_.name)
+        stopControl(request.term);
+    if (isForLocalGroup && request.term >= controllerSessionTerm_) {
+        controllerSessionTerm_ = request.term;
+        controllerSession_ = session;
+    }
+    agent_.receive(request, [this, session](const RankStatus& status) { session->send(encodeMessage(status, hybridClock_.tick())); });
+}
+
+void GroupMember::receiveOrder(const std::shared_ptr<LinkSession>& session, RankOrderMessage message)
+{
+    std::shared_ptr<LinkSession> controller = controllerSessionTerm_ == message.term ? controllerSession_.lock() : nullptr;
+    if (!controller)
+        controller = session;
+    bool isPassedOn = !agent_.isOtherGroup(message.group) && message.term >= agent_.term();
+    std::vector<RelayBranch> branches = splitIntoBranches(std::exchange(message.receivers, {}));
+    for (RelayBranch& branch : branches) {
+        if (!isPassedOn)
+            break;
+        message.receivers = std::move(branch.rest);
+        relayLinks_.send(branch.head, encodeMessage(message, hybridClock_.tick()));
+    }
+    agent_.receive(
+        std::move(message), [this, controller](const RankOrderResultMessage& result) { controller->send(encodeMessage(result, hybridClock_.tick())); },
+        [this, controller](const RankStatus& status) { controller->send(encodeMessage(status, hybridClock_.tick())); });
+}
+
+void GroupMember::receiveCountsRequest(const std::shared_ptr<LinkSession>& session, const RankCountsRequest& request)
+{
+    if (!agent_.acceptController(request.group, request.term))
+        return;
+    std::vector<RelayBranch> branches = splitIntoBranches(request.receivers);
+    // The sums of the receivers need a part of the time to arrive here.
+    std::chrono::milliseconds::rep hops = static_cast<std::chrono::milliseconds::rep>(relayLevels(request.receivers.size())) + 1;
+    RankCountsRequest passedOn = request;
+    passedOn.wait = request.wait * (hops - 1) / hops;
+    for (RelayBranch& branch : branches) {
+        passedOn.receivers = std::move(branch.rest);
+        relayLinks_.send(branch.head, encodeMessage(passedOn, hybridClock_.tick()));
+    }
+    countsSession_ = session;
+    countCollection_.begin(request.round, branches.size() + 1, request.wait);
+    agent_.collectCounts([this, round = request.round](const CountSum& counts) { countCollection_.add(round, counts); });
+}
+
+// Handles a frame from an agent to which messages are passed on.
+void GroupMember::receiveFromReceiver(const Frame& frame)
+{
+    hybridClock_.observe(frame.time);
+    if (frame.type != RankCounts::type)
+        return;
+    try {
+        RankCounts counts = decodeRankCounts(frame.body);
+        countCollection_.add(counts.round, unpackCounts(counts));
+    } catch (const Error& error) {
+        LOG(WARNING) << "rejected counts from another agent: " << error.what();
+    }
+}
+
+void GroupMember::observeTerm(std::uint64_t term)
+{
+    // Before the first response of the table, its generation is not known to have changed.
+    if (storeGeneration_ > 0)
+        handleStoreGeneration(ControllerLease::generationOf(term));
+}
+
 void GroupMember::tick()
 {
+    countCollection_.tick();
+    relayLinks_.closeUnused();
     if (control_ && control_->mayPlan() && !isLeaseLost())
         return;
     takeOverIfControllerTimedOut();
 }
 
+std::optional<Endpoint> GroupMember::controllerLink() const
+{
+    auto found = std::find_if(knownAgents_.begin(), knownAgents_.end(), [this](const RankAgentRow& agent) { return agent.name == agent_.controller(); });
+    if (found == knownAgents_.end() || found->name == settings_.name)
+        return std::nullopt;
+    return found->link;
+}
+
+void GroupMember::askController()
+{
+    log_.write(LogLine("controllerSuspected").add("group", leaseGroup_).add("controller", agent_.controller()).add("term", agent_.term()));
+    controllerLink_ = makeLinks_({ [this](const std::string& name) { controllerLink_->send(name, encodeMessage(ControllerQuestion { leaseGroup_ }, hybridClock_.tick())); },
+        [this](const std::string&, const Frame& frame) { receiveAnswer(frame); }, [](const std::string&) {} });
+    controllerLink_->setTargets({ { agent_.controller(), *controllerLink() } });
+}
+
+void GroupMember::receiveAnswer(const Frame& frame)
+{
+    if (frame.type != ControllerAnswer::type)
+        return;
+    try {
+        ControllerAnswer answer = decodeControllerAnswer(frame.body);
+        agent_.acceptController(answer.group, answer.term);
+    } catch (const Error& error) {
+        LOG(WARNING) << "rejected an answer from a controller: " << error.what();
+    }
+}
+
 void GroupMember::takeOverIfControllerTimedOut()
 {
     TimePoint now = clock_.now();
@@ -155,16 +257,25 @@
         agentsTimer_ = scheduler_.after(settings_.firstAgentScanDelay, [this] { readAgents(); });
         return;
     }
-    bool isControllerTimedOut = now - agent_.controllerLastSeen() >= settings_.controllerTimeout + settings_.controllerTimeoutPerRank * report.rank;
     // A controller that must not plan polls the local agent, so the timeout does not expire. It tries to acquire the lease
     // periodically.
-    bool isRetryDue = control_ && now - leaseTriedAt_ >= leaseRetryDelay;
-    if (control_ ? !isRetryDue : !isControllerTimedOut)
+    if (control_ ? now - leaseTriedAt_ < leaseRetryDelay : !isControllerLost(report.rank))
         return;
     leaseTriedAt_ = now;
     lease_->takeOver(agent_.term());
 }
 
+bool GroupMember::isControllerLost(std::uint32_t rank)
+{
+    Duration timeout = settings_.controllerTimeout + settings_.controllerTimeoutPerRank * rank;
+    ControllerSuspicion::Step step = suspicion_.check(agent_.controllerLastSeen(), timeout, controllerLink().has_value());
+    if (step == ControllerSuspicion::Step::Ask)
+        askController();
+    else if (step != ControllerSuspicion::Step::Wait)
+        controllerLink_ = nullptr;
+    return step == ControllerSuspicion::Step::TakeOver;
+}
+
 void GroupMember::leaseChanged(std::uint64_t term, const std::string& controller)
 {
     agent_.recordTerm(term);
--- a/Source/RankMaps/GroupMember.h
+++ b/Source/RankMaps/GroupMember.h
@@ -2,9 +2,13 @@
 
 #include "Core/Random.h"
 #include "RankMaps/ControllerLease.h"
+#include "RankMaps/ControllerSuspicion.h"
+#include "RankMaps/CountCollection.h"
+#include "RankMaps/DelayedTasks.h"
 #include "RankMaps/GroupControl.h"
 #include "RankMaps/RankAgent.h"
 #include "RankMaps/RankAgentSettings.h"
+#include "RankMaps/RelayLinks.h"
 #include "Transport/Link.h"
 #include "Transport/ProcessLinks.h"
 #include "Transport/TaskScheduler.h"
@@ -21,8 +25,8 @@
     std::function<std::unique_ptr<RankEngine>(const Endpoint&)> engine;
 };
 
-// What one rank agent does in its group: registers, serves the controller, and becomes the controller if no message of
-// one is received within the timeout. The process around it provides the links and the timers.
+// What one rank agent does in its group: registers, serves the controller, passes its messages on to other agents, and
+// becomes the controller if there is none. The process around it provides the links and the timers.
 class GroupMember {
 public:
     GroupMember(TaskScheduler& scheduler, const Clock& clock, Random& random, RankAgentSettings settings, RankAgentPlatform platform, MakeProcessLinks makeLinks, DecisionLog& log);
@@ -43,10 +47,19 @@
 private:
     void registerAgent();
     void readAgents();
+    void receiveStatusRequest(const std::shared_ptr<LinkSession>& session, const RankStatusRequest& request);
+    void receiveOrder(const std::shared_ptr<LinkSession>& session, RankOrderMessage message);
+    void receiveCountsRequest(const std::shared_ptr<LinkSession>& session, const RankCountsRequest& request);
+    void receiveFromReceiver(const Frame& frame);
+    void observeTerm(std::uint64_t term);
     void tick();
+    void askController();
+    void receiveAnswer(const Frame& frame);
+    std::optional<Endpoint> controllerLink() const;
     bool isLeaseLost() const;
     void scheduleAgentScan(std::chrono::milliseconds delay);
     void takeOverIfControllerTimedOut();
+    bool isControllerLost(std::uint32_t rank);
     void leaseChanged(std::uint64_t term, const std::string& controller);
     void leaseFailed();
     void startControl(std::uint64_t term, bool mayPlan);
@@ -63,7 +76,17 @@
     std::string incarnationName_;
     HybridClock hybridClock_;
     std::unique_ptr<RankEngine> engine_;
+    DelayedTasks delayedTasks_;
     RankAgent agent_;
+    // The session of the controller with the highest term, on which also orders are answered that other agents passed on.
+    std::weak_ptr<LinkSession> controllerSession_;
+    std::uint64_t controllerSessionTerm_ { 0 };
+    RelayLinks relayLinks_;
+    CountCollection countCollection_;
+    // Where the sum of the counts is sent.
+    std::weak_ptr<LinkSession> countsSession_;
+    ControllerSuspicion suspicion_;
+    std::unique_ptr<ProcessLinks> controllerLink_;
     std::unique_ptr<ControllerLease> lease_;
     std::string leaseGroup_;
     std::unique_ptr<GroupControl> control_;
--- a/Source/RankMaps/LoadOrderEncoder.cpp
+++ b/Source/RankMaps/LoadOrderEncoder.cpp
@@ -4,25 +4,26 @@
 
 namespace Damaskgrade {
 
-const Frame& LoadOrderEncoder::encode(const RankOrderMessage& message, RankMapVersion lastSentVersion, HybridTime time)
+const EncodedMap& LoadOrderEncoder::encode(RankMapVersion version, const std::shared_ptr<const GroupMap>& map, RankMapVersion lastSentVersion)
 {
-    if (message.order.version != current_.version || message.order.map != current_.map) {
-        previous_ = std::exchange(current_, { message.order.version, message.order.map });
-        frames_.clear();
+    if (version != current_.version || map != current_.map) {
+        previous_ = std::exchange(current_, { version, map });
+        encoded_.clear();
     }
     bool isResend = lastSentVersion != 0 && lastSentVersion == current_.version;
     bool isNext = lastSentVersion != 0 && lastSentVersion == previous_.version;
     RankMapVersion base = isResend || isNext ? lastSentVersion : 0;
-    auto found = frames_.find(base);
-    if (found != frames_.end())
+    auto found = encoded_.find(base);
+    if (found != encoded_.end())
         return found->second;
-    RankOrderMessage encoded = message;
-    if (base != 0) {
+    EncodedMap encoded;
+    if (base == 0) {
+        encoded.bytes = encodeMap(*map);
+    } else {
         encoded.baseVersion = base;
-        if (isNext)
-            encoded.differences = differences(*previous_.map, *current_.map);
+        encoded.bytes = encodeDifferences(isNext ? differences(*previous_.map, *current_.map) : std::vector<MapDifference>());
     }
-    return frames_.emplace(base, encodeMessage(encoded, time)).first->second;
+    return encoded_.emplace(base, std::move(encoded)).first->second;
 }
 
 }
--- a/Source/RankMaps/LoadOrderEncoder.h
+++ b/Source/RankMaps/LoadOrderEncoder.h
@@ -7,14 +7,19 @@
 
 namespace Damaskgrade {
 
-// Encodes the orders to load a map. An agent that has the previous map is sent only the differences, because a
-// complete map for each rank of a large group would saturate the controller's link.
+// A map as it is sent to an agent: complete, or as differences to the map with the base version.
+struct EncodedMap {
+    std::optional<RankMapVersion> baseVersion;
+    Bytes bytes;
+};
+
+// Encodes the maps of orders to load them. An agent that has the previous map is sent only the differences.
 class LoadOrderEncoder {
 public:
-    // Returns the frame for an agent whose last map had the version lastSentVersion. If that is neither the version in the
-    // message nor the one before it (0 for an agent without a map), the frame has the complete map. The reference is
-    // valid until the next call.
-    const Frame& encode(const RankOrderMessage& message, RankMapVersion lastSentVersion, HybridTime time);
+    // Encodes the map for agents whose last map had the version lastSentVersion. If that is neither this version nor the
+    // one before it (0 for an agent without a map), the result has the complete map. The reference is valid until
+    // the next call.
+    const EncodedMap& encode(RankMapVersion version, const std::shared_ptr<const GroupMap>& map, RankMapVersion lastSentVersion);
 
 private:
     struct LoadedMap {
@@ -24,8 +29,8 @@
 
     LoadedMap previous_;
     LoadedMap current_;
-    // By the version that the agent has; 0 for the frame with the complete map.
-    std::map<RankMapVersion, Frame> frames_;
+    // By the version that the agent has; 0 for the complete map.
+    std::map<RankMapVersion, EncodedMap> encoded_;
 };
 
 }
--- a/Source/RankMaps/MapPlanner.cpp
+++ b/Source/RankMaps/MapPlanner.cpp
@@ -73,7 +73,7 @@
 std::optional<MapPlan> MapPlanner::plan(RankMapVersion version, double utilization) const
 {
     double idleShare = std::max(0.0, 1 - settings_.reservedSlotShare - utilization);
-    double gainPerLoad = settings_.gainPerLoad + settings_.idleGainPerLoad * idleShare;
+    double gainPerLoad = (settings_.gainPerLoadOfAllRanks + settings_.idleGainPerLoadOfAllRanks * idleShare) / layout_.ranks;
     double minimumGain = settings_.minimumGain + settings_.idleGain * idleShare;
     if (!hasMap(version))
         return std::nullopt;
@@ -150,10 +150,16 @@
     return { begin, begin + layout_.expertsPerSet };
 }
 
+Duration MapPlanner::decayTime() const
+{
+    Duration longest = settings_.maxCountDecayTime;
+    return settings_.requestSlots > 0 ? std::min<Duration>(longest, Duration(settings_.decayTimeOfAllSlots) / settings_.requestSlots) : longest;
+}
+
 void MapPlanner::decay()
 {
     TimePoint now = clock_.now();
-    double factor = std::exp(-std::chrono::duration<double>(now - decayedAt_).count() / std::chrono::duration<double>(settings_.countDecayTime).count());
+    double factor = std::exp(-std::chrono::duration<double>(now - decayedAt_).count() / std::chrono::duration<double>(decayTime()).count());
     decayedAt_ = now;
     for (double& count : counts_)
         count *= factor;
--- a/Source/RankMaps/MapPlanner.h
+++ b/Source/RankMaps/MapPlanner.h
@@ -25,17 +25,22 @@
 struct MapPlannerSettings {
     // Time constant of the exponential decay of the counts: counts of this age weigh 1/e. It is short, because the demand
     // for the experts changes every few seconds.
-    std::chrono::milliseconds countDecayTime { 500 };
+    std::chrono::milliseconds maxCountDecayTime { 500 };
+    // The counts of a large group need less time to average out the differences of its requests: the decay time
+    // multiplied by the number of its request slots is at most this.
+    std::chrono::seconds decayTimeOfAllSlots { 100 };
+    std::size_t requestSlots { 0 };
     // By how much a change must at least reduce the skew (the load of the most loaded rank over the mean load, averaged
     // over the sets) while at most reservedSlotShare of the request slots is free. Loading one expert takes some
     // milliseconds of each pass.
     double minimumGain { 0.06 };
-    // The same for each expert that is loaded, so that the gain outweighs its transfer.
-    double gainPerLoad { 0.003 };
+    // The same for each expert that every rank loads, so that the gain outweighs the transfer. The ranks load at the same
+    // time, so an expert that one of them loads costs the group this, divided by the number of ranks.
+    double gainPerLoadOfAllRanks { 0.05 };
     // At a lower utilization passes are short, so a change must gain more: these values are added to the two above,
     // multiplied by the share of request slots that is free beyond reservedSlotShare.
     double idleGain { 0.8 };
-    double idleGainPerLoad { 0.02 };
+    double idleGainPerLoadOfAllRanks { 0.32 };
     double reservedSlotShare { 0.2 };
     // Sum of the counts of a set below which no plan is made.
     double minimumCounts { 5000 };
@@ -80,6 +85,7 @@
 private:
     ExpertMap mapOfSet(std::uint32_t set) const;
     std::vector<double> loadsOfSet(std::uint32_t set) const;
+    Duration decayTime() const;
     void decay();
 
     const Clock& clock_;
--- a/Source/RankMaps/RankAgent.cpp
+++ b/Source/RankMaps/RankAgent.cpp
@@ -43,11 +43,12 @@
 
 }
 
-RankAgent::RankAgent(const Clock& clock, std::string name, Endpoint engineAddress, RankEngine& engine, DecisionLog& log)
+RankAgent::RankAgent(const Clock& clock, std::string name, Endpoint engineAddress, RankEngine& engine, RunLater runLater, DecisionLog& log)
     : clock_(clock)
     , name_(std::move(name))
     , engineAddress_(std::move(engineAddress))
     , engine_(engine)
+    , runLater_(std::move(runLater))
     , log_(log)
     , controllerLastSeen_(clock.now())
     , startedAt_(clock.now())
@@ -76,14 +77,50 @@
     if (!request.controller.empty())
         controller_ = request.controller;
     controllerLastSeen_ = clock_.now();
+    readStatus(request.includeLists, std::move(respond));
+}
+
+void RankAgent::readStatus(bool includeLists, SendStatus respond)
+{
     auto status = std::make_shared<RankStatus>(emptyStatus());
-    engine_.report([this, request, status, respond = std::move(respond)](std::optional<RankReport> report) {
+    engine_.report([this, includeLists, status, respond = std::move(respond)](std::optional<RankReport> report) {
         if (report) {
             addHighestArmOrderPass(*report);
             report_ = report;
         }
         status->report = std::move(report);
-        completeStatus(request, status, respond);
+        if (!includeLists) {
+            respond(*status);
+            return;
+        }
+        engine_.lists([status, respond](std::optional<RankLists> lists) {
+            status->lists = std::move(lists);
+            respond(*status);
+        });
+    });
+}
+
+bool RankAgent::acceptController(const std::string& group, std::uint64_t term)
+{
+    if (isOtherGroup(group) || term < term_)
+        return false;
+    recordTerm(term);
+    controllerLastSeen_ = clock_.now();
+    return true;
+}
+
+// The status is sent without a request once the map is loaded, so that the controller need not ask each rank again.
+void RankAgent::respondWhenLoaded(RankMapVersion version, int attempts, const SendStatus& respond)
+{
+    // A few experts take some tens of milliseconds to load.
+    constexpr std::chrono::milliseconds loadCheckPeriod { 25 };
+    constexpr int maxAttempts = 20;
+    readStatus(false, [this, version, attempts, respond](const RankStatus& status) {
+        bool isLoading = status.report && status.report->prepared != version && status.report->mapVersion != version;
+        if (isLoading && attempts < maxAttempts)
+            runLater_(loadCheckPeriod, [this, version, attempts, respond] { respondWhenLoaded(version, attempts + 1, respond); });
+        else
+            respond(status);
     });
 }
 
@@ -108,7 +145,7 @@
         highestArmOrderPass_ = message.order.epoch == armOrderEpoch_ ? std::max(highestArmOrderPass_, message.order.pass) : message.order.pass;
         armOrderEpoch_ = message.order.epoch;
     }
-    engine_.order(message.order, [this, result, message, respond = std::move(respond), respondWithStatus = std::move(respondWithStatus)](RankOrderResult outcome) mutable {
+    engine_.order(message.order, engineOrderTimeout, [this, result, message, respond = std::move(respond), respondWithStatus = std::move(respondWithStatus)](RankOrderResult outcome) mutable {
         result.term = term_;
         result.result = outcome;
         LogLine line("rankOrder");
@@ -117,10 +154,10 @@
         log_.write(line);
         if (outcome != RankOrderResult::Accepted)
             respond(result);
-        RankStatusRequest request;
-        request.group = message.group;
-        request.term = message.term;
-        receive(request, respondWithStatus);
+        if (outcome == RankOrderResult::Accepted && message.order.kind == RankOrderKind::Prepare)
+            respondWhenLoaded(message.order.version, 0, respondWithStatus);
+        else
+            readStatus(false, respondWithStatus);
     });
 }
 
@@ -140,16 +177,21 @@
     constexpr std::size_t maxKeptMaps = 2;
     if (message.order.kind != RankOrderKind::Prepare)
         return true;
+    std::shared_ptr<const GroupMap>& map = message.order.map;
     if (message.baseVersion) {
         auto base = maps_.find(*message.baseVersion);
         if (base == maps_.end())
             return false;
-        std::optional<GroupMap> map = applyDifferences(*base->second, message.differences);
-        if (!map)
+        std::vector<MapDifference> differences = decodeDifferences(message.encodedMap);
+        std::optional<GroupMap> changed = applyDifferences(*base->second, differences);
+        if (!changed)
             return false;
-        message.order.map = message.differences.empty() ? base->second : std::make_shared<const GroupMap>(*std::move(map));
+        map = differences.empty() ? base->second : std::make_shared<const GroupMap>(*std::move(changed));
+    } else {
+        map = std::make_shared<const GroupMap>(decodeMap(message.encodedMap));
     }
-    maps_[message.order.version] = message.order.map;
+    message.encodedMap.clear();
+    maps_[message.order.version] = map;
     while (maps_.size() > maxKeptMaps)
         maps_.erase(maps_.begin());
     return true;
@@ -169,43 +211,28 @@
     return status;
 }
 
-void RankAgent::completeStatus(const RankStatusRequest& request, std::shared_ptr<RankStatus> status, SendStatus respond)
+void RankAgent::collectCounts(std::function<void(const CountSum&)> done)
 {
-    if (request.includeLists) {
-        RankStatusRequest remaining = request;
-        remaining.includeLists = false;
-        engine_.lists([this, remaining, status, respond](std::optional<RankLists> lists) {
-            status->lists = std::move(lists);
-            completeStatus(remaining, status, respond);
-        });
-        return;
-    }
-    if (request.includeCounts) {
-        engine_.counts([this, status, respond](std::optional<ExpertCounts> counts) {
-            if (counts)
-                addCounts(*counts, *status);
-            respond(*status);
-        });
-        return;
-    }
-    respond(*status);
+    engine_.counts([this, done = std::move(done)](std::optional<ExpertCounts> counts) { done(counts ? differenceToLastCounts(*counts) : CountSum()); });
 }
 
-// Counts are reported as the difference to the last report. After a restart the engine counts from 0 again.
-void RankAgent::addCounts(const ExpertCounts& counts, RankStatus& status)
+// After a restart the engine counts from 0 again.
+CountSum RankAgent::differenceToLastCounts(const ExpertCounts& counts)
 {
+    CountSum sum;
     bool hasPreviousCounts = lastCounts_.size() == counts.counts.size();
     bool hasRestarted = hasPreviousCounts
         && !std::equal(lastCounts_.begin(), lastCounts_.end(), counts.counts.begin(), [](double last, double now) { return last <= now; });
     if (hasRestarted)
         std::fill(lastCounts_.begin(), lastCounts_.end(), 0);
     if (hasPreviousCounts) {
-        std::vector<double> differences(counts.counts.size());
-        for (std::size_t i = 0; i < differences.size(); ++i)
-            differences[i] = counts.counts[i] - lastCounts_[i];
-        packCounts(differences, status);
+        sum.ranks = 1;
+        sum.counts.resize(counts.counts.size());
+        for (std::size_t i = 0; i < sum.counts.size(); ++i)
+            sum.counts[i] = counts.counts[i] - lastCounts_[i];
     }
     lastCounts_ = counts.counts;
+    return sum;
 }
 
 }
--- a/Source/RankMaps/RankAgent.h
+++ b/Source/RankMaps/RankAgent.h
@@ -18,17 +18,27 @@
 public:
     using SendStatus = std::function<void(const RankStatus&)>;
     using SendResult = std::function<void(const RankOrderResultMessage&)>;
+    // Runs a task after a delay.
+    using RunLater = std::function<void(std::chrono::milliseconds delay, std::function<void()> task)>;
 
-    RankAgent(const Clock& clock, std::string name, Endpoint engineAddress, RankEngine& engine, DecisionLog& log);
+    RankAgent(const Clock& clock, std::string name, Endpoint engineAddress, RankEngine& engine, RunLater runLater, DecisionLog& log);
 
     // Calls respond once with the status. Records the term, the name of the controller and that it was seen, unless the
     // request is from a controller of another group or of a lower term. To another group, responds with the last report;
     // to a lower term, without a report.
     void receive(const RankStatusRequest& request, SendStatus respond);
     // Calls respond with the result if the order was not accepted, and respondWithStatus once the engine has responded
-    // to the order. Ignores orders of another group.
+    // to the order and, for an order to load a map, has loaded it. Ignores orders of another group.
     void receive(RankOrderMessage message, SendResult respond, SendStatus respondWithStatus);
 
+    // Reads the counts of the engine and calls done with their difference to those of the last call, which are empty if
+    // they are not known.
+    void collectCounts(std::function<void(const CountSum&)> done);
+
+    // Returns whether a message of a controller of this group and term must be handled. Records the term, and that the
+    // controller was seen, if so.
+    bool acceptController(const std::string& group, std::uint64_t term);
+
     // Records a term that was learned from another source than a message, such as the lease.
     void recordTerm(std::uint64_t term);
 
@@ -52,15 +62,17 @@
 
 private:
     RankStatus emptyStatus() const;
-    void completeStatus(const RankStatusRequest& request, std::shared_ptr<RankStatus> status, SendStatus respond);
+    void readStatus(bool includeLists, SendStatus respond);
+    void respondWhenLoaded(RankMapVersion version, int attempts, const SendStatus& respond);
     void addHighestArmOrderPass(RankReport& report) const;
     bool reconstructMap(RankOrderMessage& message);
-    void addCounts(const ExpertCounts& counts, RankStatus& status);
+    CountSum differenceToLastCounts(const ExpertCounts& counts);
 
     const Clock& clock_;
     std::string name_;
     Endpoint engineAddress_;
     RankEngine& engine_;
+    RunLater runLater_;
     DecisionLog& log_;
     std::uint64_t term_ { 0 };
     std::string controller_;
--- a/Source/RankMaps/RankAgentRows.cpp
+++ b/Source/RankMaps/RankAgentRows.cpp
@@ -16,6 +16,7 @@
     std::size_t slash = row.key.rfind('/');
     if (slash == std::string::npos || slash < rankAgentRowPrefix.size() || !(text >> link >> engine))
         return std::nullopt;
+    text >> agent.availabilityZone;
     agent.group = row.key.substr(rankAgentRowPrefix.size(), slash - rankAgentRowPrefix.size());
     agent.name = row.key.substr(slash + 1);
     try {
@@ -45,7 +46,7 @@
 
 TableWrite makeRankAgentRowWrite(const RankAgentRow& row)
 {
-    return { rankAgentGroupPrefix(row.group) + row.name, formatEndpoint(row.link) + " " + formatEndpoint(row.engine), std::nullopt };
+    return { rankAgentGroupPrefix(row.group) + row.name, formatEndpoint(row.link) + " " + formatEndpoint(row.engine) + " " + row.availabilityZone, std::nullopt };
 }
 
 }
--- a/Source/RankMaps/RankAgentRows.h
+++ b/Source/RankMaps/RankAgentRows.h
@@ -19,6 +19,8 @@
     std::string group;
     Endpoint link;
     Endpoint engine;
+    // Empty if the row does not have it.
+    std::string availabilityZone;
 };
 
 // Returns std::nullopt if the key or the value can't be parsed.
--- a/Source/RankMaps/RankEngine.h
+++ b/Source/RankMaps/RankEngine.h
@@ -2,6 +2,7 @@
 
 #include "RankMaps/RankReport.h"
 
+#include <chrono>
 #include <functional>
 #include <optional>
 
@@ -17,7 +18,11 @@
     // Requests the counts since the start of the engine.
     virtual void counts(std::function<void(std::optional<ExpertCounts>)> done) = 0;
     virtual void lists(std::function<void(std::optional<RankLists>)> done) = 0;
-    virtual void order(const RankOrder& order, std::function<void(RankOrderResult)> done) = 0;
+    // After a timeout the engine may still execute the order seconds later.
+    virtual void order(const RankOrder& order, std::chrono::milliseconds timeout, std::function<void(RankOrderResult)> done) = 0;
 };
 
+// Short, because the whole group waits for most orders. An engine that is not slow responds within a few milliseconds.
+constexpr std::chrono::milliseconds engineOrderTimeout { 50 };
+
 }
--- a/Source/RankMaps/RankMessages.cpp
+++ b/Source/RankMaps/RankMessages.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr double largestCount = 65535;
+constexpr double largestRoot = 255;
 
 Json reportToJson(const RankReport& report)
 {
@@ -51,40 +51,78 @@
     return report;
 }
 
-Bytes countBytes(const std::vector<std::uint16_t>& counts)
+Json endpointsToJson(const std::vector<Endpoint>& endpoints)
 {
-    Bytes bytes;
-    bytes.reserve(counts.size() * 2);
-    for (std::uint16_t count : counts) {
-        bytes.push_back(static_cast<std::uint8_t>(count & 0xff));
-        bytes.push_back(static_cast<std::uint8_t>(count >> 8));
-    }
-    return bytes;
+    Json json = Json::array();
+    for (const Endpoint& endpoint : endpoints)
+        json.push_back(formatEndpoint(endpoint));
+    return json;
+}
+
+std::vector<Endpoint> endpointsFromJson(const Json& json)
+{
+    std::vector<Endpoint> endpoints;
+    for (const Json& endpoint : json)
+        endpoints.push_back(parseEndpoint(endpoint.get<std::string>()));
+    return endpoints;
+}
+
+}
+
+Bytes encodeMap(const GroupMap& map)
+{
+    return Json::to_cbor(Json(map));
+}
+
+GroupMap decodeMap(ByteView bytes)
+{
+    return decodeBody("map", bytes, [](const Json& json) { return json.get<GroupMap>(); });
 }
 
-std::vector<std::uint16_t> countsFromBytes(const Bytes& bytes)
+Bytes encodeDifferences(const std::vector<MapDifference>& differences)
 {
-    std::vector<std::uint16_t> counts;
-    counts.reserve(bytes.size() / 2);
-    for (std::size_t i = 0; i + 1 < bytes.size(); i += 2)
-        counts.push_back(static_cast<std::uint16_t>(bytes[i] | bytes[i + 1] << 8));
-    return counts;
+    Json json = Json::array();
+    for (const MapDifference& difference : differences)
+        json.push_back(Json::array({ difference.set, difference.rank, difference.experts }));
+    return Json::to_cbor(json);
 }
 
+std::vector<MapDifference> decodeDifferences(ByteView bytes)
+{
+    return decodeBody("map difference", bytes, [](const Json& json) {
+        std::vector<MapDifference> differences;
+        for (const Json& difference : json)
+            differences.push_back({ difference.at(0).get<std::uint32_t>(), difference.at(1).get<std::uint32_t>(), difference.at(2).get<std::vector<std::uint32_t>>() });
+        return differences;
+    });
 }
 
-void packCounts(const std::vector<double>& counts, RankStatus& status)
+RankCounts packCounts(std::uint64_t round, const CountSum& sum)
 {
-    double largest = counts.empty() ? 0 : *std::max_element(counts.begin(), counts.end());
-    status.countUnit = std::max(1.0, largest / largestCount);
-    status.counts.clear();
-    for (double count : counts)
-        status.counts.push_back(static_cast<std::uint16_t>(std::min(largestCount, std::round(std::max(0.0, count) / status.countUnit))));
+    RankCounts message;
+    message.round = round;
+    message.ranks = sum.ranks;
+    double largest = sum.counts.empty() ? 0 : *std::max_element(sum.counts.begin(), sum.counts.end());
+    message.unit = std::max(1.0, largest) / (largestRoot * largestRoot);
+    message.roots.reserve(sum.counts.size());
+    for (double count : sum.counts)
+        message.roots.push_back(static_cast<std::uint8_t>(std::round(std::sqrt(std::max(0.0, count) / message.unit))));
+    return message;
+}
+
+CountSum unpackCounts(const RankCounts& message)
+{
+    CountSum sum;
+    sum.ranks = message.ranks;
+    sum.counts.reserve(message.roots.size());
+    for (std::uint8_t root : message.roots)
+        sum.counts.push_back(message.unit * root * root);
+    return sum;
 }
 
 Frame encodeMessage(const RankStatusRequest& message, HybridTime time)
 {
-    return makeFrame(RankStatusRequest::type, time, { { "g", message.group }, { "t", message.term }, { "c", message.controller }, { "k", message.includeCounts }, { "l", message.includeLists } });
+    return makeFrame(RankStatusRequest::type, time, { { "g", message.group }, { "t", message.term }, { "c", message.controller }, { "l", message.includeLists } });
 }
 
 Frame encodeMessage(const RankStatus& message, HybridTime time)
@@ -92,10 +130,6 @@
     Json json = { { "t", message.term }, { "a", message.agent }, { "e", formatEndpoint(message.engine) } };
     if (message.report)
         json["r"] = reportToJson(*message.report);
-    if (!message.counts.empty()) {
-        json["k"] = Json::binary(countBytes(message.counts));
-        json["u"] = message.countUnit;
-    }
     if (message.lists) {
         json["lv"] = message.lists->version;
         json["l"] = message.lists->experts;
@@ -108,15 +142,12 @@
     const RankOrder& order = message.order;
     Json json = { { "g", message.group }, { "t", message.term }, { "c", message.controller }, { "k", static_cast<int>(order.kind) }, { "f", order.fencingToken }, { "e", order.epoch },
         { "v", order.version }, { "p", order.pass } };
-    if (message.baseVersion) {
+    if (message.baseVersion)
         json["b"] = *message.baseVersion;
-        Json differences = Json::array();
-        for (const MapDifference& difference : message.differences)
-            differences.push_back(Json::array({ difference.set, difference.rank, difference.experts }));
-        json["d"] = differences;
-    } else if (order.map) {
-        json["m"] = *order.map;
-    }
+    if (!message.encodedMap.empty())
+        json["m"] = Json::binary(message.encodedMap);
+    if (!message.receivers.empty())
+        json["w"] = endpointsToJson(message.receivers);
     return makeFrame(RankOrderMessage::type, time, json);
 }
 
@@ -127,10 +158,31 @@
             { "r", static_cast<int>(message.result) } });
 }
 
+Frame encodeMessage(const RankCountsRequest& message, HybridTime time)
+{
+    return makeFrame(RankCountsRequest::type, time,
+        { { "g", message.group }, { "t", message.term }, { "c", message.controller }, { "n", message.round }, { "d", message.wait.count() }, { "w", endpointsToJson(message.receivers) } });
+}
+
+Frame encodeMessage(const RankCounts& message, HybridTime time)
+{
+    return makeFrame(RankCounts::type, time, { { "n", message.round }, { "r", message.ranks }, { "u", message.unit }, { "k", Json::binary(message.roots) } });
+}
+
+Frame encodeMessage(const ControllerQuestion& message, HybridTime time)
+{
+    return makeFrame(ControllerQuestion::type, time, { { "g", message.group } });
+}
+
+Frame encodeMessage(const ControllerAnswer& message, HybridTime time)
+{
+    return makeFrame(ControllerAnswer::type, time, { { "g", message.group }, { "t", message.term } });
+}
+
 RankStatusRequest decodeRankStatusRequest(ByteView body)
 {
     return decodeBody(RankStatusRequest::type, body, [](const Json& json) {
-        return RankStatusRequest { json.at("g").get<std::string>(), json.at("t").get<std::uint64_t>(), json.at("c").get<std::string>(), json.at("k").get<bool>(), json.at("l").get<bool>() };
+        return RankStatusRequest { json.at("g").get<std::string>(), json.at("t").get<std::uint64_t>(), json.at("c").get<std::string>(), json.at("l").get<bool>() };
     });
 }
 
@@ -143,10 +195,6 @@
         message.engine = parseEndpoint(json.at("e").get<std::string>());
         if (json.contains("r"))
             message.report = reportFromJson(json.at("r"));
-        if (json.contains("k")) {
-            message.counts = countsFromBytes(json.at("k").get_binary());
-            message.countUnit = json.at("u").get<double>();
-        }
         if (json.contains("l"))
             message.lists = RankLists { json.at("lv").get<RankMapVersion>(), json.at("l").get<RankExperts>() };
         return message;
@@ -165,13 +213,12 @@
         message.order.epoch = json.at("e").get<std::uint64_t>();
         message.order.version = json.at("v").get<RankMapVersion>();
         message.order.pass = json.at("p").get<std::uint64_t>();
-        if (json.contains("m"))
-            message.order.map = std::make_shared<const GroupMap>(json.at("m").get<GroupMap>());
-        if (json.contains("b")) {
+        if (json.contains("b"))
             message.baseVersion = json.at("b").get<RankMapVersion>();
-            for (const Json& difference : json.at("d"))
-                message.differences.push_back({ difference.at(0).get<std::uint32_t>(), difference.at(1).get<std::uint32_t>(), difference.at(2).get<std::vector<std::uint32_t>>() });
-        }
+        if (json.contains("m"))
+            message.encodedMap = json.at("m").get_binary();
+        if (json.contains("w"))
+            message.receivers = endpointsFromJson(json.at("w"));
         return message;
     });
 }
@@ -190,4 +237,35 @@
     });
 }
 
+RankCountsRequest decodeRankCountsRequest(ByteView body)
+{
+    return decodeBody(RankCountsRequest::type, body, [](const Json& json) {
+        RankCountsRequest message;
+        message.group = json.at("g").get<std::string>();
+        message.term = json.at("t").get<std::uint64_t>();
+        message.controller = json.at("c").get<std::string>();
+        message.round = json.at("n").get<std::uint64_t>();
+        message.wait = std::chrono::milliseconds(json.at("d").get<std::int64_t>());
+        message.receivers = endpointsFromJson(json.at("w"));
+        return message;
+    });
+}
+
+RankCounts decodeRankCounts(ByteView body)
+{
+    return decodeBody(RankCounts::type, body, [](const Json& json) {
+        return RankCounts { json.at("n").get<std::uint64_t>(), json.at("r").get<std::uint32_t>(), json.at("u").get<double>(), json.at("k").get_binary() };
+    });
+}
+
+ControllerQuestion decodeControllerQuestion(ByteView body)
+{
+    return decodeBody(ControllerQuestion::type, body, [](const Json& json) { return ControllerQuestion { json.at("g").get<std::string>() }; });
+}
+
+ControllerAnswer decodeControllerAnswer(ByteView body)
+{
+    return decodeBody(ControllerAnswer::type, body, [](const Json& json) { return ControllerAnswer { json.at("g").get<std::string>(), json.at("t").get<std::uint64_t>() }; });
+}
+
 }
--- a/Source/RankMaps/SwitchController.cpp
+++ b/Source/RankMaps/SwitchController.cpp
@@ -21,6 +21,7 @@
     , sendOrder_(std::move(sendOrder))
     , mapInUse_(std::move(mapInUse))
     , logDecision_(std::move(logDecision))
+    , loadResendDelay_(settings.resendDelay)
     , stageSince_(clock.now())
     , sampledAt_(clock.now())
 {
@@ -208,7 +209,7 @@
         if (report.prepared == version_)
             continue;
         isDone = false;
-        order(rank, RankOrderKind::Prepare, settings_.resendDelay);
+        order(rank, RankOrderKind::Prepare, loadResendDelay_);
     }
     if (isDone) {
         holdRank_ = (localRank_ + 1) % groupSize_;
@@ -292,7 +293,7 @@
         if (report.armed)
             order(rank, RankOrderKind::Disarm, settings_.resendDelay, report.armed->version, pass_);
         else
-            order(rank, RankOrderKind::Prepare, settings_.resendDelay);
+            order(rank, RankOrderKind::Prepare, loadResendDelay_);
     }
     if (!isDone)
         return;
--- a/Source/RankMaps/SwitchController.h
+++ b/Source/RankMaps/SwitchController.h
@@ -3,6 +3,7 @@
 #include "Core/Clock.h"
 #include "RankMaps/RankReport.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -94,6 +95,9 @@
 
     void setFencingToken(std::uint64_t token) { fencingToken_ = token; }
 
+    // Sets after which time an order to load a map is resent: the time that the map needs to reach all ranks.
+    void setLoadResendDelay(std::chrono::milliseconds delay) { loadResendDelay_ = std::max(delay, settings_.resendDelay); }
+
     void observe(const RankReport& report);
     void handleOrderResult(std::uint32_t rank, RankOrderKind kind, RankMapVersion version, std::uint64_t pass, RankOrderResult result);
 
@@ -160,6 +164,7 @@
     MapInUse mapInUse_;
     LogDecision logDecision_;
     std::uint64_t fencingToken_ { 0 };
+    std::chrono::milliseconds loadResendDelay_;
 
     std::uint64_t epoch_ { 0 };
     std::uint32_t groupSize_ { 0 };
--- a/Tests/RankMaps/ControllerLeaseTest.cpp
+++ b/Tests/RankMaps/ControllerLeaseTest.cpp
@@ -111,4 +111,18 @@
     CHECK(candidate.term == 2);
 }
 
+// Guards against an agent that acts as if the table were unavailable because another agent was faster.
+TEST_CASE("of two candidates that read the lease at the same time, the second learns of the first")
+{
+    RestorableTable table;
+    Candidate first(table, "first");
+    Candidate second(table, "second");
+    table.afterRead = [&] { first.lease.takeOver(0); };
+    second.lease.takeOver(0);
+    CHECK(first.controller == "first");
+    CHECK(second.controller == "first");
+    CHECK(second.term == 1);
+    CHECK(second.failures == 0);
+}
+
 }
--- a/Tests/RankMaps/MapPlannerTest.cpp
+++ b/Tests/RankMaps/MapPlannerTest.cpp
@@ -72,7 +72,7 @@
     constexpr ExpertLayout twoRanks { 2, 1, 6, 6, 1 };
     ManualClock clock;
     MapPlannerSettings settings;
-    settings.gainPerLoad = 0;
+    settings.gainPerLoadOfAllRanks = 0;
     MapPlanner planner(clock, twoRanks, settings);
     planner.setExperts(0, 0, { { 0, 2, 4 } });
     planner.setExperts(1, 0, { { 1, 3, 5 } });
--- a/Tests/RankMaps/RankAgentProcessTest.cpp
+++ b/Tests/RankMaps/RankAgentProcessTest.cpp
@@ -113,7 +113,7 @@
     void report(std::function<void(std::optional<RankReport>)> done) override { done(state_.report); }
     void counts(std::function<void(std::optional<ExpertCounts>)> done) override { done(std::nullopt); }
     void lists(std::function<void(std::optional<RankLists>)> done) override { done(std::nullopt); }
-    void order(const RankOrder& order, std::function<void(RankOrderResult)> done) override
+    void order(const RankOrder& order, std::chrono::milliseconds, std::function<void(RankOrderResult)> done) override
     {
         state_.orders.push_back(order.kind);
         if (order.kind == RankOrderKind::Arm)
--- a/Tests/RankMaps/RankAgentTest.cpp
+++ b/Tests/RankMaps/RankAgentTest.cpp
@@ -7,6 +7,8 @@
 
 #include <fcntl.h>
 
+#include <functional>
+#include <utility>
 #include <vector>
 
 namespace Damaskgrade {
@@ -19,12 +21,15 @@
     void report(std::function<void(std::optional<RankReport>)> done) override { done(current); }
     void counts(std::function<void(std::optional<ExpertCounts>)> done) override { done(ExpertCounts { 1, expertCounts }); }
     void lists(std::function<void(std::optional<RankLists>)> done) override { done(RankLists { 0, { { 1 } } }); }
-    void order(const RankOrder& order, std::function<void(RankOrderResult)> done) override
+    void order(const RankOrder& order, std::chrono::milliseconds, std::function<void(RankOrderResult)> done) override
     {
         orders.push_back(order);
+        if (loadsAtOnce && order.kind == RankOrderKind::Prepare)
+            current.prepared = order.version;
         done(RankOrderResult::Accepted);
     }
 
+    bool loadsAtOnce { true };
     RankReport current;
     std::vector<double> expertCounts { 10, 20 };
     std::vector<RankOrder> orders;
@@ -33,23 +38,30 @@
 struct RankAgentFixture {
     RankAgentFixture() { engine.current.group = "g1"; }
 
-    RankStatus requestStatus(const std::string& group, std::uint64_t term, bool includeCounts = false)
+    RankStatus requestStatus(const std::string& group, std::uint64_t term)
     {
         RankStatus result;
         RankStatusRequest request;
         request.group = group;
         request.term = term;
         request.controller = "c";
-        request.includeCounts = includeCounts;
         agent.receive(request, [&result](const RankStatus& status) { result = status; });
         return result;
     }
 
+    std::vector<double> collectCounts()
+    {
+        CountSum result;
+        agent.collectCounts([&result](const CountSum& counts) { result = counts; });
+        return result.counts;
+    }
+
     RankOrderResult sendOrder(const std::string& group, std::uint64_t term)
     {
         RankOrderMessage message;
         message.group = group;
         message.term = term;
+        message.encodedMap = encodeMap({ { { 0 } } });
         return sendOrder(message);
     }
 
@@ -66,7 +78,9 @@
     ManualClock clock;
     FakeEngine engine;
     DecisionLog log { clock, ::open("/dev/null", O_WRONLY), "test" };
-    RankAgent agent { clock, "a", { "127.0.0.1", 1 }, engine, log };
+    // Tasks that the agent runs later.
+    std::vector<std::function<void()>> delayedTasks;
+    RankAgent agent { clock, "a", { "127.0.0.1", 1 }, engine, [this](std::chrono::milliseconds, std::function<void()> task) { delayedTasks.push_back(std::move(task)); }, log };
 };
 
 }
@@ -94,24 +108,56 @@
     message.group = "g1";
     message.term = 1;
     message.order.version = 7;
-    message.order.map = first;
+    std::shared_ptr<const GroupMap> map = first;
     LoadOrderEncoder encoder;
-    auto receive = [&](RankMapVersion lastSentVersion) { return fixture.sendOrder(decodeRankOrder(encoder.encode(message, lastSentVersion, HybridTime()).body)); };
-    std::size_t fullMapBytes = encoder.encode(message, 0, HybridTime()).body.size();
-    CHECK(receive(0) == RankOrderResult::Accepted);
+    auto load = [&](RankAgentFixture& agent, RankMapVersion lastSentVersion) {
+        const EncodedMap& encoded = encoder.encode(message.order.version, map, lastSentVersion);
+        message.baseVersion = encoded.baseVersion;
+        message.encodedMap = encoded.bytes;
+        return agent.sendOrder(decodeRankOrder(encodeMessage(message, HybridTime()).body));
+    };
+    CHECK(load(fixture, 0) == RankOrderResult::Accepted);
+    CHECK(*fixture.engine.orders.back().map == *first);
+    std::size_t fullMapBytes = message.encodedMap.size();
     message.order.version = 8;
-    message.order.map = second;
-    CHECK(encoder.encode(message, 7, HybridTime()).body.size() < fullMapBytes);
-    CHECK(receive(7) == RankOrderResult::Accepted);
+    map = second;
+    CHECK(load(fixture, 7) == RankOrderResult::Accepted);
+    CHECK(message.encodedMap.size() < fullMapBytes);
     CHECK(*fixture.engine.orders.back().map == *second);
     // A resent order refers to the map that the agent already has.
-    CHECK(receive(8) == RankOrderResult::Accepted);
+    CHECK(load(fixture, 8) == RankOrderResult::Accepted);
     CHECK(*fixture.engine.orders.back().map == *second);
     // A restarted agent has no map.
     RankAgentFixture restarted;
-    CHECK(restarted.sendOrder(decodeRankOrder(encoder.encode(message, 7, HybridTime()).body)) == RankOrderResult::BaseMissing);
+    CHECK(load(restarted, 7) == RankOrderResult::BaseMissing);
     CHECK(restarted.engine.orders.empty());
-    CHECK(restarted.sendOrder(decodeRankOrder(encoder.encode(message, 0, HybridTime()).body)) == RankOrderResult::Accepted);
+    CHECK(load(restarted, 0) == RankOrderResult::Accepted);
+}
+
+// Guards against a controller that asks each rank of a large group again and again whether it has loaded a map.
+TEST_CASE("the status after an order to load a map is sent once the map is loaded")
+{
+    RankAgentFixture fixture;
+    fixture.engine.loadsAtOnce = false;
+    RankOrderMessage message;
+    message.group = "g1";
+    message.term = 1;
+    message.order.version = 7;
+    message.encodedMap = encodeMap({ { { 0 } } });
+    int responses = 0;
+    fixture.agent.receive(
+        message, [](const RankOrderResultMessage&) {}, [&](const RankStatus& status) {
+            ++responses;
+            CHECK(status.report->prepared == 7); });
+    for (int i = 0; i < 3; ++i) {
+        CHECK(responses == 0);
+        REQUIRE(fixture.delayedTasks.size() == 1);
+        std::exchange(fixture.delayedTasks, {}).front()();
+    }
+    fixture.engine.current.prepared = 7;
+    std::exchange(fixture.delayedTasks, {}).front()();
+    CHECK(responses == 1);
+    CHECK(fixture.delayedTasks.empty());
 }
 
 // Guards against controllers that affect other groups of the same service.
@@ -133,11 +179,11 @@
 TEST_CASE("counts are the difference to the last response, and start from zero after a restart of the engine")
 {
     RankAgentFixture fixture;
-    CHECK(fixture.requestStatus("g1", 1, true).counts.empty());
+    CHECK(fixture.collectCounts().empty());
     fixture.engine.expertCounts = { 15, 40 };
-    CHECK(fixture.requestStatus("g1", 1, true).counts == std::vector<std::uint16_t> { 5, 20 });
+    CHECK(fixture.collectCounts() == std::vector<double> { 5, 20 });
     fixture.engine.expertCounts = { 3, 4 };
-    CHECK(fixture.requestStatus("g1", 1, true).counts == std::vector<std::uint16_t> { 3, 4 });
+    CHECK(fixture.collectCounts() == std::vector<double> { 3, 4 });
 }
 
 }
