Gateway, Forwarding, Peers: Keep requests, callers and states of entries in their zone

Callers were sent to entries of all zones, entries compared two servers of their own zone with seven of the others, and each entry sent its requests in flight to all others five times a second. Change: callers get the entries of their zone if there are two; the sample of the local zone follows from the number of entries there, and a server of another zone must have over one request less in flight; states to other zones have the requests in flight every fifth time. Metrics on the last round of counts, the last change and the silence of the controller.

--- a/Source/Forwarding/ServerSelector.cpp
+++ b/Source/Forwarding/ServerSelector.cpp
@@ -53,8 +53,8 @@
             continue;
         (server->availabilityZone == settings_.localZone ? localServers : remoteServers).push_back(server);
     }
-    reduceToSample(localServers);
-    reduceToSample(remoteServers);
+    reduceToSample(localServers, localEntryCount_);
+    reduceToSample(remoteServers, entryCount_);
     localServers.insert(localServers.end(), remoteServers.begin(), remoteServers.end());
     const ServerRecord* best = nullptr;
     double bestScore = std::numeric_limits<double>::max();
@@ -77,10 +77,16 @@
     return { SelectionKind::Server, best };
 }
 
+void ServerSelector::setEntryCount(std::size_t count, std::size_t localCount)
+{
+    entryCount_ = std::max<std::size_t>(1, count);
+    localEntryCount_ = std::max<std::size_t>(1, localCount);
+}
+
 // Reduces the servers to a random sample. Its size is the number of servers per entry, but at least minSampleSize.
-void ServerSelector::reduceToSample(std::vector<const ServerRecord*>& servers)
+void ServerSelector::reduceToSample(std::vector<const ServerRecord*>& servers, std::size_t entryCount)
 {
-    std::size_t sampleSize = std::max(settings_.minSampleSize, servers.size() / std::max<std::size_t>(1, entryCount_));
+    std::size_t sampleSize = std::max(settings_.minSampleSize, servers.size() / entryCount);
     for (std::size_t i = 0; i < sampleSize && i < servers.size(); ++i)
         std::swap(servers[i], servers[i + random_.index(servers.size() - i)]);
     servers.resize(std::min(servers.size(), sampleSize));
--- a/Source/Forwarding/ServerSelector.h
+++ b/Source/Forwarding/ServerSelector.h
@@ -25,9 +25,9 @@
     std::uint32_t assumedSlots { 8 };
     // Minimum number of servers that are compared, in the local zone and again in all other zones.
     std::size_t minSampleSize { 2 };
-    // Added to the number of requests in flight at a server in another zone when servers are compared, so that the local
-    // zone is preferred if the loads are equal.
-    double zoneBias { 0.5 };
+    // Added to the number of requests in flight at a server in another zone when servers are compared: bytes between zones
+    // are expensive, and the counts of entries in other zones are older.
+    double zoneBias { 1 };
     // Time after which a request that is refused because of rate limits should come again, if this entry may not send to any
     // of the servers.
     std::chrono::milliseconds unknownRateLimitWait { 2000 };
@@ -76,8 +76,8 @@
     // slot are selected only if mayQueue is set.
     ServerSelection select(std::string_view service, gsl::span<const std::string> tried, bool mayQueue);
 
-    // Sets the number of entries that select among the same servers.
-    void setEntryCount(std::size_t count) { entryCount_ = count; }
+    // Sets the numbers of entries that select among the same servers: of all zones, and of the local zone.
+    void setEntryCount(std::size_t count, std::size_t localCount);
 
     // Excludes the server from the selection until this time.
     void avoid(const std::string& serverId, TimePoint until);
@@ -132,7 +132,7 @@
 
     bool isRefusing(const Outage& outage) const { return outage.refusalsInRow >= settings_.refusalsUntilOutage; }
 
-    void reduceToSample(std::vector<const ServerRecord*>& servers);
+    void reduceToSample(std::vector<const ServerRecord*>& servers, std::size_t entryCount);
     void endOutage(std::string_view service, Outage& outage);
     double slotsOf(const ServerRecord& server) const;
     double capacityOf(const ServerRecord& server, bool mayQueue) const;
@@ -156,6 +156,7 @@
     std::map<std::string, TimePoint, std::less<>> outageEndedAt_;
     TimePoint startedAt_;
     std::size_t entryCount_ { 1 };
+    std::size_t localEntryCount_ { 1 };
 };
 
 }
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/GatewayProcess.h"
 
 #include "Core/Error.h"
+#include "Gateway/EntryAddresses.h"
 #include "Metrics/MetricsPage.h"
 
 #include <algorithm>
@@ -109,6 +110,7 @@
     peerSettings.name = settings_.name;
     peerSettings.link = settings_.link;
     peerSettings.keys = settings_.linkKeys;
+    peerSettings.availabilityZone = settings_.availabilityZone;
     PeerGroupHooks hooks;
     hooks.localState = [this] { return localState(); };
     hooks.onState = [this](const EntryStateMessage& state) { handlePeerState(state); };
@@ -208,7 +210,8 @@
 
 void GatewayProcess::handlePeerState(const EntryStateMessage& state)
 {
-    loads_.setPeerCounts(state.name, state.inFlight);
+    if (state.inFlight)
+        loads_.setPeerCounts(state.name, *state.inFlight);
     quarantine_.applyReports(state.suspects);
     rateLimits_.applyReports(state.rateLimits);
     for (const ServerStart& server : state.leavingServers)
@@ -305,14 +308,16 @@
 
 void GatewayProcess::respondWithAddresses(HttpExchange& exchange)
 {
-    AddressResponse directoryResponse;
-    directoryResponse.lifetime = settings_.addressLifetime;
+    std::vector<EntryAddress> entries;
     if (isReady())
-        directoryResponse.addresses.push_back(settings_.callers);
+        entries.push_back({ settings_.callers, settings_.availabilityZone });
     for (const EntryStateMessage& peer : peers_->alive()) {
         if (peer.isReady && !peer.isDraining)
-            directoryResponse.addresses.push_back(peer.callers);
+            entries.push_back({ peer.callers, peer.availabilityZone });
     }
+    AddressResponse directoryResponse;
+    directoryResponse.lifetime = settings_.addressLifetime;
+    directoryResponse.addresses = selectEntriesForCaller(entries, platform_.decodeCallerZone(exchange.request()));
     exchange.respond(platform_.encodeAddresses(exchange.request(), directoryResponse));
 }
 
@@ -350,7 +355,7 @@
 {
     std::size_t entries = std::max(peers_->knownCount(), peers_->addressCount()) + 1;
     retryBudget_.setEntryCount(entries);
-    serverSelector_.setEntryCount(entries);
+    serverSelector_.setEntryCount(entries, peers_->knownCountIn(settings_.availabilityZone) + 1);
     quarantine_.setIsolated(2 * peers_->aliveCount() < peers_->knownCount());
     catalogFollower_->tick();
     forwarder_.tick();
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -35,6 +35,8 @@
     Table& table;
     HeaderNames names;
     PromptPartsDecoder decodePromptParts;
+    // Returns the availability zone of the caller that requests entry addresses; empty if it is not stated.
+    std::function<std::string(const HttpRequest&)> decodeCallerZone;
     // Encodes the response with the entry addresses, or an error response if there is no address.
     std::function<HttpResponse(const HttpRequest&, const AddressResponse&)> encodeAddresses;
 };
--- a/Source/Peers/PeerGroup.cpp
+++ b/Source/Peers/PeerGroup.cpp
@@ -97,7 +97,7 @@
     send(peer, encodeMessage(message, hybridClock_.tick()));
 }
 
-void PeerGroup::sendState()
+void PeerGroup::sendState(bool includeAllCounts)
 {
     if (addresses_.empty())
         return;
@@ -105,6 +105,8 @@
     state.name = settings_.name;
     state.link = settings_.link;
     Frame frame = encodeMessage(state, hybridClock_.tick());
+    state.inFlight.reset();
+    Frame frameWithoutCounts = encodeMessage(state, hybridClock_.tick());
     std::size_t skipped = 0;
     for (const auto& [name, endpoint] : addresses_) {
         std::size_t left = addresses_.size() - skipped;
@@ -112,10 +114,22 @@
         if (isSkipped)
             ++skipped;
         else
-            send(name, frame);
+            send(name, includeAllCounts || !isInOtherZone(name) ? frame : frameWithoutCounts);
     }
 }
 
+// Returns false for an address from which no state was received yet.
+bool PeerGroup::isInOtherZone(const std::string& name) const
+{
+    auto peer = peers_.find(name);
+    return peer != peers_.end() && peer->second.state.availabilityZone != settings_.availabilityZone;
+}
+
+std::size_t PeerGroup::knownCountIn(std::string_view availabilityZone) const
+{
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [availabilityZone](const auto& entry) { return entry.second.state.availabilityZone == availabilityZone; }));
+}
+
 void PeerGroup::tick()
 {
     TimePoint now = clock_.now();
@@ -156,7 +170,7 @@
         links_->setTargets(targets);
         updateTargets();
     }
-    sendState();
+    sendState(periods_++ % settings_.remoteCountsInterval == 0);
 }
 
 void PeerGroup::receive(const Frame& frame)
--- a/Source/Peers/PeerGroup.h
+++ b/Source/Peers/PeerGroup.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Damaskgrade {
@@ -19,6 +20,7 @@
     // Where peers connect to this entry.
     Endpoint link;
     LinkKeys keys;
+    std::string availabilityZone;
     std::chrono::milliseconds statePeriod { 200 };
     // A peer from which no state was received for this long is suspected, and its address is not returned to callers.
     // More than four state periods, so that a lost packet and a late timer do not make a peer suspected.
@@ -30,6 +32,9 @@
     // Number of peers to which the state is sent in one period. If there are more peers, a random subset of about
     // this size is used.
     std::size_t maxPeersPerPeriod { 24 };
+    // One in this many states that are sent to another availability zone has the requests in flight, which are most of its
+    // bytes. Entries send most requests to servers of their own zone.
+    std::uint64_t remoteCountsInterval { 5 };
 };
 
 struct PeerGroupHooks {
@@ -65,13 +70,15 @@
 
     // Returns the number of peers that have not expired, alive or not.
     std::size_t knownCount() const { return peers_.size(); }
+    // The same for one availability zone.
+    std::size_t knownCountIn(std::string_view availabilityZone) const;
     std::size_t addressCount() const { return addresses_.size(); }
 
     void sendCatalog(const std::string& peer, const std::string& text);
     void sendFleet(const std::string& peer, const FleetMessage& message);
 
     // Sends the local state immediately, for example when draining starts.
-    void sendState();
+    void sendState() { sendState(false); }
 
 private:
     struct Peer {
@@ -81,7 +88,9 @@
     };
 
     bool isAlive(const Peer& peer) const;
+    bool isInOtherZone(const std::string& name) const;
     void tick();
+    void sendState(bool includeAllCounts);
     void receive(const Frame& frame);
     void receiveState(EntryStateMessage state);
     void updateTargets();
@@ -100,6 +109,7 @@
     std::map<std::string, TimePoint> openedAt_;
     std::unique_ptr<LinkDirectory> links_;
     std::unique_ptr<LinkServer> server_;
+    std::uint64_t periods_ { 0 };
     std::unique_ptr<Timer> timer_;
 };
 
--- a/Source/Peers/PeerMessages.cpp
+++ b/Source/Peers/PeerMessages.cpp
@@ -67,9 +67,12 @@
 
 Frame encodeMessage(const EntryStateMessage& message, HybridTime time)
 {
-    Json counts = Json::object();
-    for (const auto& [server, count] : message.inFlight)
-        counts[server] = count;
+    Json counts;
+    if (message.inFlight) {
+        counts = Json::object();
+        for (const auto& [server, count] : *message.inFlight)
+            counts[server] = count;
+    }
     Json suspects = Json::array();
     for (const SuspectReport& report : message.suspects)
         suspects.push_back(suspectToJson(report));
@@ -117,8 +120,11 @@
         message.fleetDigest = json.at("fd").get<std::uint64_t>();
         message.fleetPosition = { json.value("fg", StoreGeneration { 0 }), json.at("fr").get<std::uint64_t>() };
         message.fleetAge = std::chrono::milliseconds(json.at("fa").get<std::int64_t>());
-        for (const auto& [server, count] : json.at("f").items())
-            message.inFlight.emplace(server, count.get<std::uint32_t>());
+        if (!json.at("f").is_null()) {
+            message.inFlight.emplace();
+            for (const auto& [server, count] : json.at("f").items())
+                message.inFlight->emplace(server, count.get<std::uint32_t>());
+        }
         for (const Json& suspect : json.value("s", Json::array()))
             message.suspects.push_back(suspectFromJson(suspect));
         for (const Json& server : json.value("ls", Json::array()))
--- a/Source/Peers/PeerMessages.h
+++ b/Source/Peers/PeerMessages.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,7 +36,8 @@
     std::chrono::milliseconds fleetAge { 0 };
     // Servers that have stated that they leave, before the registry states it.
     std::vector<ServerStart> leavingServers;
-    InFlightCounts inFlight;
+    // Absent in most of the states that are sent to another availability zone.
+    std::optional<InFlightCounts> inFlight;
     std::vector<SuspectReport> suspects;
     std::vector<RateLimitReport> rateLimits;
 };
--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -245,6 +245,7 @@
     request.wait = period / 2;
     countsDueAt_ = clock_.now() + period * 3 / 4;
     nextCounts_ = clock_.now() + period;
+    countedRanks_ = std::exchange(ranksOfRound_, 0);
     std::vector<RelayBranch> branches = branchesByZone(names, 0);
     missingCounts_ = branches.size();
     for (RelayBranch& branch : branches) {
@@ -258,6 +259,7 @@
     if (counts.round != countRound_ || missingCounts_ == 0)
         return;
     --missingCounts_;
+    ranksOfRound_ += counts.ranks;
     if (!planner_ || counts.ranks == 0)
         return;
     planner_->addCounts(unpackCounts(counts).counts);
--- a/Source/RankMaps/GroupControl.h
+++ b/Source/RankMaps/GroupControl.h
@@ -56,6 +56,9 @@
     bool mayPlan() const { return mayPlan_; }
     double skew() const { return planner_ ? planner_->skew() : 0; }
     const SwitchCounters& counters() const { return switch_.counters(); }
+    Duration lastChangeTime() const { return switch_.lastChangeTime(); }
+    // Number of ranks whose counts arrived in the last complete round.
+    std::uint32_t countedRanks() const { return countedRanks_; }
 
 private:
     // An agent of the group and the rank that it serves.
@@ -140,6 +143,8 @@
     // Number of the last request for counts, and how many responses to it are missing.
     std::uint64_t countRound_ { 0 };
     std::size_t missingCounts_ { 0 };
+    std::uint32_t countedRanks_ { 0 };
+    std::uint32_t ranksOfRound_ { 0 };
     bool areCountsNew_ { false };
     // The skew after the last round of counts, and for how many rounds a plan has been put off.
     double lastSkew_ { 0 };
--- a/Source/RankMaps/GroupMember.h
+++ b/Source/RankMaps/GroupMember.h
@@ -41,6 +41,7 @@
     void receive(const std::shared_ptr<LinkSession>& session, const Frame& frame);
 
     const RankAgent& agent() const { return agent_; }
+    std::size_t relayLinkCount() const { return relayLinks_.size(); }
     // Null unless this agent controls its group.
     const GroupControl* control() const { return control_.get(); }
 
--- a/Source/RankMaps/RankAgent.cpp
+++ b/Source/RankMaps/RankAgent.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+// How often it is checked whether a map is loaded: a few experts take some tens of milliseconds.
+constexpr std::chrono::milliseconds loadCheckPeriod { 25 };
+constexpr int maxLoadChecks = 20;
+
 std::string_view kindName(RankOrderKind kind)
 {
     switch (kind) {
@@ -112,12 +116,9 @@
 // The status is sent without a request once the map is loaded, so that the controller need not ask each rank again.
 void RankAgent::respondWhenLoaded(RankMapVersion version, int attempts, const SendStatus& respond)
 {
-    // A few experts take some tens of milliseconds to load.
-    constexpr std::chrono::milliseconds loadCheckPeriod { 25 };
-    constexpr int maxAttempts = 20;
     readStatus(false, [this, version, attempts, respond](const RankStatus& status) {
         bool isLoading = status.report && status.report->prepared != version && status.report->mapVersion != version;
-        if (isLoading && attempts < maxAttempts)
+        if (isLoading && attempts < maxLoadChecks)
             runLater_(loadCheckPeriod, [this, version, attempts, respond] { respondWhenLoaded(version, attempts + 1, respond); });
         else
             respond(status);
--- a/Source/RankMaps/RankAgentProcess.cpp
+++ b/Source/RankMaps/RankAgentProcess.cpp
@@ -23,7 +23,8 @@
 }
 
 RankAgentProcess::RankAgentProcess(EventLoop& loop, const Clock& clock, Random& random, const RankAgentSettings& settings, RankAgentPlatform platform, DecisionLog& log)
-    : log_(log)
+    : clock_(clock)
+    , log_(log)
     , member_(
           loop, clock, random, settings, std::move(platform), [&loop, &random, keys = settings.linkKeys](ProcessLinkHooks hooks) { return std::make_unique<LinkDirectory>(loop, random, keys, std::move(hooks)); }, log)
     , server_(loop, settings.link, settings.linkKeys, linkHandlers(member_))
@@ -53,7 +54,11 @@
         page.addGauge("damaskgrade_map_version", "Version of the map in use.", static_cast<double>(agent.report()->mapVersion));
         page.addGauge("damaskgrade_group_epoch", "Epoch of the group.", static_cast<double>(agent.report()->epoch));
     }
+    page.addGauge("damaskgrade_controller_silence_seconds", "Time since a message of the controller.", std::chrono::duration<double>(clock_.now() - agent.controllerLastSeen()).count());
+    page.addGauge("damaskgrade_relay_links", "Agents to which this agent passes maps and requests for counts on.", static_cast<double>(member_.relayLinkCount()));
     if (control) {
+        page.addGauge("damaskgrade_counted_ranks", "Ranks whose counts are in the last round.", control->countedRanks());
+        page.addGauge("damaskgrade_map_change_seconds", "Duration of the last completed map change.", std::chrono::duration<double>(control->lastChangeTime()).count());
         page.addGauge("damaskgrade_expert_skew", "Load of the fullest rank over the mean, averaged over the sets.", control->skew());
         page.addCounter("damaskgrade_map_changes_started_total", "Map changes started.", static_cast<double>(control->counters().started));
         page.addCounter("damaskgrade_map_changes_completed_total", "Map changes completed.", static_cast<double>(control->counters().completed));
--- a/Source/RankMaps/RankAgentProcess.h
+++ b/Source/RankMaps/RankAgentProcess.h
@@ -23,6 +23,7 @@
 private:
     std::string metricsText() const;
 
+    const Clock& clock_;
     DecisionLog& log_;
     GroupMember member_;
     LinkServer server_;
--- a/Source/RankMaps/SwitchController.cpp
+++ b/Source/RankMaps/SwitchController.cpp
@@ -23,6 +23,7 @@
     , logDecision_(std::move(logDecision))
     , loadResendDelay_(settings.resendDelay)
     , stageSince_(clock.now())
+    , changeStartedAt_(clock.now())
     , sampledAt_(clock.now())
 {
 }
@@ -149,6 +150,7 @@
     version_ = std::max(highestVersion() + 1, fencingToken_ * versionsPerTerm);
     highestUsedVersion_ = version_;
     pass_ = 0;
+    changeStartedAt_ = clock_.now();
     enter(SwitchStage::Preparing);
     logDecision_("change started", version_, lastPass());
     prepare();
@@ -338,6 +340,7 @@
     bool isSwitched = std::all_of(reports_.begin(), reports_.end(), [this](const auto& entry) { return entry.second.mapVersion == version_; });
     if (isSwitched && lastPass() >= pass_) {
         ++counters_.completed;
+        lastChangeTime_ = clock_.now() - changeStartedAt_;
         extraPasses_ = 0;
         logDecision_("change completed", version_, pass_);
         enter(SwitchStage::Idle);
@@ -403,6 +406,7 @@
         version_ = reports_.begin()->second.prepared.value_or(0);
     }
     passSelectedAt_ = clock_.now();
+    changeStartedAt_ = clock_.now();
     logDecision_("unfinished change resumed", version_, pass_);
     enter(SwitchStage::Arming);
     arm();
--- a/Source/RankMaps/SwitchController.h
+++ b/Source/RankMaps/SwitchController.h
@@ -129,6 +129,8 @@
     std::uint64_t epoch() const { return epoch_; }
     const std::map<std::uint32_t, RankReport>& reports() const { return reports_; }
     const SwitchCounters& counters() const { return counters_; }
+    // From the start of the last completed change until all ranks reported its map.
+    Duration lastChangeTime() const { return lastChangeTime_; }
 
     // Returns whether every rank of the group has reported in this epoch.
     bool isComplete() const;
@@ -172,6 +174,8 @@
 
     SwitchStage stage_ { SwitchStage::Idle };
     TimePoint stageSince_;
+    TimePoint changeStartedAt_;
+    Duration lastChangeTime_ { 0 };
     RankMapVersion version_ { 0 };
     RankMapVersion highestUsedVersion_ { 0 };
     std::uint64_t pass_ { 0 };
--- a/Tests/Forwarding/ServerSelectorTest.cpp
+++ b/Tests/Forwarding/ServerSelectorTest.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t serverCount = 72;
 constexpr std::uint32_t slots = 10;
 
+constexpr std::size_t zoneCount = 4;
+
 // An entry with its local view of the requests in flight.
 struct SimulatedEntry {
     SimulatedEntry(const ManualClock& clock, const FleetView& fleet, std::uint64_t seed, const std::string& zone)
@@ -55,19 +57,19 @@
             ServerRecord server;
             server.id = "s" + std::to_string(i);
             server.service = "app";
-            server.availabilityZone = "z" + std::to_string(i % 4);
+            server.availabilityZone = "z" + std::to_string(i % zoneCount);
             server.slots = slots;
             snapshot.servers.push_back(server);
         }
         fleet_.apply(snapshot, clock_.now());
         for (std::size_t i = 0; i < entryCount; ++i)
-            entries_.push_back(std::make_unique<SimulatedEntry>(clock_, fleet_, i + 1, "z" + std::to_string(i % 4)));
+            entries_.push_back(std::make_unique<SimulatedEntry>(clock_, fleet_, i + 1, "z" + std::to_string(i % zoneCount)));
     }
 
     void setEntryCount(std::size_t count)
     {
         for (const std::unique_ptr<SimulatedEntry>& entry : entries_)
-            entry->selector.setEntryCount(count);
+            entry->selector.setEntryCount(count, (count + zoneCount - 1) / zoneCount);
     }
 
     // Sends 260 requests per second that take 1.9 s each, which occupies 70% of the slots. Returns the share of the
@@ -243,4 +245,47 @@
     CHECK(fill() == 4);
 }
 
+// Guards against bytes between zones that no caller has an advantage from, and against a zone that is full while others
+// are free.
+TEST_CASE("a server of the local zone is selected unless one of another zone has over a request less in flight")
+{
+    ManualClock clock;
+    FleetView fleet { clock, {}, [](const ServerRecord&) {} };
+    FleetSnapshot snapshot;
+    snapshot.position.revision = 1;
+    for (int i = 0; i < 40; ++i) {
+        ServerRecord server;
+        server.id = "s" + std::to_string(i);
+        server.service = "app";
+        server.availabilityZone = "z" + std::to_string(i % 4);
+        server.slots = 6;
+        snapshot.servers.push_back(server);
+    }
+    fleet.apply(snapshot, clock.now());
+    SimulatedEntry entry(clock, fleet, 1, "z0");
+    entry.selector.setEntryCount(8, 2);
+    auto localShare = [&] {
+        int local = 0;
+        for (int i = 0; i < 200; ++i) {
+            ServerSelection selection = entry.selector.select("app", {}, false);
+            REQUIRE(selection.server);
+            local += selection.server->availabilityZone == "z0" ? 1 : 0;
+        }
+        return local / 200.0;
+    };
+    auto setLoads = [&](std::uint32_t local, std::uint32_t remote) {
+        InFlightCounts counts;
+        for (const ServerRecord& server : snapshot.servers)
+            counts[server.id] = server.availabilityZone == "z0" ? local : remote;
+        entry.loads.setPeerCounts("peer", counts);
+    };
+    CHECK(localShare() == 1);
+    setLoads(3, 3);
+    CHECK(localShare() == 1);
+    setLoads(5, 3);
+    CHECK(localShare() == 0);
+    setLoads(6, 5);
+    CHECK(localShare() == 0);
+}
+
 }
--- a/Tests/Peers/PeerGroupTest.cpp
+++ b/Tests/Peers/PeerGroupTest.cpp
@@ -25,6 +25,10 @@
         std::uint64_t catalogVersion { 0 };
         bool isReady { true };
         int losses { 0 };
+        std::string availabilityZone;
+        // States received from peers, without and with their requests in flight.
+        int statesWithoutCounts { 0 };
+        int statesWithCounts { 0 };
     };
 
     void start(const std::string& name, std::uint64_t incarnation, const std::string& seed)
@@ -38,6 +42,7 @@
         settings.statePeriod = std::chrono::milliseconds(30);
         settings.suspectAfter = std::chrono::milliseconds(400);
         settings.reopenAfter = reopenAfter;
+        settings.availabilityZone = entry.availabilityZone;
         PeerGroupHooks hooks;
         hooks.localState = [&entry, incarnation] {
             EntryStateMessage state;
@@ -45,9 +50,11 @@
             state.callers = { "127.0.0.1", 1 };
             state.isReady = entry.isReady;
             state.catalog.version = entry.catalogVersion;
+            state.availabilityZone = entry.availabilityZone;
+            state.inFlight = InFlightCounts { { "s1", 1 } };
             return state;
         };
-        hooks.onState = [](const EntryStateMessage&) {};
+        hooks.onState = [&entry](const EntryStateMessage& state) { ++(state.inFlight ? entry.statesWithCounts : entry.statesWithoutCounts); };
         hooks.onCatalogText = [&entry](const std::string& text) { entry.catalogText = text; };
         hooks.onFleet = [](const FleetMessage&) {};
         hooks.onPeerChange = [&entry](const std::string&, bool isAlive) { entry.losses += isAlive ? 0 : 1; };
@@ -136,7 +143,7 @@
     state.fleetPosition = { 3, 8 };
     state.leavingServers = { { "s2", 77 } };
     state.catalog = { 7, 2, SourceTime(12), std::nullopt };
-    state.inFlight = { { "s1", 3 } };
+    state.inFlight = InFlightCounts { { "s1", 3 } };
     EntryStateMessage copy = decodeEntryState(encodeMessage(state, 0).body);
     CHECK(copy.link == state.link);
     CHECK(copy.fleetAge == state.fleetAge);
@@ -163,4 +170,25 @@
     CHECK_THROWS(decodeFleet(broken));
 }
 
+// Guards against bytes between zones that grow with the servers of all zones several times a second.
+TEST_CASE_FIXTURE(PeerFixture, "every state has the requests in flight within a zone, and some of them between zones")
+{
+    entries["a"].availabilityZone = "z1";
+    entries["b"].availabilityZone = "z1";
+    entries["c"].availabilityZone = "z2";
+    start("a", 1, "");
+    start("b", 1, "a");
+    REQUIRE(runUntil([this] { return aliveAt("a") == 1 && aliveAt("b") == 1; }));
+    // The first state of a peer arrives before its zone is known.
+    entries["b"].statesWithoutCounts = 0;
+    REQUIRE(runUntil([this] { return entries["b"].statesWithCounts >= 10; }));
+    CHECK(entries["b"].statesWithoutCounts == 0);
+    start("c", 1, "a");
+    REQUIRE(runUntil([this] { return aliveAt("c") == 1; }));
+    entries["c"].statesWithCounts = 0;
+    entries["c"].statesWithoutCounts = 0;
+    REQUIRE(runUntil([this] { return entries["c"].statesWithCounts >= 4; }));
+    CHECK(entries["c"].statesWithoutCounts >= 2 * entries["c"].statesWithCounts);
+}
+
 }
--- a/Tests/UsersPlatform/CodecsTest.cpp
+++ b/Tests/UsersPlatform/CodecsTest.cpp
@@ -73,6 +73,9 @@
     HttpRequest request;
     request.target = "/-/resolve?Name=h";
     CHECK(encodeAddresses(request, {}).status == 503);
+    CHECK(decodeCallerZone(request).empty());
+    request.target = "/-/resolve?Name=h&Region=sul&Zone=sul-a";
+    CHECK(decodeCallerZone(request) == "sul-a");
     HttpResponse response = encodeAddresses(request, { { { "10.0.0.1", 80 } }, std::chrono::milliseconds(2000) });
     CHECK(response.status == 200);
     CHECK(response.body == R"({"Addresses":["10.0.0.1:80"],"TtlS":2.0})");
