RankMaps: Drop frames that waited for a link, and forget the agent that a rank had before

Cause: a frame for an agent whose link opens seconds later would show it a controller that may be gone by then. The agent of a machine that was replaced kept its rank, so that orders for the rank could go to it, and counted as one whose engine has to be sent the map over the network. Change: frames wait for their link for a second; a rank belongs to the agent that reported it last.

--- a/Source/RankMaps/GroupControl.cpp
+++ b/Source/RankMaps/GroupControl.cpp
@@ -373,6 +373,7 @@
     Member& member = found->second;
     member.unansweredSince.reset();
     member.rank = status.report->rank;
+    forgetReplacedMembers(status.agent, member.rank);
     member.engine = status.engine;
     member.isRankKnown = true;
     switch_.observe(*status.report);
@@ -383,6 +384,15 @@
     switch_.tick();
 }
 
+// An agent on another machine may serve the rank now. Orders must not go to the one before.
+void GroupControl::forgetReplacedMembers(const std::string& agent, std::uint32_t rank)
+{
+    for (auto& [name, member] : members_) {
+        if (name != agent && member.isRankKnown && member.rank == rank && !isResponsive(name, member))
+            member.isRankKnown = false;
+    }
+}
+
 void GroupControl::recordLists(std::uint32_t rank, const RankLists& lists)
 {
     lists_[rank] = lists;
@@ -576,7 +586,7 @@
 // Returns whether few enough agents do not respond that the map reaches their engines over the network in time.
 bool GroupControl::canLoadEverywhere() const
 {
-    auto unresponsive = static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [this](const auto& entry) { return !entry.second.isInOtherGroup && !isResponsive(entry.first, entry.second); }));
+    auto unresponsive = static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [this](const auto& entry) { return entry.second.isRankKnown && !isResponsive(entry.first, entry.second); }));
     const ExpertLayout& layout = planner_->layout();
     std::size_t experts = static_cast<std::size_t>(layout.ranks) * layout.slotsPerRank * layout.sets;
     return budget_.transmissionTime(unresponsive * experts * remoteLoadBytesPerExpert) <= maxRemoteLoadTime;
--- a/Source/RankMaps/GroupControl.h
+++ b/Source/RankMaps/GroupControl.h
@@ -89,6 +89,7 @@
     void receive(const std::string& agent, const Frame& frame);
     void receiveResult(const RankOrderResultMessage& result);
     void receiveStatus(const RankStatus& status);
+    void forgetReplacedMembers(const std::string& agent, std::uint32_t rank);
     void recordLists(std::uint32_t rank, const RankLists& lists);
     std::optional<GroupMap> mapInUse() const;
     void sendOrder(std::uint32_t rank, const RankOrder& order);
--- a/Source/RankMaps/RelayLinks.cpp
+++ b/Source/RankMaps/RelayLinks.cpp
@@ -8,6 +8,8 @@
 
 // Longer than the time between two messages of a steady group, so that its links stay open.
 constexpr std::chrono::seconds unusedLinkLifetime { 30 };
+// Enough to open a link to an agent that is alive.
+constexpr std::chrono::seconds pendingFrameLifetime { 1 };
 
 }
 
@@ -17,7 +19,7 @@
 {
 }
 
-void RelayLinks::send(const Endpoint& receiver, Frame frame)
+void RelayLinks::send(const Endpoint& receiver, const Frame& frame)
 {
     std::string name = formatEndpoint(receiver);
     bool isNew = receivers_.count(name) == 0;
@@ -27,7 +29,7 @@
     if (isNew)
         setTargets();
     if (!links_->send(name, frame))
-        entry.pending[frame.type] = std::move(frame);
+        entry.pending[frame.type] = { frame, clock_.now() };
 }
 
 void RelayLinks::sendPending(const std::string& name)
@@ -35,8 +37,10 @@
     auto found = receivers_.find(name);
     if (found == receivers_.end())
         return;
-    for (const auto& [type, frame] : std::exchange(found->second.pending, {}))
-        links_->send(name, frame);
+    for (const auto& [type, pending] : std::exchange(found->second.pending, {})) {
+        if (clock_.now() - pending.since <= pendingFrameLifetime)
+            links_->send(name, pending.frame);
+    }
 }
 
 void RelayLinks::closeUnused()
--- a/Source/RankMaps/RelayLinks.h
+++ b/Source/RankMaps/RelayLinks.h
@@ -18,8 +18,9 @@
 
     RelayLinks(const Clock& clock, const MakeProcessLinks& makeLinks, FrameHandler onFrame);
 
-    // Sends the frame, or keeps it until the link is open. Of the frames of one type only the last is kept.
-    void send(const Endpoint& receiver, Frame frame);
+    // Sends the frame, or keeps it until the link is open, for a short time: a frame that arrives later would show a
+    // controller that may be gone by then. Of the frames of one type only the last is kept.
+    void send(const Endpoint& receiver, const Frame& frame);
 
     // Closes unused links. Must be called periodically.
     void closeUnused();
@@ -27,11 +28,16 @@
     std::size_t size() const { return receivers_.size(); }
 
 private:
+    struct PendingFrame {
+        Frame frame;
+        TimePoint since;
+    };
+
     struct Receiver {
         Endpoint endpoint;
         TimePoint usedAt;
         // By type.
-        std::map<std::string, Frame> pending;
+        std::map<std::string, PendingFrame> pending;
     };
 
     void setTargets();
