RankMaps: Select the pass of a switch two passes ahead at least, in place of three

Three passes are the floor there; the floor was made for passes of 30 to 50 ms. Change: a floor of two passes; the lead as a time (130 ms, 1.4 times the last time to arm) is unchanged.

--- a/Source/RankMaps/SwitchController.h
+++ b/Source/RankMaps/SwitchController.h
@@ -24,7 +24,7 @@
     std::chrono::milliseconds lossWindow { 10000 };
     // Bounds of the lead, in passes. The upper one also bounds how many passes are estimated to have begun since the last
     // report.
-    std::uint64_t minLeadPasses { 3 };
+    std::uint64_t minLeadPasses { 2 };
     std::uint64_t maxLeadPasses { 40 };
     // Each hold that arrives too late adds a pass to the lead, up to this number of passes.
     std::uint64_t maxExtraPasses { 6 };
--- a/Tests/RankMaps/LargeGroupTest.cpp
+++ b/Tests/RankMaps/LargeGroupTest.cpp
@@ -39,7 +39,8 @@
         }
         CHECK(simulation.term() == 1);
         CHECK(simulation.mixedPasses() == 0);
-        MESSAGE(ranks << " ranks: " << simulation.completedChanges() << " changes, skew " << simulation.skew());
+        MESSAGE(ranks << " ranks: " << simulation.completedChanges() << " changes, the last one in "
+                      << std::chrono::duration_cast<std::chrono::milliseconds>(simulation.lastChangeTime()).count() << " ms, skew " << simulation.skew());
     }
 }
 
--- a/Tests/RankMaps/SwitchControllerTest.cpp
+++ b/Tests/RankMaps/SwitchControllerTest.cpp
@@ -245,13 +245,13 @@
         controller->setFencingToken(token);
     }
 
-    // Runs ticks of 20 ms: reports arrive, orders are sent, and the group makes a pass every 40 ms.
+    // Runs ticks of 20 ms: reports arrive, orders are sent, and the group makes a pass every 40 ms, or as ticksPerPass says.
     void run(int ticks)
     {
         for (int i = 0; i < ticks; ++i) {
             clock.advance(std::chrono::milliseconds(20));
             group.executeLateOrders();
-            if (++tick_ % 2 == 0 && !(unresponsiveRank && isGroupStalled))
+            if (++tick_ % ticksPerPass == 0 && !(unresponsiveRank && isGroupStalled))
                 group.beginPass();
             for (std::uint32_t rank = 0; rank < rankCount; ++rank) {
                 if (random.fraction() < reportShare && unresponsiveRank != rank)
@@ -286,6 +286,7 @@
     std::unique_ptr<SwitchController> pausedController;
     std::uint32_t localRank { 0 };
     bool isPausedControllerFenced { false };
+    int ticksPerPass { 2 };
     // The machine of this rank is paused: its reports are missing, and the group makes no passes if isGroupStalled is set.
     std::optional<std::uint32_t> unresponsiveRank;
     bool isGroupStalled { true };
@@ -500,4 +501,20 @@
     CHECK(simulation.controller->counters().completed == 1);
 }
 
+// Guards against a change that waits for several passes of a loaded group, although its orders arrive within one.
+TEST_CASE("a switch is at most two passes ahead if a pass takes longer than the orders")
+{
+    ControlledGroupSimulation simulation(1);
+    simulation.ticksPerPass = 10;
+    for (int change = 0; change < 4; ++change) {
+        simulation.run(100);
+        REQUIRE(simulation.controller->canStart());
+        simulation.controller->start(simulation.someMap());
+    }
+    simulation.run(100);
+    CHECK(simulation.controller->counters().completed == 4);
+    CHECK(simulation.longestLead <= 2);
+    CHECK(simulation.longestHold <= std::chrono::milliseconds(60));
+}
+
 }
