CommandLine: Show what the control of a model group did

Cause: whether a group kept its controller and how its map changes went had to be searched for in the logs of all agents. Change: damaskgrade control [--group G] [--from MS] [--until MS] LOG... prints the lines in order, and a summary.

--- a/Source/CommandLine/Program.cpp
+++ b/Source/CommandLine/Program.cpp
@@ -1,6 +1,7 @@
 #include "CommandLine/Program.h"
 
 #include "Agent/AgentProcess.h"
+#include "CommandLine/ControlCommand.h"
 #include "CommandLine/ExplainCommand.h"
 #include "CommandLine/LoadCommand.h"
 #include "CommandLine/OperatorCommands.h"
@@ -83,6 +84,7 @@
     TimelineCommand timeline(app);
     LoadCommand load(app, exitCode);
     ExplainCommand explain(app, exitCode);
+    ControlCommand control(app, exitCode);
     addFurtherCommands(app, exitCode);
     try {
         app.parse(argumentCount, arguments);
