--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -91,18 +92,28 @@
     return result;
 }
 
-// Returns count consecutive ports that are free on all loopback addresses.
+inline bool isPortFree(int port)
+{
+    constexpr int lastAddress = 20;
+    for (int address = 1; address <= lastAddress; ++address) {
+        int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in target = socketAddress({ "127.0.0." + std::to_string(address), port });
+        bool isFree = bind(descriptor, reinterpret_cast<sockaddr*>(&target), sizeof target) == 0;
+        close(descriptor);
+        if (!isFree)
+            return false;
+    }
+    return true;
+}
+
+// Returns the first of count consecutive ports that are free on the loopback addresses of a case.
 inline int freePorts(int count)
 {
     for (int base = 21000 + (static_cast<int>(getpid()) * 37) % 20000; base < 60000; base += count) {
-        bool isFree = true;
-        for (int port = base; port < base + count && isFree; ++port) {
-            int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-            sockaddr_in address = socketAddress({ "0.0.0.0", port });
-            isFree = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-            close(descriptor);
-        }
-        if (isFree)
+        bool areFree = true;
+        for (int port = base; port < base + count && areFree; ++port)
+            areFree = isPortFree(port);
+        if (areFree)
             return base;
     }
     std::fprintf(stderr, "no free ports\n");
@@ -493,6 +504,8 @@
     {
         if (pid_ != 0)
             return;
+        // Ends with this program, also if that is killed.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         std::freopen(logPath.c_str(), "a", stdout);
         dup2(fileno(stdout), 2);
         setenv("DAMASKGRADE_SETTINGS", settingsPath.c_str(), 1);
