--- a/review/1/driver.cpp
+++ b/review/1/driver.cpp
@@ -1,5 +1,5 @@
 // Case 1: a second copy of an engine's refusal, which arrives late, is taken for the answer to the next send of the same request.
-#include "../standins/deployment.h"
+#include "../Deployment.h"
 
 #include <algorithm>
 #include <random>
--- a/review/2/driver.cpp
+++ b/review/2/driver.cpp
@@ -1,6 +1,6 @@
 // Case 2: a machine is stopped as planned while engines are short of memory. A stream whose request is preempted at two engines in
 // turn is ended by the gateway, though both engines are sound and would go on.
-#include "../standins/deployment.h"
+#include "../Deployment.h"
 
 #include <algorithm>
 
--- a/review/3/driver.cpp
+++ b/review/3/driver.cpp
@@ -1,5 +1,5 @@
 // Case 3: an engine answers /-/report with bytes without end. The rank agent of its machine crashes, each time it is restarted.
-#include "../standins/deployment.h"
+#include "../Deployment.h"
 
 using namespace StandIns;
 
--- a/review/standins/deployment.h
+++ b/review/Deployment.h
@@ -1,7 +1,7 @@
 // A small deployment: a folder for settings and logs, the operator's configuration, and the command of a role.
 #pragma once
 
-#include "engine.h"
+#include "Engine.h"
 
 #include <filesystem>
 
--- a/review/standins/engine.h
+++ b/review/Engine.h
@@ -1,7 +1,7 @@
 // An engine of a service, as seen by its callers.
 #pragma once
 
-#include "standins.h"
+#include "StandIns.h"
 
 namespace StandIns {
 
