Forwarding: Separate the reading of responses from the socket

Cause: the parsing of responses, the match of a response to its request and the calls of the handlers were part of the TCP connection, so that a test of an order of events needed sockets and real time.

Change: ResponseReader does this for a TcpUpstreamConnection, which only reads, writes and closes. No change of behaviour is intended.

--- /dev/null
+++ b/Source/Forwarding/ResponseReader.cpp
@@ -0,0 +1,133 @@
+#include "Forwarding/ResponseReader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <cstdlib>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr int firstFinalStatus = 200;
+// Bytes of responses to other requests, and of informational responses, that are skipped before the expected response.
+constexpr std::size_t maxSkippedBytes = 1U << 20U;
+// Bytes that are kept for the parser because they are not a complete head or chunk header yet.
+constexpr std::size_t maxIncompleteBytes = 64U << 10U;
+
+}
+
+void ResponseReader::begin(UpstreamHandlers handlers)
+{
+    handlers_ = std::move(handlers);
+    isActive_ = true;
+    skippedBytes_ = 0;
+    startMessage();
+}
+
+UpstreamHandlers ResponseReader::cancel()
+{
+    isInStep_ = false;
+    isActive_ = false;
+    return std::exchange(handlers_, {});
+}
+
+void ResponseReader::startMessage()
+{
+    parser_.emplace([this](const HttpResponse& head) { handleHead(head); }, [this](std::string_view body) { handleBody(body); });
+    isSkippingResponse_ = false;
+}
+
+void ResponseReader::handleHead(const HttpResponse& head)
+{
+    if (head.status < firstFinalStatus) {
+        isSkippingResponse_ = true;
+        return;
+    }
+    parseConnectionHeaders(head);
+    if (handlers_.onHead(head))
+        return;
+    // The connection is used only until the expected response arrives.
+    isSkippingResponse_ = true;
+    isInStep_ = false;
+}
+
+void ResponseReader::handleBody(std::string_view body)
+{
+    if (!isSkippingResponse_ && handlers_.onBody)
+        handlers_.onBody(body);
+}
+
+void ResponseReader::parseConnectionHeaders(const HttpResponse& head)
+{
+    std::optional<std::string> connection = findHeader(head.headers, "Connection");
+    if (connection && hasListToken(*connection, "close"))
+        isInStep_ = false;
+    std::optional<std::string> keepAlive = findHeader(head.headers, "Keep-Alive");
+    std::size_t position = keepAlive ? keepAlive->find("timeout=") : std::string::npos;
+    if (position != std::string::npos)
+        keepAliveTime_ = std::chrono::seconds(std::strtol(keepAlive->c_str() + position + std::string_view("timeout=").size(), nullptr, 10));
+}
+
+ResponseReader::Result ResponseReader::receive(std::string_view bytes)
+{
+    pending_.append(bytes);
+    std::size_t parsed = 0;
+    Result result = Result::Continue;
+    while (isActive() && parsed < pending_.size()) {
+        std::string_view rest = std::string_view(pending_).substr(parsed);
+        beast::error_code failure;
+        std::size_t used = parser_->put(boost::asio::buffer(rest.data(), rest.size()), failure);
+        parsed += used;
+        // A handler may have cancelled the exchange.
+        if (!isActive())
+            break;
+        skippedBytes_ += isSkippingResponse_ ? used : 0;
+        bool isIncomplete = failure == beast::http::error::need_more && pending_.size() - parsed <= maxIncompleteBytes;
+        if (skippedBytes_ > maxSkippedBytes || (failure && !isIncomplete)) {
+            result = Result::Invalid;
+            break;
+        }
+        if (isIncomplete)
+            break;
+        if (parser_->is_done())
+            finishMessage(parsed == pending_.size());
+        else if (used == 0)
+            break;
+    }
+    pending_.erase(0, parsed);
+    return result;
+}
+
+ResponseReader::Result ResponseReader::receiveEnd()
+{
+    isInStep_ = false;
+    if (!isActive())
+        return Result::Continue;
+    bool endsWithConnection = parser_->is_header_done() && parser_->need_eof();
+    if (!endsWithConnection || isSkippingResponse_)
+        return Result::Invalid;
+    beast::error_code failure;
+    parser_->put_eof(failure);
+    if (failure)
+        return Result::Invalid;
+    finishMessage(true);
+    return Result::Continue;
+}
+
+void ResponseReader::finishMessage(bool isLastReceived)
+{
+    if (isSkippingResponse_) {
+        startMessage();
+        return;
+    }
+    if (!isLastReceived || !parser_->keep_alive())
+        isInStep_ = false;
+    isActive_ = false;
+    std::exchange(handlers_, {}).onEnd();
+}
+
+}
--- a/Source/Forwarding/UpstreamConnection.cpp
+++ b/Source/Forwarding/UpstreamConnection.cpp
@@ -1,32 +1,23 @@
 #include "Forwarding/UpstreamConnection.h"
 
-#include "Forwarding/ResponseParser.h"
+#include "Forwarding/ResponseReader.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/error.hpp>
 
 #include <array>
-#include <cstdlib>
-#include <optional>
+#include <string_view>
 #include <utility>
 
 namespace Damaskgrade {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 using Tcp = boost::asio::ip::tcp;
 
 namespace {
 
 constexpr std::size_t readBufferBytes = 16384;
-constexpr int firstFinalStatus = 200;
-// Bytes of responses to other requests, and of informational responses, that are skipped before the expected response.
-constexpr std::size_t maxSkippedBytes = 1U << 20U;
-// Bytes that are kept for the parser because they are not a complete head or chunk header yet.
-constexpr std::size_t maxIncompleteBytes = 64U << 10U;
 
 class TcpUpstreamConnection : public UpstreamConnection {
 public:
@@ -40,37 +31,27 @@
     void exchange(std::string request, UpstreamHandlers handlers) override;
     void close() override;
     void watchIdle(std::function<void()> onLost) override;
-    bool isReusable() const override { return isActive_ && isReuseAllowed_ && !isExchanging_; }
-    std::chrono::milliseconds keepAliveTime() const override { return keepAliveTime_; }
+    bool isReusable() const override { return isActive_ && isRequestWritten_ && reader_.isInStep() && !reader_.isActive(); }
+    std::chrono::milliseconds keepAliveTime() const override { return reader_.keepAliveTime(); }
 
 private:
     std::shared_ptr<TcpUpstreamConnection> self() { return std::static_pointer_cast<TcpUpstreamConnection>(shared_from_this()); }
 
-    void startParser();
-    void handleHead(const HttpResponse& head);
-    void parseConnectionHeaders(const HttpResponse& head);
     void read();
     void handleRead(const boost::system::error_code& failure, std::size_t count);
-    void parse();
-    void finishMessage();
+    UpstreamHandlers shutDown();
     void fail();
 
     Tcp::socket socket_;
     asio::steady_timer timer_;
     std::string request_;
-    UpstreamHandlers handlers_;
+    ResponseReader reader_;
     std::function<void()> onIdleLost_;
-    std::optional<ResponseParser> parser_;
-    beast::flat_buffer buffer_;
-    std::chrono::milliseconds keepAliveTime_ { 0 };
+    std::array<char, readBufferBytes> buffer_ {};
     // The connection is being established or is open.
     bool isActive_ { false };
-    bool isReuseAllowed_ { true };
     bool isRequestWritten_ { true };
-    bool isExchanging_ { false };
     bool isReading_ { false };
-    bool isSkippingResponse_ { false };
-    std::size_t skippedBytes_ { 0 };
 };
 
 void TcpUpstreamConnection::connect(const Endpoint& server, std::chrono::milliseconds timeout, std::function<void(bool)> done)
@@ -103,12 +84,9 @@
 void TcpUpstreamConnection::exchange(std::string request, UpstreamHandlers handlers)
 {
     request_ = std::move(request);
-    handlers_ = std::move(handlers);
     onIdleLost_ = nullptr;
-    isExchanging_ = true;
     isRequestWritten_ = false;
-    skippedBytes_ = 0;
-    startParser();
+    reader_.begin(std::move(handlers));
     auto connection = self();
     asio::async_write(socket_, asio::buffer(request_), [connection](boost::system::error_code failure, std::size_t) {
         if (!failure)
@@ -119,17 +97,22 @@
 }
 
 void TcpUpstreamConnection::close()
+{
+    shutDown();
+}
+
+// Closes the connection and returns the handlers of the pending exchange.
+UpstreamHandlers TcpUpstreamConnection::shutDown()
 {
     boost::system::error_code ignored;
     // A reset also discards data that a paused or unreachable server has not received yet.
-    if (isExchanging_)
+    if (reader_.isActive())
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     isActive_ = false;
-    isExchanging_ = false;
-    handlers_ = {};
     onIdleLost_ = nullptr;
     timer_.cancel();
     socket_.close(ignored);
+    return reader_.cancel();
 }
 
 void TcpUpstreamConnection::watchIdle(std::function<void()> onLost)
@@ -138,49 +121,13 @@
     read();
 }
 
-void TcpUpstreamConnection::startParser()
-{
-    auto onHead = [this](const HttpResponse& head) { handleHead(head); };
-    auto onBody = [this](std::string_view body) {
-        if (!isSkippingResponse_ && handlers_.onBody)
-            handlers_.onBody(body);
-    };
-    parser_.emplace(onHead, onBody);
-    isSkippingResponse_ = false;
-}
-
-void TcpUpstreamConnection::handleHead(const HttpResponse& head)
-{
-    if (head.status < firstFinalStatus) {
-        isSkippingResponse_ = true;
-        return;
-    }
-    parseConnectionHeaders(head);
-    if (!handlers_.onHead || handlers_.onHead(head))
-        return;
-    // The response belongs to another request, so the connection is used only until the expected response arrives.
-    isSkippingResponse_ = true;
-    isReuseAllowed_ = false;
-}
-
-void TcpUpstreamConnection::parseConnectionHeaders(const HttpResponse& head)
-{
-    std::optional<std::string> connection = findHeader(head.headers, "Connection");
-    if (connection && hasListToken(*connection, "close"))
-        isReuseAllowed_ = false;
-    std::optional<std::string> keepAlive = findHeader(head.headers, "Keep-Alive");
-    std::size_t position = keepAlive ? keepAlive->find("timeout=") : std::string::npos;
-    if (position != std::string::npos)
-        keepAliveTime_ = std::chrono::seconds(std::strtol(keepAlive->c_str() + position + std::string_view("timeout=").size(), nullptr, 10));
-}
-
 void TcpUpstreamConnection::read()
 {
     if (isReading_ || !isActive_)
         return;
     isReading_ = true;
     auto connection = self();
-    socket_.async_read_some(buffer_.prepare(readBufferBytes), [connection](boost::system::error_code failure, std::size_t count) {
+    socket_.async_read_some(asio::buffer(buffer_), [connection](boost::system::error_code failure, std::size_t count) {
         connection->isReading_ = false;
         connection->handleRead(failure, count);
     });
@@ -190,8 +137,7 @@
 {
     if (!isActive_)
         return;
-    buffer_.commit(count);
-    if (!isExchanging_) {
+    if (!reader_.isActive()) {
         // The server closed the idle connection, or sent bytes without a request.
         std::function<void()> onLost = std::move(onIdleLost_);
         close();
@@ -199,75 +145,19 @@
             onLost();
         return;
     }
-    if (count > 0)
-        parse();
-    if (!isActive_ || !isExchanging_)
-        return;
-    if (!failure) {
-        read();
-        return;
-    }
-    isReuseAllowed_ = false;
-    bool endsWithConnection = failure == asio::error::eof && parser_->is_header_done() && parser_->need_eof();
-    if (!endsWithConnection || isSkippingResponse_) {
+    ResponseReader::Result result = reader_.receive(std::string_view(buffer_.data(), count));
+    if (failure && result != ResponseReader::Result::Invalid && reader_.isActive())
+        result = failure == asio::error::eof ? reader_.receiveEnd() : ResponseReader::Result::Invalid;
+    if (result == ResponseReader::Result::Invalid)
         fail();
-        return;
-    }
-    beast::error_code parseFailure;
-    parser_->put_eof(parseFailure);
-    if (parseFailure)
-        fail();
-    else
-        finishMessage();
-}
-
-void TcpUpstreamConnection::parse()
-{
-    while (isActive_ && isExchanging_ && buffer_.size() > 0) {
-        beast::error_code failure;
-        std::size_t used = parser_->put(buffer_.data(), failure);
-        // A handler may have closed the connection.
-        if (!isActive_)
-            return;
-        buffer_.consume(used);
-        skippedBytes_ += isSkippingResponse_ ? used : 0;
-        if (skippedBytes_ > maxSkippedBytes) {
-            fail();
-            return;
-        }
-        if (failure == beast::http::error::need_more && buffer_.size() <= maxIncompleteBytes)
-            return;
-        if (failure) {
-            fail();
-            return;
-        }
-        if (parser_->is_done())
-            finishMessage();
-        else if (used == 0)
-            return;
-    }
-}
-
-void TcpUpstreamConnection::finishMessage()
-{
-    if (isSkippingResponse_) {
-        startParser();
-        return;
-    }
-    if (buffer_.size() > 0 || !isRequestWritten_ || !parser_->keep_alive())
-        isReuseAllowed_ = false;
-    isExchanging_ = false;
-    UpstreamHandlers handlers = std::move(handlers_);
-    handlers_ = {};
-    handlers.onEnd();
+    else if (reader_.isActive())
+        read();
 }
 
 void TcpUpstreamConnection::fail()
 {
-    UpstreamHandlers handlers = std::move(handlers_);
-    close();
-    if (handlers.onFailure)
-        handlers.onFailure();
+    UpstreamHandlers handlers = shutDown();
+    handlers.onFailure();
 }
 
 }
--- a/Source/Forwarding/UpstreamConnection.h
+++ b/Source/Forwarding/UpstreamConnection.h
@@ -1,29 +1,16 @@
 #pragma once
 
 #include "Core/Endpoint.h"
+#include "Forwarding/UpstreamHandlers.h"
 #include "Transport/EventLoop.h"
-#include "Transport/HttpMessage.h"
 
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
-#include <string_view>
 
 namespace Damaskgrade {
 
-// Handlers for the response to one request. The last call is either onEnd or onFailure.
-struct UpstreamHandlers {
-    // Called with status and headers; the body of the argument is empty. Returns false if the response belongs to
-    // another request: it is then skipped, and onHead is called again for the next response on the connection.
-    std::function<bool(const HttpResponse&)> onHead;
-    std::function<void(std::string_view)> onBody;
-    // Called when the response is complete according to its framing.
-    std::function<void()> onEnd;
-    // Called when the connection breaks, or when the received bytes are not a valid response.
-    std::function<void()> onFailure;
-};
-
 // A connection to a backend server. It carries one request at a time.
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
 public:
--- /dev/null
+++ b/Tests/Forwarding/SimulatedConnection.cpp
@@ -0,0 +1,47 @@
+#include "Forwarding/SimulatedConnection.h"
+
+#include <memory>
+#include <utility>
+
+namespace Damaskgrade {
+
+void SimulatedConnection::connect(const Endpoint&, std::chrono::milliseconds, std::function<void(bool)> done)
+{
+    isOpen_ = true;
+    done(true);
+}
+
+void SimulatedConnection::exchange(std::string request, UpstreamHandlers handlers)
+{
+    requests_.push_back(std::move(request));
+    onIdleLost_ = nullptr;
+    reader_.begin(std::move(handlers));
+}
+
+void SimulatedConnection::close()
+{
+    isOpen_ = false;
+    onIdleLost_ = nullptr;
+    reader_.cancel();
+}
+
+void SimulatedConnection::receive(std::string_view bytes)
+{
+    std::shared_ptr<UpstreamConnection> self = shared_from_this();
+    if (!isOpen_)
+        return;
+    if (!reader_.isActive()) {
+        std::function<void()> onLost = std::move(onIdleLost_);
+        close();
+        if (onLost)
+            onLost();
+        return;
+    }
+    if (reader_.receive(bytes) == ResponseReader::Result::Continue)
+        return;
+    isOpen_ = false;
+    UpstreamHandlers handlers = reader_.cancel();
+    handlers.onFailure();
+}
+
+}
