Forwarding: Never send a request twice on one connection

Cause: a server may send a second copy of a response at any later time. The id in it tells it from the response to another request, but not from the response to the same request when that is sent again on the same connection after a refusal. The copy of the refusal was taken for the response to the second send, which the server executed, and the request was sent once more.

Change: a connection knows the ids that it has carried (ResponseMatcher), and the pool does not hand it out for one of them again, so that each caller of the pool is covered. Such a connection stays available for other requests. The comparison of ids moves there from ForwardedRequest.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -34,6 +34,11 @@
     return status == 408 || status == statusMisdirected || status == 429 || status == statusUnavailable;
 }
 
+bool isMarkedNotExecuted(const HttpResponse& head, const HeaderNames& names)
+{
+    return findHeader(head.headers, names.notExecuted).has_value() || head.status == statusMisdirected;
+}
+
 std::optional<std::chrono::milliseconds> parseMilliseconds(const std::optional<std::string>& text)
 {
     if (!text)
@@ -213,7 +218,7 @@
     context_.rateLimits.recordSend(server.id);
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
     bool mayReuse = staleConnections_ == 0;
-    context_.pool.acquire(server.id, server.address, mayReuse, [weak, attempt, serverId = server.id, &pool = context_.pool](std::shared_ptr<UpstreamConnection> connection, bool isReused) {
+    context_.pool.acquire(server.id, server.address, requestId_, mayReuse, [weak, attempt, serverId = server.id, &pool = context_.pool](std::shared_ptr<UpstreamConnection> connection, bool isReused) {
         std::shared_ptr<ForwardedRequest> request = weak.lock();
         if (request && request->attempt_ == attempt && request->state_ == State::Connecting)
             request->connected(attempt, std::move(connection), isReused);
@@ -259,11 +264,9 @@
             step(*request);
     };
     UpstreamHandlers handlers;
-    handlers.onHead = [guarded](const HttpResponse& head) {
-        bool isForThisRequest = true;
-        guarded([&](ForwardedRequest& request) { isForThisRequest = request.handleHead(head); });
-        return isForThisRequest;
-    };
+    handlers.onHead = [guarded](const HttpResponse& head) { guarded([&head](ForwardedRequest& request) { request.handleHead(head); }); };
+    handlers.mayLackId = [&names = context_.names](const HttpResponse& head) { return isMarkedNotExecuted(head, names); };
+    handlers.onSkipped = [guarded] { guarded([](ForwardedRequest& request) { ++request.context_.counters.foreignResponses; }); };
     handlers.onBody = [guarded](std::string_view body) { guarded([body](ForwardedRequest& request) { request.handleBody(body); }); };
     handlers.onEnd = [guarded] { guarded([](ForwardedRequest& request) { request.handleEnd(); }); };
     handlers.onFailure = [guarded] {
@@ -272,7 +275,7 @@
             request.endAttempt(wasRefusal ? AttemptFailure::Refused : AttemptFailure::Unknown, brokenConnection);
         });
     };
-    connection_->exchange(serializeRequest(), std::move(handlers));
+    connection_->exchange({ requestId_, serializeRequest() }, std::move(handlers));
 }
 
 std::string ForwardedRequest::serializeRequest() const
@@ -288,18 +291,11 @@
     return serializeUpstreamRequest(exchange_->request(), context_.names, values);
 }
 
-// Handles the head of a response. Returns false if the response belongs to another request.
-bool ForwardedRequest::handleHead(const HttpResponse& head)
+void ForwardedRequest::handleHead(const HttpResponse& head)
 {
     progressAt_ = context_.clock.now();
-    bool isMarkedNotExecuted = findHeader(head.headers, context_.names.notExecuted).has_value() || head.status == statusMisdirected;
-    std::optional<std::string> id = findHeader(head.headers, context_.names.requestId);
-    if (id ? *id != requestId_ : !isMarkedNotExecuted) {
-        ++context_.counters.foreignResponses;
-        return false;
-    }
     head_ = head;
-    isRefusal_ = isMarkedNotExecuted;
+    isRefusal_ = isMarkedNotExecuted(head, context_.names);
     if (findHeader(head.headers, context_.names.leaving) == "1" && context_.fleet.recordLeaving({ server_->id, server_->startedAt }))
         context_.log.write(LogLine("serverStatedLeaving").add("server", server_->id).add("request", requestId_).add("status", head.status));
     bool isSuccess = head.status < firstFailureStatus;
@@ -308,15 +304,14 @@
     if (!isRefusal_ && isSuccess && !isResponseAuthentic(head)) {
         ++context_.counters.rejectedResponses;
         endAttempt(AttemptFailure::Unknown, "response lacks its signature");
-        return true;
+        return;
     }
     if (options_.route->kind == RequestKind::Streaming && isSuccess && !isRefusal_) {
         state_ = State::Streaming;
         splitter_.emplace([this](const RawEvent& event) { handleEvent(event); });
-        return true;
+        return;
     }
     state_ = State::Buffering;
-    return true;
 }
 
 // A server that refuses requests may state how long it wants none.
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -80,7 +80,7 @@
     void connected(std::uint32_t attempt, std::shared_ptr<UpstreamConnection> connection, bool isReused);
     std::string serializeRequest() const;
 
-    bool handleHead(const HttpResponse& head);
+    void handleHead(const HttpResponse& head);
     void handleBody(std::string_view body);
     void handleEvent(const RawEvent& event);
     void recordEventGap();
--- a/Source/Forwarding/PooledClient.cpp
+++ b/Source/Forwarding/PooledClient.cpp
@@ -45,7 +45,7 @@
 
 PooledClient::PooledClient(EventLoop& loop, const Clock& clock)
     : loop_(loop)
-    , pool_(std::make_shared<UpstreamPool>(clock, UpstreamPoolSettings {}, [&loop] { return makeUpstreamConnection(loop); }))
+    , pool_(std::make_shared<UpstreamPool>(clock, UpstreamPoolSettings {}, [&loop] { return makeUpstreamConnection(loop, {}); }))
 {
 }
 
@@ -60,7 +60,7 @@
             expired->fail(ResultCode::Timeout);
     });
     std::string name = formatEndpoint(server);
-    pool_->acquire(name, server, true, [pool = pool_, call, name, bytes = serializeRequest(server, request)](std::shared_ptr<UpstreamConnection> connection, bool) {
+    pool_->acquire(name, server, std::nullopt, true, [pool = pool_, call, name, bytes = serializeRequest(server, request)](std::shared_ptr<UpstreamConnection> connection, bool) {
         if (call->isDone) {
             if (connection)
                 pool->release(name, std::move(connection));
@@ -74,7 +74,6 @@
         UpstreamHandlers handlers;
         handlers.onHead = [call](const HttpResponse& head) {
             call->response = head;
-            return true;
         };
         handlers.onBody = [call](std::string_view body) {
             if (call->response.body.size() + body.size() > maxResponseBytes)
@@ -91,7 +90,7 @@
             call->onResponse(std::move(call->response));
         };
         handlers.onFailure = [call] { call->fail(ResultCode::ConnectionFailed); };
-        connection->exchange(bytes, std::move(handlers));
+        connection->exchange({ std::nullopt, bytes }, std::move(handlers));
     });
 }
 
--- a/Source/Forwarding/ResponseReader.cpp
+++ b/Source/Forwarding/ResponseReader.cpp
@@ -20,8 +20,14 @@
 
 }
 
-void ResponseReader::begin(UpstreamHandlers handlers)
+ResponseReader::ResponseReader(std::string idHeader)
+    : matcher_(std::move(idHeader))
 {
+}
+
+void ResponseReader::begin(std::optional<std::string> requestId, UpstreamHandlers handlers)
+{
+    matcher_.beginRequest(std::move(requestId));
     handlers_ = std::move(handlers);
     isActive_ = true;
     skippedBytes_ = 0;
@@ -48,11 +54,15 @@
         return;
     }
     parseConnectionHeaders(head);
-    if (handlers_.onHead(head))
+    if (matcher_.accept(head, handlers_.mayLackId)) {
+        handlers_.onHead(head);
         return;
+    }
     // The connection is used only until the expected response arrives.
     isSkippingResponse_ = true;
     isInStep_ = false;
+    if (handlers_.onSkipped)
+        handlers_.onSkipped();
 }
 
 void ResponseReader::handleBody(std::string_view body)
--- a/Source/Forwarding/ResponseReader.h
+++ b/Source/Forwarding/ResponseReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Forwarding/ResponseMatcher.h"
 #include "Forwarding/ResponseParser.h"
 #include "Forwarding/UpstreamHandlers.h"
 #include "Transport/HttpMessage.h"
@@ -21,8 +22,10 @@
         Invalid,
     };
 
-    // Expects the response to a request.
-    void begin(UpstreamHandlers handlers);
+    explicit ResponseReader(std::string idHeader);
+
+    // Expects the response to a request. The id is absent if the server does not state ids in responses.
+    void begin(std::optional<std::string> requestId, UpstreamHandlers handlers);
 
     // Returns whether a response is expected.
     bool isActive() const { return isActive_; }
@@ -35,9 +38,12 @@
     // Expects no response any more, and returns the handlers of the one that was expected.
     UpstreamHandlers cancel();
 
-    // Returns whether the next response on the connection can be read: the server keeps the connection open, and all of
-    // its bytes so far were responses that were expected.
-    bool isInStep() const { return isInStep_; }
+    // Returns whether a further response can be read: the server keeps the connection open, and all of its bytes so far
+    // were responses that were expected.
+    bool canContinue() const { return isInStep_ && !matcher_.isExhausted(); }
+
+    // Returns whether the response to this request could be distinguished from those to earlier requests.
+    bool canIdentify(const std::optional<std::string>& requestId) const { return matcher_.canIdentify(requestId); }
 
     // Returns how long the server keeps an idle connection, or zero if it did not state a time.
     std::chrono::milliseconds keepAliveTime() const { return keepAliveTime_; }
@@ -50,6 +56,7 @@
     // isLastReceived states whether no bytes follow the message.
     void finishMessage(bool isLastReceived);
 
+    ResponseMatcher matcher_;
     UpstreamHandlers handlers_;
     bool isActive_ { false };
     std::optional<ResponseParser> parser_;
--- a/Source/Forwarding/UpstreamConnection.cpp
+++ b/Source/Forwarding/UpstreamConnection.cpp
@@ -21,17 +21,19 @@
 
 class TcpUpstreamConnection : public UpstreamConnection {
 public:
-    explicit TcpUpstreamConnection(EventLoop& loop)
+    TcpUpstreamConnection(EventLoop& loop, const std::string& idHeader)
         : socket_(loop.context())
         , timer_(loop.context())
+        , reader_(idHeader)
     {
     }
 
     void connect(const Endpoint& server, std::chrono::milliseconds timeout, std::function<void(bool)> done) override;
-    void exchange(std::string request, UpstreamHandlers handlers) override;
+    void exchange(UpstreamRequest request, UpstreamHandlers handlers) override;
     void close() override;
     void watchIdle(std::function<void()> onLost) override;
-    bool isReusable() const override { return isActive_ && isRequestWritten_ && reader_.isInStep() && !reader_.isActive(); }
+    bool isReusable() const override { return isActive_ && isRequestWritten_ && reader_.canContinue() && !reader_.isActive(); }
+    bool canIdentify(const std::optional<std::string>& requestId) const override { return reader_.canIdentify(requestId); }
     std::chrono::milliseconds keepAliveTime() const override { return reader_.keepAliveTime(); }
 
 private:
@@ -81,12 +83,12 @@
     });
 }
 
-void TcpUpstreamConnection::exchange(std::string request, UpstreamHandlers handlers)
+void TcpUpstreamConnection::exchange(UpstreamRequest request, UpstreamHandlers handlers)
 {
-    request_ = std::move(request);
+    request_ = std::move(request.bytes);
     onIdleLost_ = nullptr;
     isRequestWritten_ = false;
-    reader_.begin(std::move(handlers));
+    reader_.begin(std::move(request.id), std::move(handlers));
     auto connection = self();
     asio::async_write(socket_, asio::buffer(request_), [connection](boost::system::error_code failure, std::size_t) {
         if (!failure)
@@ -162,9 +164,9 @@
 
 }
 
-std::shared_ptr<UpstreamConnection> makeUpstreamConnection(EventLoop& loop)
+std::shared_ptr<UpstreamConnection> makeUpstreamConnection(EventLoop& loop, const std::string& idHeader)
 {
-    return std::make_shared<TcpUpstreamConnection>(loop);
+    return std::make_shared<TcpUpstreamConnection>(loop, idHeader);
 }
 
 }
--- a/Source/Forwarding/UpstreamHandlers.h
+++ b/Source/Forwarding/UpstreamHandlers.h
@@ -9,14 +9,18 @@
 
 // Handlers for the response to one request. The last call is either onEnd or onFailure.
 struct UpstreamHandlers {
-    // Called with status and headers; the body of the argument is empty. Returns false if the response belongs to
-    // another request: it is then skipped, and onHead is called again for the next response on the connection.
-    std::function<bool(const HttpResponse&)> onHead;
+    // Called with status and headers; the body of the argument is empty.
+    std::function<void(const HttpResponse&)> onHead;
     std::function<void(std::string_view)> onBody;
     // Called when the response is complete according to its framing.
     std::function<void()> onEnd;
-    // Called when the connection breaks, or when the received bytes are not a valid response.
+    // Called when the connection breaks, or when the received bytes are not a valid response to this request.
     std::function<void()> onFailure;
+    // Returns whether a response that states no request id may be the one to this request. If it is not set, no such
+    // response is.
+    std::function<bool(const HttpResponse&)> mayLackId;
+    // Called for each response that belongs to another request and is skipped. May be empty.
+    std::function<void()> onSkipped;
 };
 
 }
--- a/Source/Forwarding/UpstreamPool.cpp
+++ b/Source/Forwarding/UpstreamPool.cpp
@@ -20,18 +20,31 @@
     }
 }
 
-void UpstreamPool::acquire(const std::string& serverId, const Endpoint& address, bool mayReuse, Done done)
+// Removes the connection that was released last and suits the request, and closes those that have expired. Returns null
+// if there is none.
+std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(const std::string& serverId, const std::optional<std::string>& requestId)
 {
     std::deque<IdleConnection>& idle = idle_[serverId];
-    while (mayReuse && !idle.empty()) {
-        IdleConnection candidate = std::move(idle.back());
-        idle.pop_back();
-        if (candidate.connection->isReusable() && clock_.now() < candidate.until) {
-            ++counters_.reused;
-            done(std::move(candidate.connection), true);
-            return;
-        }
-        candidate.connection->close();
+    for (std::size_t i = idle.size(); i-- > 0;) {
+        std::shared_ptr<UpstreamConnection> connection = idle[i].connection;
+        bool isUsable = connection->isReusable() && clock_.now() < idle[i].until;
+        if (isUsable && !connection->canIdentify(requestId))
+            continue;
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+        if (isUsable)
+            return connection;
+        connection->close();
+    }
+    return nullptr;
+}
+
+void UpstreamPool::acquire(const std::string& serverId, const Endpoint& address, const std::optional<std::string>& requestId, bool mayReuse, Done done)
+{
+    std::shared_ptr<UpstreamConnection> idle = mayReuse ? takeIdle(serverId, requestId) : nullptr;
+    if (idle) {
+        ++counters_.reused;
+        done(std::move(idle), true);
+        return;
     }
     std::shared_ptr<UpstreamConnection> connection = factory_();
     ++counters_.opened;
--- a/Source/Forwarding/UpstreamPool.h
+++ b/Source/Forwarding/UpstreamPool.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Damaskgrade {
@@ -42,10 +43,10 @@
     UpstreamPool(const UpstreamPool&) = delete;
     UpstreamPool& operator=(const UpstreamPool&) = delete;
 
-    // Passes an open connection to done, which may be called before acquire returns. Without mayReuse, the
-    // connection is always new. Connections are kept by server id, so that none is reused for another server
-    // at the same address.
-    void acquire(const std::string& serverId, const Endpoint& address, bool mayReuse, Done done);
+    // Passes an open connection for a request to done, which may be called before acquire returns. Without mayReuse,
+    // the connection is always new. Connections are kept by server id, so that none is reused for another server
+    // at the same address. A kept connection that can't identify the response to the request is left to others.
+    void acquire(const std::string& serverId, const Endpoint& address, const std::optional<std::string>& requestId, bool mayReuse, Done done);
 
     // Returns a connection to the pool after an exchange. Closes it if it cannot be reused.
     void release(const std::string& serverId, std::shared_ptr<UpstreamConnection> connection);
@@ -64,6 +65,8 @@
         TimePoint until;
     };
 
+    std::shared_ptr<UpstreamConnection> takeIdle(const std::string& serverId, const std::optional<std::string>& requestId);
+
     const Clock& clock_;
     UpstreamPoolSettings settings_;
     Factory factory_;
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -96,13 +96,13 @@
     , outliers_(clock, gatewayOutlierSettings())
     , rateLimits_(clock, settings_.name, {}, [this](const std::string& serverId, double perSecond, bool isLocal) { handleRateLimit(serverId, perSecond, isLocal); })
     , serverSelector_(clock, fleet_, loads_, outliers_, rateLimits_, random, { settings_.availabilityZone })
-    , pool_(clock, {}, [&loop] { return makeUpstreamConnection(loop); })
+    , pool_(clock, {}, [this] { return makeUpstreamConnection(loop_, platform_.names.requestId); })
     , responseBuffers_(maxBufferedResponseBytes)
     , retryBudget_(clock, { settings_.retryBudgetRatio, settings_.retryBudgetExtra, settings_.retryBudgetWindow })
     , responseTimes_({})
     , quarantine_(clock, settings_.name, {}, [this](PromptPart part, QuarantineEvent event, std::uint32_t crashes, bool isLocal) { handleQuarantineEvent(part, event, crashes, isLocal); })
     , crashDetector_(
-          clock, quarantine_, [&loop] { return makeUpstreamConnection(loop); }, {}, [this](const std::set<std::string>& excludedIds) { return selectWitness(excludedIds); })
+          clock, quarantine_, [this] { return makeUpstreamConnection(loop_, platform_.names.requestId); }, {}, [this](const std::set<std::string>& excludedIds) { return selectWitness(excludedIds); })
     , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, fleet_, {} }
     , forwarder_(loop, context_, catalog_, random)
 {
--- a/Tests/Forwarding/CrashDetectorTest.cpp
+++ b/Tests/Forwarding/CrashDetectorTest.cpp
@@ -19,10 +19,11 @@
 class PendingConnection : public UpstreamConnection {
 public:
     void connect(const Endpoint&, milliseconds, std::function<void(bool)> done) override { onDone = std::move(done); }
-    void exchange(std::string, UpstreamHandlers) override { }
+    void exchange(UpstreamRequest, UpstreamHandlers) override { }
     void close() override { }
     void watchIdle(std::function<void()>) override { }
     bool isReusable() const override { return false; }
+    bool canIdentify(const std::optional<std::string>&) const override { return false; }
     milliseconds keepAliveTime() const override { return milliseconds(0); }
 
     std::function<void(bool)> onDone;
--- a/Tests/Forwarding/ForwardingSimulation.cpp
+++ b/Tests/Forwarding/ForwardingSimulation.cpp
@@ -107,7 +107,7 @@
 
 std::shared_ptr<UpstreamConnection> ForwardingSimulation::makeConnection()
 {
-    return connections_.emplace_back(std::make_shared<SimulatedConnection>());
+    return connections_.emplace_back(std::make_shared<SimulatedConnection>(names_.requestId));
 }
 
 std::shared_ptr<SimulatedExchange> ForwardingSimulation::start(const std::string& id)
--- a/Tests/Forwarding/ForwardingSimulation.h
+++ b/Tests/Forwarding/ForwardingSimulation.h
@@ -71,7 +71,6 @@
     ManualClock clock;
     ServiceRetryBudget retryBudget;
     ForwardingCounters counters;
-    ForwardingSettings settings;
 
 private:
     std::shared_ptr<UpstreamConnection> makeConnection();
--- a/Tests/Forwarding/SimulatedConnection.cpp
+++ b/Tests/Forwarding/SimulatedConnection.cpp
@@ -5,17 +5,22 @@
 
 namespace Damaskgrade {
 
+SimulatedConnection::SimulatedConnection(const std::string& idHeader)
+    : reader_(idHeader)
+{
+}
+
 void SimulatedConnection::connect(const Endpoint&, std::chrono::milliseconds, std::function<void(bool)> done)
 {
     isOpen_ = true;
     done(true);
 }
 
-void SimulatedConnection::exchange(std::string request, UpstreamHandlers handlers)
+void SimulatedConnection::exchange(UpstreamRequest request, UpstreamHandlers handlers)
 {
-    requests_.push_back(std::move(request));
+    requests_.push_back(std::move(request.bytes));
     onIdleLost_ = nullptr;
-    reader_.begin(std::move(handlers));
+    reader_.begin(std::move(request.id), std::move(handlers));
 }
 
 void SimulatedConnection::close()
--- a/Tests/Forwarding/SimulatedConnection.h
+++ b/Tests/Forwarding/SimulatedConnection.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,11 +15,14 @@
 // A connection whose server is played by the test. It is open at once and reads responses like a real connection.
 class SimulatedConnection : public UpstreamConnection {
 public:
+    explicit SimulatedConnection(const std::string& idHeader);
+
     void connect(const Endpoint& server, std::chrono::milliseconds timeout, std::function<void(bool)> done) override;
-    void exchange(std::string request, UpstreamHandlers handlers) override;
+    void exchange(UpstreamRequest request, UpstreamHandlers handlers) override;
     void close() override;
     void watchIdle(std::function<void()> onLost) override { onIdleLost_ = std::move(onLost); }
-    bool isReusable() const override { return isOpen_ && reader_.isInStep() && !reader_.isActive(); }
+    bool isReusable() const override { return isOpen_ && reader_.canContinue() && !reader_.isActive(); }
+    bool canIdentify(const std::optional<std::string>& requestId) const override { return reader_.canIdentify(requestId); }
     std::chrono::milliseconds keepAliveTime() const override { return reader_.keepAliveTime(); }
 
     // Delivers bytes from the server. They are lost if the connection is closed.
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -65,11 +65,11 @@
         , outliers(clock, OutlierSettings())
         , rateLimits(clock, "test", {}, nullptr)
         , serverSelector(clock, fleet, loads, outliers, rateLimits, random, std::move(selectorSettings))
-        , pool(clock, {}, [this] { return makeUpstreamConnection(loop); })
+        , pool(clock, {}, [this] { return makeUpstreamConnection(loop, names.requestId); })
         , retryBudget(clock, ServiceRetryBudgetSettings())
         , log(clock, openDevNull(), "test")
         , quarantine(clock, "test", {}, nullptr)
-        , crashDetector(clock, quarantine, [this] { return makeUpstreamConnection(loop); }, {})
+        , crashDetector(clock, quarantine, [this] { return makeUpstreamConnection(loop, names.requestId); }, {})
         , context { clock, names, loads, serverSelector, rateLimits, pool, responseBuffers, outliers, retryBudget, log, counters, responseTimes, callerAges, decodeParts, quarantine, crashDetector, fleet, {} }
         , forwarder(loop, context, catalog, random)
         , endpoint(freeEndpoint())
