Forwarding: Skip a refusal without an id on a connection that was used before

Cause: a refusal that states no request id was taken as the refusal of any request. A second copy of it, received on a reused connection, refused a request of another caller, which the server executed.

Evidence: the new test plays this. Before the fix the second request was sent again (3 sends in place of 2) and its response was lost.

Change: such a refusal is accepted only for the first request on a connection, where no response to an earlier one can arrive.

--- a/Source/Forwarding/ResponseMatcher.cpp
+++ b/Source/Forwarding/ResponseMatcher.cpp
@@ -54,7 +54,7 @@
         return true;
     if (std::optional<std::string> id = findHeader(head.headers, idHeader_))
         return *id == *currentId_;
-    return mayLackId && mayLackId(head);
+    return requestCount_ == 1 && mayLackId && mayLackId(head);
 }
 
 }
--- a/Source/Forwarding/ResponseMatcher.h
+++ b/Source/Forwarding/ResponseMatcher.h
@@ -29,7 +29,7 @@
     void beginRequest(std::optional<std::string> requestId);
 
     // Returns whether a response with this head may belong to the current request. If the request has an id, a response
-    // that states none may only if mayLackId returns true.
+    // that states none may only if the request is the first one on the connection and mayLackId returns true.
     bool accept(const HttpResponse& head, const std::function<bool(const HttpResponse&)>& mayLackId) const;
 
 private:
--- a/Tests/Forwarding/DuplicateResponseTest.cpp
+++ b/Tests/Forwarding/DuplicateResponseTest.cpp
@@ -34,6 +34,27 @@
     CHECK(caller->body() == "done");
 }
 
+// Guards against a refusal without a request id that is a second copy: it would refuse a request of another caller, which
+// the server executes.
+TEST_CASE("a late second copy of a refusal that states no id does not refuse another request")
+{
+    ForwardingSimulation simulation(RequestKind::NonIdempotent, 1, 1);
+    std::shared_ptr<SimulatedExchange> first = simulation.start("a");
+    std::shared_ptr<SimulatedConnection> connection = simulation.usedConnections().front();
+    connection->receive(ForwardingSimulation::refusalWithoutId());
+    first->disconnect();
+    simulation.advance(retryTime);
+    std::shared_ptr<SimulatedExchange> second = simulation.start("b");
+    REQUIRE(simulation.sentRequests() == 2);
+    REQUIRE(connection->requests().size() == 2);
+
+    connection->receive(ForwardingSimulation::refusalWithoutId());
+    simulation.advance(retryTime);
+    CHECK(simulation.sentRequests() == 2);
+    connection->receive(ForwardingSimulation::success("b", "done"));
+    CHECK(second->status() == 200);
+}
+
 // Guards against a request that no longer gets connections to its server, or that opens one for each send.
 TEST_CASE("after a refusal the request uses another kept connection, and other requests use the first one")
 {
