Forwarding: Recognize second copies of responses that state no id

Cause: PooledClient compared nothing. A late second copy of a response was taken for the response to the next call on the connection: an order to an engine would count as accepted or refused that wasn't, and an outdated report as the current one.

Evidence: the new tests play a copy of the response to an order and to a read. With the former behaviour (mutants order-connection, equal-response) they fail.

Change: a second copy equals an earlier response on its connection. So a read whose response equals one is sent once more on a new connection, within its timeout.

Result: the tests pass.

--- a/Source/Forwarding/ResponseMatcher.cpp
+++ b/Source/Forwarding/ResponseMatcher.cpp
@@ -57,4 +57,12 @@
     return requestCount_ == 1 && mayLackId && mayLackId(head);
 }
 
+bool ResponseMatcher::recordResponse(std::uint64_t hash)
+{
+    if (contains(responses_, hash))
+        return false;
+    responses_.push_back(hash);
+    return true;
+}
+
 }
--- a/Source/Forwarding/ResponseReader.cpp
+++ b/Source/Forwarding/ResponseReader.cpp
@@ -44,6 +44,7 @@
 void ResponseReader::startMessage()
 {
     parser_.emplace([this](const HttpResponse& head) { handleHead(head); }, [this](std::string_view body) { handleBody(body); });
+    contentHash_.reset();
     isSkippingResponse_ = false;
 }
 
@@ -87,11 +88,13 @@
     pending_.append(bytes);
     std::size_t parsed = 0;
     Result result = Result::Continue;
-    while (isActive() && parsed < pending_.size()) {
+    while (result == Result::Continue && isActive() && parsed < pending_.size()) {
         std::string_view rest = std::string_view(pending_).substr(parsed);
         beast::error_code failure;
         std::size_t used = parser_->put(boost::asio::buffer(rest.data(), rest.size()), failure);
         parsed += used;
+        if (!matcher_.hasCurrentId())
+            contentHash_.add(rest.substr(0, used));
         // A handler may have cancelled the exchange.
         if (!isActive())
             break;
@@ -104,7 +107,7 @@
         if (isIncomplete)
             break;
         if (parser_->is_done())
-            finishMessage(parsed == pending_.size());
+            result = finishMessage(parsed == pending_.size());
         else if (used == 0)
             break;
     }
@@ -124,20 +127,22 @@
     parser_->put_eof(failure);
     if (failure)
         return Result::Invalid;
-    finishMessage(true);
-    return Result::Continue;
+    return finishMessage(true);
 }
 
-void ResponseReader::finishMessage(bool isLastReceived)
+ResponseReader::Result ResponseReader::finishMessage(bool isLastReceived)
 {
     if (isSkippingResponse_) {
         startMessage();
-        return;
+        return Result::Continue;
     }
+    if (!matcher_.hasCurrentId() && !matcher_.recordResponse(contentHash_.value()))
+        return Result::Invalid;
     if (!isLastReceived || !parser_->keep_alive())
         isInStep_ = false;
     isActive_ = false;
     std::exchange(handlers_, {}).onEnd();
+    return Result::Continue;
 }
 
 }
--- a/Source/Forwarding/ResponseReader.h
+++ b/Source/Forwarding/ResponseReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Forwarding/ContentHash.h"
 #include "Forwarding/ResponseMatcher.h"
 #include "Forwarding/ResponseParser.h"
 #include "Forwarding/UpstreamHandlers.h"
@@ -18,7 +19,8 @@
     enum class Result {
         // The response is incomplete, or no response is expected any more.
         Continue,
-        // The bytes are not a valid response, or too many of them belong to none.
+        // The bytes are not a valid response, or too many of them belong to none, or the response may be a second copy of
+        // an earlier one.
         Invalid,
     };
 
@@ -54,7 +56,7 @@
     void handleBody(std::string_view body);
     void parseConnectionHeaders(const HttpResponse& head);
     // isLastReceived states whether no bytes follow the message.
-    void finishMessage(bool isLastReceived);
+    Result finishMessage(bool isLastReceived);
 
     ResponseMatcher matcher_;
     UpstreamHandlers handlers_;
@@ -62,6 +64,8 @@
     std::optional<ResponseParser> parser_;
     // Received bytes that are not parsed yet.
     std::string pending_;
+    // Hash of the current response; kept only if the request has no id.
+    ContentHash contentHash_;
     std::chrono::milliseconds keepAliveTime_ { 0 };
     bool isInStep_ { true };
     bool isSkippingResponse_ { false };
