Tests: Let a pooled server send different responses

Its server sent two equal responses on one connection, which now count as a possible second copy, so that the second call used a new connection. Each response now states another number. What is checked stays the same, the count of connections too.

--- a/Tests/Gateway/PooledClientTest.cpp
+++ b/Tests/Gateway/PooledClientTest.cpp
@@ -11,7 +11,11 @@
 TEST_CASE("a pooled client may be destroyed while calls are in flight and connections are idle")
 {
     GatewayFixture fixture;
-    ScriptedServer& fast = fixture.addServer([](const HttpRequest&) { return ScriptedResponse { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", AfterResponse::KeepOpen, false }; });
+    // Two equal responses on one connection would be taken for copies, so each states another number.
+    int number = 0;
+    ScriptedServer& fast = fixture.addServer([&number](const HttpRequest&) {
+        return ScriptedResponse { "HTTP/1.1 200 OK\r\nNumber: " + std::to_string(++number) + "\r\nContent-Length: 2\r\n\r\nok", AfterResponse::KeepOpen, false };
+    });
     ScriptedServer& closing = fixture.addServer([](const HttpRequest&) { return ScriptedResponse { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", AfterResponse::KeepOpen, true }; });
     int answered = 0;
     int failed = 0;
