Tests: Play a second copy of a refusal on the product's own interface

A call that is sent again has another attempt number, so a second copy of a refusal is ignored there. The test passes without a change of the code: the fault of the connections to backend servers is not shown here.

--- a/Tests/Calls/CallDriverTest.cpp
+++ b/Tests/Calls/CallDriverTest.cpp
@@ -464,6 +464,20 @@
     CHECK(lost.sentMessages<CallMessage>().size() == 2);
 }
 
+// Guards against a booking that runs twice: a second copy of a refusal that is taken for the refusal of the next attempt.
+TEST_CASE("a second copy of a refusal does not refuse the next attempt")
+{
+    DriverFixture fixture(false);
+    fixture.start();
+    RefusedMessage refusal { "call", 1, ResultCode::BackendServerRefused, {} };
+    fixture.driver->receiveRefused(refusal);
+    REQUIRE(fixture.sentMessages<CallMessage>().size() == 2);
+    fixture.driver->receiveRefused(refusal);
+    CHECK(fixture.sentMessages<CallMessage>().size() == 2);
+    fixture.answer(2, "booked");
+    CHECK(fixture.outcomes.at(0).code == ResultCode::Ok);
+}
+
 // Guards against a retry storm while all agents refuse calls.
 TEST_CASE("retries after refusals end unless agents start calls")
 {
