Forwarding: Keep the handlers of a response until a running one returns

Cause: closing a connection destroyed the handlers of its exchange, also while one of them ran. The handler that gives up a response of over 4 MB closes the connection and then used its call, which the handlers owned.

Evidence: address sanitizer on the new test of PooledClient, before the fix: heap-use-after-free in PooledClient::Call::fail, freed by the close that it had called.

Change: ResponseReader, which calls the handlers, shares them with the call that is running. Looked at for the same cause: HttpClient, HttpConnection, EventLoop's timers, UpstreamPool and the connection attempt keep or move out what they call.

--- a/Source/Forwarding/ResponseReader.cpp
+++ b/Source/Forwarding/ResponseReader.cpp
@@ -28,17 +28,15 @@
 void ResponseReader::begin(std::optional<std::string> requestId, UpstreamHandlers handlers)
 {
     matcher_.beginRequest(std::move(requestId));
-    handlers_ = std::move(handlers);
-    isActive_ = true;
+    handlers_ = std::make_shared<UpstreamHandlers>(std::move(handlers));
     skippedBytes_ = 0;
     startMessage();
 }
 
-UpstreamHandlers ResponseReader::cancel()
+std::shared_ptr<UpstreamHandlers> ResponseReader::cancel()
 {
     isInStep_ = false;
-    isActive_ = false;
-    return std::exchange(handlers_, {});
+    return std::exchange(handlers_, nullptr);
 }
 
 void ResponseReader::startMessage()
@@ -55,21 +53,23 @@
         return;
     }
     parseConnectionHeaders(head);
-    if (matcher_.accept(head, handlers_.mayLackId)) {
-        handlers_.onHead(head);
+    std::shared_ptr<UpstreamHandlers> handlers = handlers_;
+    if (matcher_.accept(head, handlers->mayLackId)) {
+        handlers->onHead(head);
         return;
     }
     // The connection is used only until the expected response arrives.
     isSkippingResponse_ = true;
     isInStep_ = false;
-    if (handlers_.onSkipped)
-        handlers_.onSkipped();
+    if (handlers->onSkipped)
+        handlers->onSkipped();
 }
 
 void ResponseReader::handleBody(std::string_view body)
 {
-    if (!isSkippingResponse_ && handlers_.onBody)
-        handlers_.onBody(body);
+    std::shared_ptr<UpstreamHandlers> handlers = handlers_;
+    if (handlers && !isSkippingResponse_)
+        handlers->onBody(body);
 }
 
 void ResponseReader::parseConnectionHeaders(const HttpResponse& head)
@@ -140,8 +140,7 @@
         return Result::Invalid;
     if (!isLastReceived || !parser_->keep_alive())
         isInStep_ = false;
-    isActive_ = false;
-    std::exchange(handlers_, {}).onEnd();
+    std::exchange(handlers_, nullptr)->onEnd();
     return Result::Continue;
 }
 
--- a/Source/Forwarding/ResponseReader.h
+++ b/Source/Forwarding/ResponseReader.h
@@ -7,6 +7,7 @@
 #include "Transport/HttpMessage.h"
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,15 +31,16 @@
     void begin(std::optional<std::string> requestId, UpstreamHandlers handlers);
 
     // Returns whether a response is expected.
-    bool isActive() const { return isActive_; }
+    bool isActive() const { return handlers_ != nullptr; }
 
     Result receive(std::string_view bytes);
 
     // Handles the end of the connection by the server. Returns Invalid if the response is incomplete.
     Result receiveEnd();
 
-    // Expects no response any more, and returns the handlers of the one that was expected.
-    UpstreamHandlers cancel();
+    // Expects no response any more, and returns the handlers of the one that was expected. May be called by a handler,
+    // which exists until it returns.
+    std::shared_ptr<UpstreamHandlers> cancel();
 
     // Returns whether a further response can be read: the server keeps the connection open, and all of its bytes so far
     // were responses that were expected.
@@ -59,8 +61,8 @@
     Result finishMessage(bool isLastReceived);
 
     ResponseMatcher matcher_;
-    UpstreamHandlers handlers_;
-    bool isActive_ { false };
+    // Null if no response is expected. Each call of a handler shares it.
+    std::shared_ptr<UpstreamHandlers> handlers_;
     std::optional<ResponseParser> parser_;
     // Received bytes that are not parsed yet.
     std::string pending_;
--- a/Source/Forwarding/UpstreamConnection.cpp
+++ b/Source/Forwarding/UpstreamConnection.cpp
@@ -41,7 +41,7 @@
 
     void read();
     void handleRead(const boost::system::error_code& failure, std::size_t count);
-    UpstreamHandlers shutDown();
+    std::shared_ptr<UpstreamHandlers> shutDown();
     void fail();
 
     Tcp::socket socket_;
@@ -104,7 +104,7 @@
 }
 
 // Closes the connection and returns the handlers of the pending exchange.
-UpstreamHandlers TcpUpstreamConnection::shutDown()
+std::shared_ptr<UpstreamHandlers> TcpUpstreamConnection::shutDown()
 {
     boost::system::error_code ignored;
     // A reset also discards data that a paused or unreachable server has not received yet.
@@ -158,8 +158,7 @@
 
 void TcpUpstreamConnection::fail()
 {
-    UpstreamHandlers handlers = shutDown();
-    handlers.onFailure();
+    shutDown()->onFailure();
 }
 
 }
--- a/Source/Forwarding/UpstreamConnection.h
+++ b/Source/Forwarding/UpstreamConnection.h
@@ -32,7 +32,7 @@
     // canIdentify() true for the request.
     virtual void exchange(UpstreamRequest request, UpstreamHandlers handlers) = 0;
 
-    // Closes the connection. No handler is called afterwards.
+    // Closes the connection. No handler is called afterwards. A handler that calls this exists until it returns.
     virtual void close() = 0;
 
     // Calls onLost when the server closes the idle connection or sends bytes on it.
--- a/Source/Forwarding/UpstreamHandlers.h
+++ b/Source/Forwarding/UpstreamHandlers.h
@@ -7,7 +7,8 @@
 
 namespace Damaskgrade {
 
-// Handlers for the response to one request. The last call is either onEnd or onFailure.
+// Handlers for the response to one request. The last call is either onEnd or onFailure. A handler may close the
+// connection.
 struct UpstreamHandlers {
     // Called with status and headers; the body of the argument is empty.
     std::function<void(const HttpResponse&)> onHead;
--- a/Tests/Forwarding/PooledClientTest.cpp
+++ b/Tests/Forwarding/PooledClientTest.cpp
@@ -155,4 +155,43 @@
     }
 }
 
+// Guards against use of a destroyed call: the handler that gives up a response closes the connection, which owns the
+// handlers. Guards also against a call that is not ended, or is ended twice, by bytes without end.
+TEST_CASE("a call whose response has no end fails once, after a bounded number of bytes")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Endless {
+        std::string name;
+        std::string start;
+        std::string repeated;
+    };
+    const std::vector<Endless> responses {
+        { "line of a head", head + "X: ", "x" },
+        { "lines of a head", head, "A: b\r\n" },
+        { "body", head + "\r\n", "x" },
+        { "chunks", chunkedHead, "3e8\r\n" + std::string(1000, 'x') + "\r\n" },
+        { "chunk extension", chunkedHead + "1;", "x" },
+        { "trailers", chunkedHead + "0\r\n", "A: b\r\n" },
+        { "informational responses", "", "HTTP/1.1 102 Processing\r\n\r\n" },
+    };
+    constexpr std::size_t maxBytes = 8U << 20U;
+    for (const Endless& endless : responses) {
+        CAPTURE(endless.name);
+        ClientFixture fixture;
+        fixture.get("/report");
+        std::shared_ptr<SimulatedConnection> connection = fixture.connections[0];
+        connection->receive(endless.start);
+        std::string part = endless.repeated;
+        while (part.size() < (16U << 10U))
+            part += endless.repeated;
+        std::size_t received = 0;
+        for (; fixture.results.empty() && received < maxBytes; received += part.size())
+            connection->receive(part);
+        CHECK(fixture.results == std::vector<std::string> { "failed" });
+        CHECK_FALSE(connection->isOpen());
+        CHECK(fixture.scheduler.pendingTasks() == 0);
+    }
+}
+
 }
--- a/Tests/Forwarding/SimulatedConnection.cpp
+++ b/Tests/Forwarding/SimulatedConnection.cpp
@@ -45,8 +45,7 @@
     if (reader_.receive(bytes) == ResponseReader::Result::Continue)
         return;
     isOpen_ = false;
-    UpstreamHandlers handlers = reader_.cancel();
-    handlers.onFailure();
+    reader_.cancel()->onFailure();
 }
 
 }
