Forwarding: Continue an incomplete last chunk only with enough bytes

A build with assertions ended with signal 6; a release build, as the deploy file makes, has none.

Requests of callers are read by Beast itself and are not changed: open.

--- a/Source/Forwarding/ResponseReader.cpp
+++ b/Source/Forwarding/ResponseReader.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t maxSkippedBytes = 1U << 20U;
 // Bytes that are kept for the parser because they are not a complete head or chunk header yet.
 constexpr std::size_t maxIncompleteBytes = 64U << 10U;
+// Beast 1.74 asserts this size when it continues with an incomplete last chunk. No chunked body ends in fewer bytes.
+constexpr std::size_t minChunkHeaderBytes = 5;
 
 }
 
@@ -43,6 +45,7 @@
 {
     parser_.emplace([this](const HttpResponse& head) { handleHead(head); }, [this](std::string_view body) { handleBody(body); });
     contentHash_.reset();
+    minParsedBytes_ = 1;
     isSkippingResponse_ = false;
 }
 
@@ -88,7 +91,7 @@
     pending_.append(bytes);
     std::size_t parsed = 0;
     Result result = Result::Continue;
-    while (result == Result::Continue && isActive() && parsed < pending_.size()) {
+    while (result == Result::Continue && isActive() && pending_.size() - parsed >= minParsedBytes_) {
         std::string_view rest = std::string_view(pending_).substr(parsed);
         beast::error_code failure;
         std::size_t used = parser_->put(boost::asio::buffer(rest.data(), rest.size()), failure);
@@ -104,6 +107,8 @@
             result = Result::Invalid;
             break;
         }
+        bool isInChunkHeader = isIncomplete && parser_->is_header_done();
+        minParsedBytes_ = isInChunkHeader ? minChunkHeaderBytes : 1;
         if (isIncomplete)
             break;
         if (parser_->is_done())
--- a/Source/Forwarding/ResponseReader.h
+++ b/Source/Forwarding/ResponseReader.h
@@ -64,8 +64,9 @@
     // Null if no response is expected. Each call of a handler shares it.
     std::shared_ptr<UpstreamHandlers> handlers_;
     std::optional<ResponseParser> parser_;
-    // Received bytes that are not parsed yet.
+    // Received bytes that are not parsed yet, and the number of them with which the parser can continue.
     std::string pending_;
+    std::size_t minParsedBytes_ { 1 };
     // Hash of the current response; kept only if the request has no id.
     ContentHash contentHash_;
     std::chrono::milliseconds keepAliveTime_ { 0 };
--- a/Tests/Forwarding/PooledClientTest.cpp
+++ b/Tests/Forwarding/PooledClientTest.cpp
@@ -177,20 +177,26 @@
     };
     constexpr std::size_t maxBytes = 8U << 20U;
     for (const Endless& endless : responses) {
-        CAPTURE(endless.name);
-        ClientFixture fixture;
-        fixture.get("/report");
-        std::shared_ptr<SimulatedConnection> connection = fixture.connections[0];
-        connection->receive(endless.start);
-        std::string part = endless.repeated;
-        while (part.size() < (16U << 10U))
-            part += endless.repeated;
-        std::size_t received = 0;
-        for (; fixture.results.empty() && received < maxBytes; received += part.size())
-            connection->receive(part);
-        CHECK(fixture.results == std::vector<std::string> { "failed" });
-        CHECK_FALSE(connection->isOpen());
-        CHECK(fixture.scheduler.pendingTasks() == 0);
+        for (bool isBytewise : { false, true }) {
+            CAPTURE(endless.name);
+            CAPTURE(isBytewise);
+            ClientFixture fixture;
+            fixture.get("/report");
+            std::shared_ptr<SimulatedConnection> connection = fixture.connections[0];
+            connection->receive(endless.start);
+            std::string part = endless.repeated;
+            while (!isBytewise && part.size() < (16U << 10U))
+                part += endless.repeated;
+            std::size_t received = 0;
+            while (fixture.results.empty() && received < maxBytes) {
+                for (std::size_t i = 0; i < part.size(); i += isBytewise ? 1 : part.size())
+                    connection->receive(std::string_view(part).substr(i, isBytewise ? 1 : part.size()));
+                received += part.size();
+            }
+            CHECK(fixture.results == std::vector<std::string> { "failed" });
+            CHECK_FALSE(connection->isOpen());
+            CHECK(fixture.scheduler.pendingTasks() == 0);
+        }
     }
 }
 
