Forwarding: Keep a silent server until another one continues the response

Cause: a silent stream (0.9 s) or idempotent request (0.35 s) was ended at its server before it was known that it could go on elsewhere. If no attempt, no budget for a retry or no free server was left, or if the next server failed, the request was given up, though the first server could still answer.

Change: the attempt of the silent server is held while the request is sent to a second one, which must be free and paid for by the retry budget. The first of both that continues the response is kept and the other one is closed. If the second one fails, the first is current again. Events of both are never joined, as the second one starts after the last event of the first.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -106,6 +106,8 @@
     context_.responseBuffers.release(bufferedBytes_);
     if (connection_)
         connection_->close();
+    if (held_)
+        held_->connection->close();
 }
 
 void ForwardedRequest::start()
@@ -138,19 +140,129 @@
     }
     // The server has not begun the request yet, and would crash if it did and the suspicion is right.
     if (state_ == State::Sent && options_.route->isRetryable() && context_.quarantine.mustWithdraw(promptParts_, number_)) {
-        giveUp(quarantinedPrompt);
+        if (held_)
+            resumeHeldAttempt();
+        else
+            giveUp(quarantinedPrompt);
         return;
     }
-    bool isIdempotentRetryable = options_.route->kind == RequestKind::Idempotent;
-    bool hasAttemptLeft = executions_ + 1 < options_.route->maxAttempts;
-    if (state_ == State::Sent && isIdempotentRetryable && hasAttemptLeft && now - sentAt_ > context_.settings.idempotentResponseTimeout) {
-        endAttempt(AttemptFailure::Unknown, "server is silent");
+    if (!held_ && isSilent())
+        trySecondServer();
+}
+
+// Returns whether the server has sent nothing for so long that another one would probably respond earlier.
+bool ForwardedRequest::isSilent() const
+{
+    Duration silence = context_.clock.now() - progressAt_;
+    if (state_ == State::Sent)
+        return options_.route->kind == RequestKind::Idempotent && silence > context_.settings.idempotentResponseTimeout;
+    return state_ == State::Streaming && silence > context_.settings.streamStallTimeout
+        && context_.selector.hasProgressElsewhere(options_.service, server_->id, progressAt_ + context_.settings.streamStallTimeout / 2);
+}
+
+// Sends the request to a second server if there is a free one. The silent server may be sound, so its attempt is ended only
+// when the other one has continued the response.
+void ForwardedRequest::trySecondServer()
+{
+    if (!canSendToSecondServer())
         return;
+    std::vector<std::string> excluded = tried_;
+    excluded.push_back(server_->id);
+    ServerSelection selection = context_.selector.select(options_.service, excluded, false);
+    if (selection.kind != SelectionKind::Server || selection.server->id == server_->id || !context_.retryBudget.trySpend(options_.service))
+        return;
+    holdAttempt();
+    sendTo(*selection.server);
+}
+
+bool ForwardedRequest::canSendToSecondServer() const
+{
+    const Route& route = *options_.route;
+    bool hasAttemptLeft = executions_ + 1 < route.maxAttempts && sends_ < route.maxAttempts + context_.settings.maxRefusals;
+    bool canResume = !isStreamStarted() || lastEventId_.has_value();
+    return route.isRetryable() && hasAttemptLeft && canResume && !context_.quarantine.isSuspect(promptParts_);
+}
+
+void ForwardedRequest::holdAttempt()
+{
+    context_.log.write(LogLine("attemptHeld").add("request", requestId_).add("server", server_->id).add("attempt", attempt_).add("events", events_).add("silentMs", milliseconds(context_.clock.now() - progressAt_)));
+    held_ = HeldAttempt { attempt_, *server_, std::move(connection_), isReusedConnection_, sentAt_, attemptBegunAt_, hasSurvivedStart_, std::move(head_), std::move(splitter_) };
+    ++executions_;
+    context_.outliers.callFailed(server_->id);
+    server_.reset();
+    head_.reset();
+}
+
+// Ends the current attempt, if there is one, and makes the held one current again.
+void ForwardedRequest::resumeHeldAttempt()
+{
+    context_.log.write(LogLine("attemptResumed").add("request", requestId_).add("server", held_->server.id).add("attempt", held_->number).add("endedServer", server_ ? server_->id : ""));
+    if (server_) {
+        if (state_ != State::Connecting)
+            ++executions_;
+        tried_.push_back(server_->id);
+        closeConnection();
+        releaseServer();
     }
-    if (state_ == State::Streaming && options_.route->isRetryable() && now - progressAt_ > context_.settings.streamStallTimeout
-        && context_.selector.hasProgressElsewhere(options_.service, server_->id, progressAt_ + context_.settings.streamStallTimeout / 2)) {
-        endAttempt(AttemptFailure::Unknown, "stream is silent");
+    attempt_ = held_->number;
+    server_ = std::move(held_->server);
+    connection_ = std::move(held_->connection);
+    isReusedConnection_ = held_->isReusedConnection;
+    sentAt_ = held_->sentAt;
+    progressAt_ = context_.clock.now();
+    attemptBegunAt_ = held_->begunAt;
+    hasSurvivedStart_ = held_->hasSurvivedStart;
+    head_ = std::move(held_->head);
+    splitter_ = std::move(held_->splitter);
+    state_ = splitter_ ? State::Streaming : State::Sent;
+    isRefusal_ = false;
+    refusalBytes_ = 0;
+    --executions_;
+    held_.reset();
+}
+
+void ForwardedRequest::closeHeldAttempt()
+{
+    if (!held_)
+        return;
+    std::string serverId = held_->server.id;
+    std::shared_ptr<UpstreamConnection> connection = std::move(held_->connection);
+    held_.reset();
+    connection->close();
+    context_.loads.finished(serverId);
+    tried_.push_back(serverId);
+}
+
+// Handles the head of the response to a held attempt. A response that does not help the caller leaves the choice to the
+// other server.
+void ForwardedRequest::handleHeldHead(const HttpResponse& head)
+{
+    bool isRefused = isMarkedNotExecuted(head, context_.names);
+    if (isRefused)
+        --executions_;
+    if (isRefused || head.status >= firstServerFailureStatus) {
+        closeHeldAttempt();
+        return;
     }
+    resumeHeldAttempt();
+    handleHead(head);
+}
+
+void ForwardedRequest::handleHeldBody(std::string_view body)
+{
+    std::shared_ptr<EventSplitter> splitter = held_->splitter;
+    if (splitter && !splitter->feed(body) && held_ && held_->splitter == splitter)
+        closeHeldAttempt();
+}
+
+void ForwardedRequest::handleHeldEnd()
+{
+    if (!held_->splitter || held_->splitter->isInsideEvent() || events_ == 0) {
+        closeHeldAttempt();
+        return;
+    }
+    resumeHeldAttempt();
+    handleEnd();
 }
 
 void ForwardedRequest::send()
@@ -213,7 +325,8 @@
 {
     server_ = server;
     state_ = State::Connecting;
-    std::uint32_t attempt = ++attempt_;
+    std::uint32_t attempt = ++lastAttempt_;
+    attempt_ = attempt;
     context_.loads.started(server.id);
     context_.rateLimits.recordSend(server.id);
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
@@ -233,6 +346,10 @@
     if (connection && context_.selector.isPaused(*server_)) {
         connection_ = std::move(connection);
         releaseServer();
+        if (held_) {
+            resumeHeldAttempt();
+            return;
+        }
         state_ = State::Waiting;
         send();
         return;
@@ -258,22 +375,33 @@
     head_.reset();
     isRefusal_ = false;
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
-    auto guarded = [weak, attempt](auto step) {
+    auto guarded = [weak, attempt](auto step, auto stepIfHeld) {
         std::shared_ptr<ForwardedRequest> request = weak.lock();
-        if (request && request->attempt_ == attempt && request->state_ != State::Done)
+        if (!request || request->state_ == State::Done)
+            return;
+        if (request->attempt_ == attempt)
             step(*request);
+        else if (request->isHeld(attempt))
+            stepIfHeld(*request);
     };
     UpstreamHandlers handlers;
-    handlers.onHead = [guarded](const HttpResponse& head) { guarded([&head](ForwardedRequest& request) { request.handleHead(head); }); };
+    handlers.onHead = [guarded](const HttpResponse& head) {
+        guarded([&head](ForwardedRequest& request) { request.handleHead(head); }, [&head](ForwardedRequest& request) { request.handleHeldHead(head); });
+    };
     handlers.mayLackId = [&names = context_.names](const HttpResponse& head) { return isMarkedNotExecuted(head, names); };
-    handlers.onSkipped = [guarded] { guarded([](ForwardedRequest& request) { ++request.context_.counters.foreignResponses; }); };
-    handlers.onBody = [guarded](std::string_view body) { guarded([body](ForwardedRequest& request) { request.handleBody(body); }); };
-    handlers.onEnd = [guarded] { guarded([](ForwardedRequest& request) { request.handleEnd(); }); };
+    handlers.onSkipped = [&counters = context_.counters] { ++counters.foreignResponses; };
+    handlers.onBody = [guarded](std::string_view body) {
+        guarded([body](ForwardedRequest& request) { request.handleBody(body); }, [body](ForwardedRequest& request) { request.handleHeldBody(body); });
+    };
+    handlers.onEnd = [guarded] {
+        guarded([](ForwardedRequest& request) { request.handleEnd(); }, [](ForwardedRequest& request) { request.handleHeldEnd(); });
+    };
     handlers.onFailure = [guarded] {
-        guarded([](ForwardedRequest& request) {
+        auto endCurrent = [](ForwardedRequest& request) {
             bool wasRefusal = request.head_ && request.isRefusal_;
             request.endAttempt(wasRefusal ? AttemptFailure::Refused : AttemptFailure::Unknown, brokenConnection);
-        });
+        };
+        guarded(endCurrent, [](ForwardedRequest& request) { request.closeHeldAttempt(); });
     };
     connection_->exchange({ requestId_, serializeRequest() }, std::move(handlers));
 }
@@ -308,7 +436,7 @@
     }
     if (options_.route->kind == RequestKind::Streaming && isSuccess && !isRefusal_) {
         state_ = State::Streaming;
-        splitter_.emplace([this](const RawEvent& event) { handleEvent(event); });
+        splitter_ = std::make_shared<EventSplitter>([this, attempt = attempt_](const RawEvent& event) { handleEvent(attempt, event); });
         return;
     }
     state_ = State::Buffering;
@@ -353,7 +481,8 @@
 void ForwardedRequest::handleBody(std::string_view body)
 {
     if (state_ == State::Streaming) {
-        if (!splitter_->feed(body))
+        std::shared_ptr<EventSplitter> splitter = splitter_;
+        if (!splitter->feed(body) && splitter == splitter_ && state_ == State::Streaming)
             endAttempt(AttemptFailure::Unknown, "event is too large");
         return;
     }
@@ -374,9 +503,11 @@
     head_->body.append(body);
 }
 
-void ForwardedRequest::handleEvent(const RawEvent& event)
+void ForwardedRequest::handleEvent(std::uint32_t attempt, const RawEvent& event)
 {
-    if (state_ != State::Streaming || isCallerDisconnected_)
+    if (state_ != State::Done && isHeld(attempt))
+        resumeHeldAttempt();
+    if (state_ != State::Streaming || attempt != attempt_ || isCallerDisconnected_)
         return;
     progressAt_ = context_.clock.now();
     if (!attemptBegunAt_)
@@ -386,6 +517,11 @@
     context_.selector.recordProgress(options_.service, server_->id);
     if (event.id && lastEventId_ && *event.id <= *lastEventId_)
         return;
+    if (held_) {
+        if (isStreamStarted())
+            ++context_.counters.resumedStreams;
+        closeHeldAttempt();
+    }
     if (!streamStarted_) {
         streamStarted_ = true;
         context_.responseTimes.record(options_.service, progressAt_ - sentAt_);
@@ -501,6 +637,12 @@
     tried_.push_back(serverId);
     splitter_.reset();
     head_.reset();
+    if (held_) {
+        if (failure == AttemptFailure::Unknown && reason == brokenConnection && (!promptParts_.empty() || context_.crashDetector.hasAbandoned(serverId)))
+            context_.crashDetector.connectionBroke(server, { hasSurvivedStart_ ? std::vector<PromptPart>() : promptParts_, sentAt_, hasBegun }, [] {});
+        resumeHeldAttempt();
+        return;
+    }
     bool hasConnectionEnded = failure == AttemptFailure::Unknown && (reason == brokenConnection || reason == incompleteStream);
     if (hasConnectionEnded && !hasSurvivedStart_ && !promptParts_.empty()) {
         checkForCrash(server, hasBegun);
@@ -646,6 +788,8 @@
         recordAbandonment();
         closeConnection();
     }
+    recordHeldAbandonment();
+    closeHeldAttempt();
     if (isStreamStarted()) {
         ++context_.counters.cutStreams;
         // The close below is not a disconnect by the caller, so it must not be handled as one.
@@ -707,6 +851,7 @@
         return;
     if (isRunning)
         recordAbandonment();
+    recordHeldAbandonment();
     closeConnection();
     finish("callerLeft", ResultCode::Cancelled, "");
 }
@@ -718,6 +863,12 @@
         context_.crashDetector.requestAbandoned(server_->id, { promptParts_, sentAt_, hasBegunWithoutEvent() });
 }
 
+void ForwardedRequest::recordHeldAbandonment()
+{
+    if (held_ && !held_->hasSurvivedStart && !promptParts_.empty())
+        context_.crashDetector.requestAbandoned(held_->server.id, { promptParts_, held_->sentAt, held_->splitter && !held_->begunAt });
+}
+
 void ForwardedRequest::finish(std::string_view outcome, ResultCode code, std::string_view reason)
 {
     bool isPlain = code == ResultCode::Ok && sends_ == 1 && !isLate();
@@ -739,10 +890,11 @@
         context_.log.write(line);
     }
     releaseServer();
+    closeHeldAttempt();
     context_.quarantine.release(promptParts_, number_);
     state_ = State::Done;
     // Makes pending callbacks ineffective.
-    ++attempt_;
+    attempt_ = ++lastAttempt_;
     exchange_->setCloseHandler(nullptr);
     onDone_(this);
 }
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -4,6 +4,7 @@
 #include "Core/ResultCode.h"
 #include "Forwarding/EventSplitter.h"
 #include "Forwarding/ForwardingContext.h"
+#include "Forwarding/HeldAttempt.h"
 #include "Forwarding/WaitQueueKey.h"
 #include "Transport/HttpServer.h"
 
@@ -30,7 +31,8 @@
 };
 
 // Forwards one request to a backend server, and the response to the caller. Sends the request to one server at
-// a time. Retries only if that cannot execute a non-idempotent request twice: if the server proved that it did
+// a time, but to a second one if the first is silent and the route permits it; the first one that continues the response
+// is kept. Retries only if that cannot execute a non-idempotent request twice: if the server proved that it did
 // not execute the request, or if the route permits retries.
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
 public:
@@ -76,13 +78,23 @@
     void send();
     bool isAdmittedByQuarantine();
     void sendTo(const ServerRecord& server);
+    bool isSilent() const;
+    void trySecondServer();
+    bool canSendToSecondServer() const;
+    void holdAttempt();
+    void resumeHeldAttempt();
+    void closeHeldAttempt();
+    bool isHeld(std::uint32_t attempt) const { return held_ && held_->number == attempt; }
+    void handleHeldHead(const HttpResponse& head);
+    void handleHeldBody(std::string_view body);
+    void handleHeldEnd();
     void waitOrRefuse();
     void connected(std::uint32_t attempt, std::shared_ptr<UpstreamConnection> connection, bool isReused);
     std::string serializeRequest() const;
 
     void handleHead(const HttpResponse& head);
     void handleBody(std::string_view body);
-    void handleEvent(const RawEvent& event);
+    void handleEvent(std::uint32_t attempt, const RawEvent& event);
     void recordEventGap();
     void recordSurvival();
     bool isLate() const;
@@ -94,6 +106,7 @@
     bool hasBegunWithoutEvent() const;
     void checkForCrash(const ServerRecord& server, bool hasBegun);
     void recordAbandonment();
+    void recordHeldAbandonment();
     void retryOrGiveUp(AttemptFailure failure);
     void closeConnection();
     void releaseServer();
@@ -131,9 +144,12 @@
     TimePoint targetAt_;
 
     State state_ { State::Waiting };
+    // Number of the current attempt, and of the last one that was started.
     std::uint32_t attempt_ { 0 };
+    std::uint32_t lastAttempt_ { 0 };
+    std::optional<HeldAttempt> held_;
     std::uint32_t sends_ { 0 };
-    // Sends that were or may have been executed.
+    // Sends that were or may have been executed, without the current one.
     std::uint32_t executions_ { 0 };
     // The part of executions_ that was sent on a reused connection, which broke before any response.
     std::uint32_t staleConnections_ { 0 };
@@ -162,7 +178,8 @@
     std::size_t bufferedBytes_ { 0 };
     // The last error response of a server; sent to the caller if no later attempt succeeds.
     std::optional<HttpResponse> serverFailure_;
-    std::optional<EventSplitter> splitter_;
+    // Shared with the call that feeds it, during which its attempt may end.
+    std::shared_ptr<EventSplitter> splitter_;
     bool streamStarted_ { false };
     std::optional<std::uint64_t> lastEventId_;
     std::uint32_t events_ { 0 };
--- a/Tests/Forwarding/ForwardingSimulation.cpp
+++ b/Tests/Forwarding/ForwardingSimulation.cpp
@@ -74,7 +74,7 @@
         handler();
 }
 
-ForwardingSimulation::ForwardingSimulation(RequestKind kind, std::uint32_t maxAttempts, std::size_t serverCount)
+ForwardingSimulation::ForwardingSimulation(RequestKind kind, std::uint32_t maxAttempts, std::size_t serverCount, std::uint32_t slots)
     : retryBudget(clock, ServiceRetryBudgetSettings())
     , names_(makeHeaderNames())
     , fleet_(clock, {}, [](const ServerRecord&) {})
@@ -98,7 +98,7 @@
         record.id = "s" + std::to_string(i);
         record.service = service;
         record.address = { "127.0.0.1", static_cast<std::uint16_t>(i) };
-        record.slots = 8;
+        record.slots = slots;
         snapshot.servers.push_back(record);
     }
     snapshot.position.revision = 1;
@@ -107,7 +107,7 @@
 
 std::shared_ptr<UpstreamConnection> ForwardingSimulation::makeConnection()
 {
-    return connections_.emplace_back(std::make_shared<SimulatedConnection>(names_.requestId));
+    return connections_.emplace_back(std::make_shared<SimulatedConnection>(names_.requestId, acceptsConnections_));
 }
 
 std::shared_ptr<SimulatedExchange> ForwardingSimulation::start(const std::string& id)
@@ -179,4 +179,9 @@
     return chunk("id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n");
 }
 
+std::string ForwardingSimulation::streamEnd()
+{
+    return "0\r\n\r\n";
+}
+
 }
--- a/Tests/Forwarding/ForwardingSimulation.h
+++ b/Tests/Forwarding/ForwardingSimulation.h
@@ -47,7 +47,7 @@
 // Forwards requests of one service under a manual clock. The test plays the servers through their connections.
 class ForwardingSimulation {
 public:
-    ForwardingSimulation(RequestKind kind, std::uint32_t maxAttempts, std::size_t serverCount);
+    ForwardingSimulation(RequestKind kind, std::uint32_t maxAttempts, std::size_t serverCount, std::uint32_t slots = 8);
 
     // Starts a request with this id.
     std::shared_ptr<SimulatedExchange> start(const std::string& id);
@@ -67,6 +67,10 @@
     static std::string success(std::string_view id, std::string_view body);
     static std::string streamHead(std::string_view id);
     static std::string event(int number);
+    static std::string streamEnd();
+
+    // States whether servers accept connections from now on.
+    void setAcceptsConnections(bool accepts) { acceptsConnections_ = accepts; }
 
     ManualClock clock;
     ServiceRetryBudget retryBudget;
@@ -75,6 +79,7 @@
 private:
     std::shared_ptr<UpstreamConnection> makeConnection();
 
+    bool acceptsConnections_ { true };
     std::vector<std::shared_ptr<SimulatedConnection>> connections_;
     HeaderNames names_;
     Random random_ { 7 };
--- a/Tests/Forwarding/PooledClientTest.cpp
+++ b/Tests/Forwarding/PooledClientTest.cpp
@@ -65,7 +65,7 @@
 class ClientFixture {
 public:
     ClientFixture()
-        : client(scheduler, clock, [this] { return connections.emplace_back(std::make_shared<SimulatedConnection>("Request-Id")); })
+        : client(scheduler, clock, [this] { return connections.emplace_back(std::make_shared<SimulatedConnection>("Request-Id", true)); })
     {
     }
 
--- a/Tests/Forwarding/SimulatedConnection.cpp
+++ b/Tests/Forwarding/SimulatedConnection.cpp
@@ -5,15 +5,16 @@
 
 namespace Damaskgrade {
 
-SimulatedConnection::SimulatedConnection(const std::string& idHeader)
+SimulatedConnection::SimulatedConnection(const std::string& idHeader, bool acceptsConnection)
     : reader_(idHeader)
+    , acceptsConnection_(acceptsConnection)
 {
 }
 
 void SimulatedConnection::connect(const Endpoint&, std::chrono::milliseconds, std::function<void(bool)> done)
 {
-    isOpen_ = true;
-    done(true);
+    isOpen_ = acceptsConnection_;
+    done(acceptsConnection_);
 }
 
 void SimulatedConnection::exchange(UpstreamRequest request, UpstreamHandlers handlers)
@@ -44,8 +45,15 @@
     }
     if (reader_.receive(bytes) == ResponseReader::Result::Continue)
         return;
+    fail();
+}
+
+void SimulatedConnection::fail()
+{
+    std::shared_ptr<UpstreamConnection> self = shared_from_this();
     isOpen_ = false;
-    reader_.cancel()->onFailure();
+    if (std::shared_ptr<UpstreamHandlers> handlers = reader_.cancel())
+        handlers->onFailure();
 }
 
 }
--- a/Tests/Forwarding/SimulatedConnection.h
+++ b/Tests/Forwarding/SimulatedConnection.h
@@ -15,7 +15,8 @@
 // A connection whose server is played by the test. It is open at once and reads responses like a real connection.
 class SimulatedConnection : public UpstreamConnection {
 public:
-    explicit SimulatedConnection(const std::string& idHeader);
+    // Without acceptsConnection, the server refuses the connection.
+    SimulatedConnection(const std::string& idHeader, bool acceptsConnection);
 
     void connect(const Endpoint& server, std::chrono::milliseconds timeout, std::function<void(bool)> done) override;
     void exchange(UpstreamRequest request, UpstreamHandlers handlers) override;
@@ -28,6 +29,9 @@
     // Delivers bytes from the server. They are lost if the connection is closed.
     void receive(std::string_view bytes);
 
+    // Breaks the connection during an exchange.
+    void fail();
+
     bool isOpen() const { return isOpen_; }
 
     // The requests that the server has received.
@@ -37,6 +41,7 @@
     ResponseReader reader_;
     std::vector<std::string> requests_;
     std::function<void()> onIdleLost_;
+    bool acceptsConnection_ { true };
     bool isOpen_ { false };
 };
 
