Calls: Keep a silent attempt unless another agent can take the call

Cause: an idempotent call was cancelled at a silent agent, or at one whose engine was reported as stalled, before it was known that another agent could take it. With a spent retry budget it ended at once, and without a ticket it waited for one, though the first agent could still answer.

Change: the attempt is cancelled after a ticket of another agent and a retry have been taken for the call. If there is none, the check is repeated after a poll interval.

--- a/Source/Calls/CallDriver.cpp
+++ b/Source/Calls/CallDriver.cpp
@@ -163,8 +163,7 @@
     for (auto attempt = attempts_.begin(); attempt != attempts_.end(); ++attempt) {
         if (attempt->second.ticket.agent != agent)
             continue;
-        hooks_.send(agent, CancelMessage { request_.callId, attempt->first });
-        attemptLost(attempt, ResultCode::Timeout);
+        replaceSilentAttempt(attempt);
         return;
     }
 }
@@ -209,8 +208,7 @@
         for (auto attempt = attempts_.begin(); attempt != attempts_.end(); ++attempt) {
             if (clock_.now() - attempt->second.lastProgress < settings_.stallLimit)
                 continue;
-            hooks_.send(attempt->second.ticket.agent, CancelMessage { request_.callId, attempt->first });
-            attemptLost(attempt, ResultCode::Timeout);
+            replaceSilentAttempt(attempt);
             return;
         }
         hedge();
@@ -564,6 +562,32 @@
         retry(code, RetryCause::Lost);
 }
 
+// Ends the attempt only if another one of this call is running, or if another agent can take the call. Otherwise it
+// continues, since its engine may be sound, and the next check is one poll interval later.
+void CallDriver::replaceSilentAttempt(Attempts::iterator attempt)
+{
+    std::string agent = attempt->second.ticket.agent;
+    std::optional<Ticket> ticket;
+    if (attempts_.size() == 1) {
+        attempt->second.lastProgress = std::max(attempt->second.lastProgress, clock_.now() - settings_.stallLimit + settings_.pollInterval);
+        std::set<std::string> excluded = tried_;
+        excluded.insert(agent);
+        ticket = hooks_.takeTicket(request_, excluded);
+        if (!ticket)
+            return;
+        if (ticket->agent == agent || !budget_.trySpend()) {
+            hooks_.returnTicket(*ticket);
+            return;
+        }
+    }
+    hooks_.send(agent, CancelMessage { request_.callId, attempt->first });
+    mayHaveStarted_ = true;
+    tried_.insert(agent);
+    attempts_.erase(attempt);
+    if (ticket)
+        send(*ticket);
+}
+
 void CallDriver::attemptNotStarted(Attempts::iterator attempt, ResultCode code, RetryCause cause)
 {
     tried_.insert(attempt->second.ticket.agent);
--- a/Source/Calls/CallDriver.h
+++ b/Source/Calls/CallDriver.h
@@ -196,6 +196,7 @@
     void checkFetch();
     void engineFailed(Attempts::iterator attempt, ResultCode code);
     void attemptLost(Attempts::iterator attempt, ResultCode code);
+    void replaceSilentAttempt(Attempts::iterator attempt);
     void attemptNotStarted(Attempts::iterator attempt, ResultCode code, RetryCause cause);
     void deliverText(const std::string& text, const std::string& agent);
     void cancelAttempts();
--- a/Tests/Calls/CallDriverTest.cpp
+++ b/Tests/Calls/CallDriverTest.cpp
@@ -478,6 +478,36 @@
     CHECK(fixture.outcomes.at(0).code == ResultCode::Ok);
 }
 
+// Guards against a call that is ended because its engine is silent, although no other agent can take it.
+TEST_CASE("a silent call is ended only if another agent can take it")
+{
+    constexpr Duration stall = seconds(6);
+    for (CallKind kind : { CallKind::Service, CallKind::Completion }) {
+        DriverFixture fixture(true, kind);
+        fixture.start();
+        SUBCASE("the retry budget is spent")
+        {
+            fixture.budget.configure({ 0, 0 });
+            fixture.spendRetries();
+        }
+        SUBCASE("no ticket is available") { fixture.tickets.clear(); }
+        SUBCASE("the only ticket is of the same agent") { fixture.tickets = { { "a", "1", 1, 2 } }; }
+        SUBCASE("the agent reports that its engine is stalled")
+        {
+            fixture.tickets.clear();
+            fixture.driver->engineStalled("a");
+        }
+        std::size_t tickets = fixture.tickets.size();
+        fixture.advance(stall);
+        CHECK(fixture.sentMessages<CancelMessage>().empty());
+        CHECK(fixture.tickets.size() == tickets);
+        CHECK(fixture.outcomes.empty());
+        fixture.answer(1, "found");
+        REQUIRE(fixture.outcomes.size() == 1);
+        CHECK(fixture.outcomes.at(0).code == ResultCode::Ok);
+    }
+}
+
 // Guards against a retry storm while all agents refuse calls.
 TEST_CASE("retries after refusals end unless agents start calls")
 {
