Forwarding: Move the reading of header values out of ForwardedRequest

ForwardedRequest had grown by the attempt that it holds. The functions that read and format header values, and those that say whether a response proves that a request was not executed, stand in HeaderValues now. No change of behaviour.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -1,19 +1,16 @@
 #include "Forwarding/ForwardedRequest.h"
 
+#include "Forwarding/HeaderValues.h"
 #include "Forwarding/MessageHeaders.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <utility>
 
 namespace Damaskgrade {
 
 namespace {
 
-constexpr int statusMisdirected = 421;
 constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
 constexpr int firstFailureStatus = 300;
 constexpr int firstServerFailureStatus = 500;
@@ -27,45 +24,6 @@
 constexpr std::string_view incompleteStream = "stream ended within an event";
 constexpr std::string_view quarantinedPrompt = "prompt part may crash servers";
 
-// These statuses imply to a caller that the request was not executed, but only a response that is marked as
-// not executed proves it.
-bool impliesNotExecuted(int status)
-{
-    return status == 408 || status == statusMisdirected || status == 429 || status == statusUnavailable;
-}
-
-bool isMarkedNotExecuted(const HttpResponse& head, const HeaderNames& names)
-{
-    return findHeader(head.headers, names.notExecuted).has_value() || head.status == statusMisdirected;
-}
-
-std::optional<std::chrono::milliseconds> parseMilliseconds(const std::optional<std::string>& text)
-{
-    if (!text)
-        return std::nullopt;
-    std::int64_t value = 0;
-    std::from_chars_result result = std::from_chars(text->data(), text->data() + text->size(), value);
-    if (result.ec != std::errc() || value < 0)
-        return std::nullopt;
-    return std::chrono::milliseconds(value);
-}
-
-// Returns std::nullopt unless the text is a finite number that is not negative.
-std::optional<double> parseNonNegative(std::string_view text)
-{
-    double value = 0;
-    std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), value);
-    bool isNumber = result.ec == std::errc() && result.ptr == text.data() + text.size();
-    return isNumber && std::isfinite(value) && value >= 0 ? std::optional<double>(value) : std::nullopt;
-}
-
-std::string secondsText(std::chrono::milliseconds time)
-{
-    std::string text = std::to_string(time.count() / 1000) + ".";
-    std::string fraction = std::to_string(time.count() % 1000);
-    return text + std::string(3 - fraction.size(), '0') + fraction;
-}
-
 std::int64_t milliseconds(Duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -832,7 +790,7 @@
     response.status = status;
     response.headers.push_back({ context_.names.requestId, requestId_ });
     if (executed == Executed::No)
-        response.headers.push_back({ context_.names.retryAfter, secondsText(retryAfter_.value_or(context_.settings.retryAfter)) });
+        response.headers.push_back({ context_.names.retryAfter, formatSeconds(retryAfter_.value_or(context_.settings.retryAfter)) });
     response.headers.push_back({ "Content-Type", "application/problem+json" });
     response.body = "{\"code\":" + std::to_string(resultNumber(code)) + ",\"executed\":\"" + std::string(executedName(executed)) + "\",\"detail\":\"" + std::string(reason) + "\"}";
     exchange_->respond(std::move(response));
--- /dev/null
+++ b/Source/Forwarding/HeaderValues.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Forwarding/HeaderNames.h"
+#include "Transport/HttpMessage.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Damaskgrade {
+
+constexpr int statusMisdirected = 421;
+constexpr int statusUnavailable = 503;
+
+// Returns whether the status implies to a caller that the request was not executed. Only a response that is marked as
+// not executed proves it.
+bool impliesNotExecuted(int status);
+
+// Returns whether the response proves that the server did not execute the request.
+bool isMarkedNotExecuted(const HttpResponse& head, const HeaderNames& names);
+
+// Returns std::nullopt unless the text begins with a whole number of milliseconds that is not negative.
+std::optional<std::chrono::milliseconds> parseMilliseconds(const std::optional<std::string>& text);
+
+// Returns std::nullopt unless the text is a finite number that is not negative.
+std::optional<double> parseNonNegative(std::string_view text);
+
+// Formats a time in seconds with three decimal places.
+std::string formatSeconds(std::chrono::milliseconds time);
+
+}
