--- a/Tests/Forwarding/DuplicateResponseTest.cpp
+++ b/Tests/Forwarding/DuplicateResponseTest.cpp
@@ -34,6 +34,24 @@
     CHECK(caller->body() == "done");
 }
 
+// Guards against a caller who is told that a request was not run, since the second copy of a refusal was taken for the
+// response to the last send.
+TEST_CASE("a late second copy of a refusal does not make a running request count as not executed")
+{
+    ForwardingSimulation simulation(RequestKind::NonIdempotent, 1, 1);
+    std::shared_ptr<SimulatedExchange> caller = simulation.start("a");
+    std::shared_ptr<SimulatedConnection> refusing = simulation.usedConnections().front();
+    refusing->receive(ForwardingSimulation::refusal("a"));
+    simulation.advance(retryTime);
+    REQUIRE(simulation.sentRequests() == 2);
+    refusing->receive(ForwardingSimulation::refusal("a"));
+    refusing->receive(ForwardingSimulation::success("a", "done"));
+    simulation.setAcceptsConnections(false);
+    constexpr milliseconds timeout { 8000 };
+    simulation.advance(timeout);
+    CHECK(caller->status() == 504);
+}
+
 // Guards against a refusal without a request id that is a second copy: it would refuse a request of another caller, which
 // the server executes.
 TEST_CASE("a late second copy of a refusal that states no id does not refuse another request")
