Forwarding: Keep the second attempt until the first one's response is complete

Cause: as soon as the head of a late response arrived at the first server, the attempt at the second one was ended. If that response had no signature or broke off, the request failed, although the second server would have answered.

Change: a response that can't be delivered ends its own attempt. Otherwise the two attempts change places, and the second one is held until the response is complete. A broken connection of a held attempt is reported to the crash detector, as any other.

Result: two new cases of the test of silent idempotent requests failed before and pass now.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -141,14 +141,37 @@
     return route.isRetryable() && hasAttemptLeft && canResume && !context_.quarantine.isSuspect(promptParts_);
 }
 
+HeldAttempt ForwardedRequest::takeCurrentAttempt()
+{
+    HeldAttempt attempt { attempt_, *server_, std::move(connection_), isReusedConnection_, sentAt_, attemptBegunAt_, hasSurvivedStart_, std::move(head_), std::move(splitter_) };
+    server_.reset();
+    head_.reset();
+    return attempt;
+}
+
+void ForwardedRequest::makeCurrent(HeldAttempt attempt)
+{
+    attempt_ = attempt.number;
+    server_ = std::move(attempt.server);
+    connection_ = std::move(attempt.connection);
+    isReusedConnection_ = attempt.isReusedConnection;
+    sentAt_ = attempt.sentAt;
+    progressAt_ = context_.clock.now();
+    attemptBegunAt_ = attempt.begunAt;
+    hasSurvivedStart_ = attempt.hasSurvivedStart;
+    head_ = std::move(attempt.head);
+    splitter_ = std::move(attempt.splitter);
+    state_ = splitter_ ? State::Streaming : State::Sent;
+    isRefusal_ = false;
+    refusalBytes_ = 0;
+}
+
 void ForwardedRequest::holdAttempt()
 {
     context_.log.write(LogLine("attemptHeld").add("request", requestId_).add("server", server_->id).add("attempt", attempt_).add("events", events_).add("silentMs", milliseconds(context_.clock.now() - progressAt_)));
-    held_ = HeldAttempt { attempt_, *server_, std::move(connection_), isReusedConnection_, sentAt_, attemptBegunAt_, hasSurvivedStart_, std::move(head_), std::move(splitter_) };
     ++executions_;
     context_.outliers.callFailed(server_->id);
-    server_.reset();
-    head_.reset();
+    held_ = takeCurrentAttempt();
 }
 
 // Ends the current attempt, if there is one, and makes the held one current again.
@@ -162,21 +185,8 @@
         closeConnection();
         releaseServer();
     }
-    attempt_ = held_->number;
-    server_ = std::move(held_->server);
-    connection_ = std::move(held_->connection);
-    isReusedConnection_ = held_->isReusedConnection;
-    sentAt_ = held_->sentAt;
-    progressAt_ = context_.clock.now();
-    attemptBegunAt_ = held_->begunAt;
-    hasSurvivedStart_ = held_->hasSurvivedStart;
-    head_ = std::move(held_->head);
-    splitter_ = std::move(held_->splitter);
-    state_ = splitter_ ? State::Streaming : State::Sent;
-    isRefusal_ = false;
-    refusalBytes_ = 0;
     --executions_;
-    held_.reset();
+    makeCurrent(*std::exchange(held_, std::nullopt));
 }
 
 void ForwardedRequest::closeHeldAttempt()
@@ -191,21 +201,42 @@
     tried_.push_back(serverId);
 }
 
-// Handles the head of the response to a held attempt. A response that does not help the caller leaves the choice to the
-// other server.
+// Handles the head of the response to a held attempt that had none. The other attempt is held until that response is
+// complete, unless it has a response itself.
 void ForwardedRequest::handleHeldHead(const HttpResponse& head)
 {
     bool isRefused = isMarkedNotExecuted(head, context_.names);
     if (isRefused)
         --executions_;
-    if (isRefused || head.status >= firstServerFailureStatus) {
+    bool isFailure = isRefused || impliesNotExecuted(head.status) || head.status >= firstServerFailureStatus;
+    bool isSuccess = head.status < firstFailureStatus;
+    if (isFailure || (isSuccess && !isResponseAuthentic(head)) || state_ == State::Buffering) {
         closeHeldAttempt();
         return;
     }
-    resumeHeldAttempt();
+    if (state_ == State::Sent) {
+        HeldAttempt other = takeCurrentAttempt();
+        makeCurrent(*std::exchange(held_, std::move(other)));
+    } else {
+        resumeHeldAttempt();
+    }
     handleHead(head);
 }
 
+void ForwardedRequest::handleHeldFailure()
+{
+    recordPossibleCrash(held_->server, held_->sentAt, held_->hasSurvivedStart, held_->splitter && !held_->begunAt);
+    closeHeldAttempt();
+}
+
+// Lets the crash detector check a server whose connection broke, without waiting for the result.
+void ForwardedRequest::recordPossibleCrash(const ServerRecord& server, TimePoint sentAt, bool hasSurvivedStart, bool hasBegunWithoutEvent)
+{
+    std::vector<PromptPart> parts = hasSurvivedStart ? std::vector<PromptPart>() : promptParts_;
+    if (!parts.empty() || context_.crashDetector.hasAbandoned(server.id))
+        context_.crashDetector.connectionBroke(server, { std::move(parts), sentAt, hasBegunWithoutEvent }, [] {});
+}
+
 void ForwardedRequest::handleHeldBody(std::string_view body)
 {
     std::shared_ptr<EventSplitter> splitter = held_->splitter;
@@ -359,7 +390,7 @@
             bool wasRefusal = request.head_ && request.isRefusal_;
             request.endAttempt(wasRefusal ? AttemptFailure::Refused : AttemptFailure::Unknown, brokenConnection);
         };
-        guarded(endCurrent, [](ForwardedRequest& request) { request.closeHeldAttempt(); });
+        guarded(endCurrent, [](ForwardedRequest& request) { request.handleHeldFailure(); });
     };
     connection_->exchange({ requestId_, serializeRequest() }, std::move(handlers));
 }
@@ -596,8 +627,8 @@
     splitter_.reset();
     head_.reset();
     if (held_) {
-        if (failure == AttemptFailure::Unknown && reason == brokenConnection && (!promptParts_.empty() || context_.crashDetector.hasAbandoned(serverId)))
-            context_.crashDetector.connectionBroke(server, { hasSurvivedStart_ ? std::vector<PromptPart>() : promptParts_, sentAt_, hasBegun }, [] {});
+        if (failure == AttemptFailure::Unknown && reason == brokenConnection)
+            recordPossibleCrash(server, sentAt_, hasSurvivedStart_, hasBegun);
         resumeHeldAttempt();
         return;
     }
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -81,6 +81,8 @@
     bool isSilent() const;
     void trySecondServer();
     bool canSendToSecondServer() const;
+    HeldAttempt takeCurrentAttempt();
+    void makeCurrent(HeldAttempt attempt);
     void holdAttempt();
     void resumeHeldAttempt();
     void closeHeldAttempt();
@@ -88,6 +90,8 @@
     void handleHeldHead(const HttpResponse& head);
     void handleHeldBody(std::string_view body);
     void handleHeldEnd();
+    void handleHeldFailure();
+    void recordPossibleCrash(const ServerRecord& server, TimePoint sentAt, bool hasSurvivedStart, bool hasBegunWithoutEvent);
     void waitOrRefuse();
     void connected(std::uint32_t attempt, std::shared_ptr<UpstreamConnection> connection, bool isReused);
     std::string serializeRequest() const;
--- a/Tests/Forwarding/SilentServerTest.cpp
+++ b/Tests/Forwarding/SilentServerTest.cpp
@@ -203,6 +203,20 @@
         CHECK(caller->status() == 0);
         first->receive(ForwardingSimulation::success("a", "right"));
     }
+    SUBCASE("the second server, after the first one has sent a response without a signature")
+    {
+        first->receive("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 5\r\n\r\nwrong");
+        CHECK(caller->status() == 0);
+        second->receive(ForwardingSimulation::success("a", "right"));
+    }
+    SUBCASE("the second server, after the response of the first one has broken off")
+    {
+        std::string response = ForwardingSimulation::success("a", "wrong");
+        first->receive(response.substr(0, response.size() - 2));
+        first->fail();
+        CHECK(caller->status() == 0);
+        second->receive(ForwardingSimulation::success("a", "right"));
+    }
     SUBCASE("the second server, after the first one has refused the request")
     {
         first->receive(ForwardingSimulation::refusal("a"));
