Forwarding: Let a failed response of the first server end its own attempt only

The separate check of the head is not needed: an attempt that has taken the place of the other one ends by the usual rules, and the other one continues.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -202,15 +202,10 @@
 }
 
 // Handles the head of the response to a held attempt that had none. The other attempt is held until that response is
-// complete, unless it has a response itself.
+// complete, and continues if it fails, unless it has a response itself.
 void ForwardedRequest::handleHeldHead(const HttpResponse& head)
 {
-    bool isRefused = isMarkedNotExecuted(head, context_.names);
-    if (isRefused)
-        --executions_;
-    bool isFailure = isRefused || impliesNotExecuted(head.status) || head.status >= firstServerFailureStatus;
-    bool isSuccess = head.status < firstFailureStatus;
-    if (isFailure || (isSuccess && !isResponseAuthentic(head)) || state_ == State::Buffering) {
+    if (state_ == State::Buffering) {
         closeHeldAttempt();
         return;
     }
