Forwarding: Let modules take part in the selection of a server

Cause: the selection knows the load, ejections, rate limits and pauses only. Evacuated zones, cold servers, the capacity for streams on time and allowed regions need a say in it, and ServerSelector and ForwardedRequest must not grow with each of them. Change: a SelectionRule excludes a server, bounds the requests in flight there or adds a cost, and is told of each send. Without rules the selection is unchanged.

--- /dev/null
+++ b/Source/Forwarding/SelectionRule.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Fleet/ServerRecord.h"
+
+#include <gsl/span>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Damaskgrade {
+
+// A request for which a backend server is selected.
+struct SelectionRequest {
+    std::string_view service;
+    // Servers that are selected only after all servers of the service have been tried.
+    gsl::span<const std::string> tried;
+    // Servers without a free slot may be selected.
+    bool mayQueue { false };
+};
+
+// What a rule states about one server for one request.
+struct ServerAssessment {
+    // The request must not be sent to the server now.
+    bool isExcluded { false };
+    // Time after which an excluded server may be sent the request, if the rule knows it.
+    std::optional<Duration> retryAfter;
+    // Upper bound of the requests in flight at the server, if the rule sets one.
+    std::optional<double> capacity;
+    // Added when servers are compared, in requests in flight. Negative for a server that is preferred.
+    double cost { 0 };
+};
+
+// One consideration in the selection of a server. Modules that know something of servers provide rules, so that the selector
+// does not depend on them.
+struct SelectionRule {
+    // Appears in refusals and logs.
+    std::string name;
+    std::function<ServerAssessment(const ServerRecord&, const SelectionRequest&)> assess;
+    // The rule is applied again when the connection for a request has been opened. Not for rules that limit a rate, because
+    // the request itself is counted by then.
+    bool isAppliedToOpenConnections { false };
+    // Called for each request that is sent to a server, also if no connection can be opened. May be empty.
+    std::function<void(const ServerRecord&, const SelectionRequest&)> onSend;
+};
+
+}
--- a/Source/Forwarding/ServerSelector.cpp
+++ b/Source/Forwarding/ServerSelector.cpp
@@ -20,23 +20,34 @@
 {
 }
 
-ServerSelection ServerSelector::select(std::string_view service, gsl::span<const std::string> tried, bool mayQueue)
+ServerSelection ServerSelector::select(const SelectionRequest& request)
 {
-    std::vector<const ServerRecord*> ready = fleet_.ready(service);
+    std::vector<const ServerRecord*> ready = fleet_.ready(request.service);
     if (ready.empty())
         return {};
-    auto outage = outages_.find(service);
+    auto outage = outages_.find(request.service);
     bool isProbe = outage != outages_.end() && isRefusing(outage->second);
     if (isProbe && clock_.now() < outage->second.nextProbe)
         return { SelectionKind::Busy, nullptr };
-    auto isTried = [tried](const ServerRecord* server) { return std::find(tried.begin(), tried.end(), server->id) != tried.end(); };
+    auto isTried = [&request](const ServerRecord* server) { return std::find(request.tried.begin(), request.tried.end(), server->id) != request.tried.end(); };
     bool haveAllBeenTried = std::all_of(ready.begin(), ready.end(), isTried);
     bool areAllEjected = std::all_of(ready.begin(), ready.end(), [this](const ServerRecord* server) { return outliers_.isEjected(server->id); });
-    std::vector<const ServerRecord*> localServers;
-    std::vector<const ServerRecord*> remoteServers;
+    std::vector<Candidate> localServers;
+    std::vector<Candidate> remoteServers;
     std::size_t limitedServers = 0;
+    std::size_t excludedServers = 0;
+    std::string_view excludingRule;
     std::optional<Duration> shortestWait;
+    std::optional<Duration> shortestExclusion;
     for (const ServerRecord* server : ready) {
+        CombinedAssessment assessment = assess(*server, request);
+        if (assessment.excludedBy) {
+            ++excludedServers;
+            excludingRule = assessment.excludedBy->name;
+            if (assessment.retryAfter)
+                shortestExclusion = std::min(*assessment.retryAfter, shortestExclusion.value_or(*assessment.retryAfter));
+            continue;
+        }
         std::optional<Duration> wait = timeUntilSend(*server);
         if (!wait || *wait > Duration::zero()) {
             ++limitedServers;
@@ -49,32 +60,72 @@
         double share = areAllEjected ? 1 : outliers_.admissionShare(server->id);
         if (share <= 0 || (share < 1 && random_.fraction() > share))
             continue;
-        if (loads_.inFlight(server->id) >= capacityOf(*server, mayQueue))
+        double capacity = capacityOf(*server, request.mayQueue);
+        if (loads_.inFlight(server->id) >= std::min(capacity, assessment.capacity.value_or(capacity)))
             continue;
-        (server->availabilityZone == settings_.localZone ? localServers : remoteServers).push_back(server);
+        (server->availabilityZone == settings_.localZone ? localServers : remoteServers).push_back({ server, assessment.cost });
+    }
+    if (excludedServers == ready.size())
+        return { SelectionKind::Excluded, nullptr, shortestExclusion, false, excludingRule };
+    if (excludedServers + limitedServers == ready.size()) {
+        bool isPause = std::any_of(ready.begin(), ready.end(), [this](const ServerRecord* server) { return isPaused(*server); });
+        return { SelectionKind::RateLimited, nullptr, shortestWait.value_or(settings_.unknownRateLimitWait), isPause };
     }
     reduceToSample(localServers, localEntryCount_);
     reduceToSample(remoteServers, entryCount_);
     localServers.insert(localServers.end(), remoteServers.begin(), remoteServers.end());
+    const ServerRecord* best = selectBest(localServers);
+    if (!best)
+        return { SelectionKind::Busy, nullptr };
+    if (isProbe)
+        outage->second.nextProbe = clock_.now() + settings_.probeInterval;
+    return { SelectionKind::Server, best };
+}
+
+const ServerRecord* ServerSelector::selectBest(gsl::span<const Candidate> candidates)
+{
     const ServerRecord* best = nullptr;
     double bestScore = std::numeric_limits<double>::max();
-    for (const ServerRecord* server : localServers) {
-        double zonePenalty = server->availabilityZone == settings_.localZone ? 0 : settings_.zoneBias;
-        double score = (loads_.inFlight(server->id) + zonePenalty + random_.fraction() * 0.1) / slotsOf(*server);
+    for (const Candidate& candidate : candidates) {
+        const ServerRecord& server = *candidate.server;
+        double zonePenalty = server.availabilityZone == settings_.localZone ? 0 : settings_.zoneBias;
+        double score = (loads_.inFlight(server.id) + zonePenalty + candidate.cost + random_.fraction() * 0.1) / slotsOf(server);
         if (score < bestScore) {
             bestScore = score;
-            best = server;
+            best = candidate.server;
         }
     }
-    if (limitedServers == ready.size()) {
-        bool isPause = std::any_of(ready.begin(), ready.end(), [this](const ServerRecord* server) { return isPaused(*server); });
-        return { SelectionKind::RateLimited, nullptr, shortestWait.value_or(settings_.unknownRateLimitWait), isPause };
+    return best;
+}
+
+ServerSelector::CombinedAssessment ServerSelector::assess(const ServerRecord& server, const SelectionRequest& request) const
+{
+    CombinedAssessment combined;
+    for (const SelectionRule& rule : rules_) {
+        ServerAssessment assessment = rule.assess(server, request);
+        if (assessment.isExcluded) {
+            combined.excludedBy = &rule;
+            combined.retryAfter = assessment.retryAfter;
+            return combined;
+        }
+        if (assessment.capacity)
+            combined.capacity = std::min(*assessment.capacity, combined.capacity.value_or(*assessment.capacity));
+        combined.cost += assessment.cost;
     }
-    if (!best)
-        return { SelectionKind::Busy, nullptr };
-    if (isProbe)
-        outage->second.nextProbe = clock_.now() + settings_.probeInterval;
-    return { SelectionKind::Server, best };
+    return combined;
+}
+
+void ServerSelector::recordSend(const ServerRecord& server, const SelectionRequest& request)
+{
+    for (const SelectionRule& rule : rules_) {
+        if (rule.onSend)
+            rule.onSend(server, request);
+    }
+}
+
+bool ServerSelector::isExcludedByNow(const ServerRecord& server, const SelectionRequest& request) const
+{
+    return std::any_of(rules_.begin(), rules_.end(), [&](const SelectionRule& rule) { return rule.isAppliedToOpenConnections && rule.assess(server, request).isExcluded; });
 }
 
 void ServerSelector::setEntryCount(std::size_t count, std::size_t localCount)
@@ -84,12 +135,12 @@
 }
 
 // Reduces the servers to a random sample. Its size is the number of servers per entry, but at least minSampleSize.
-void ServerSelector::reduceToSample(std::vector<const ServerRecord*>& servers, std::size_t entryCount)
+void ServerSelector::reduceToSample(std::vector<Candidate>& candidates, std::size_t entryCount)
 {
-    std::size_t sampleSize = std::max(settings_.minSampleSize, servers.size() / entryCount);
-    for (std::size_t i = 0; i < sampleSize && i < servers.size(); ++i)
-        std::swap(servers[i], servers[i + random_.index(servers.size() - i)]);
-    servers.resize(std::min(servers.size(), sampleSize));
+    std::size_t sampleSize = std::max(settings_.minSampleSize, candidates.size() / entryCount);
+    for (std::size_t i = 0; i < sampleSize && i < candidates.size(); ++i)
+        std::swap(candidates[i], candidates[i + random_.index(candidates.size() - i)]);
+    candidates.resize(std::min(candidates.size(), sampleSize));
 }
 
 void ServerSelector::avoid(const std::string& serverId, TimePoint until)
--- a/Source/Forwarding/ServerSelector.h
+++ b/Source/Forwarding/ServerSelector.h
@@ -4,6 +4,7 @@
 #include "Core/Random.h"
 #include "Fleet/FleetView.h"
 #include "Forwarding/InFlightTracker.h"
+#include "Forwarding/SelectionRule.h"
 #include "Forwarding/ServerRateLimits.h"
 #include "Routing/OutlierDetector.h"
 
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Damaskgrade {
@@ -52,6 +54,8 @@
     Busy,
     // All servers of the service have reached the rate limits that they state, or have asked for a pause.
     RateLimited,
+    // Rules exclude all servers of the service for this request.
+    Excluded,
     // The registry lists no ready server of the service.
     None,
 };
@@ -59,9 +63,12 @@
 struct ServerSelection {
     SelectionKind kind { SelectionKind::None };
     const ServerRecord* server { nullptr };
-    // Time until a server may be sent the next request, and whether a server has asked for it, if the kind is RateLimited.
-    Duration retryAfter { 0 };
+    // Time until a server may be sent the next request, and whether a server has asked for it, if the kind is RateLimited. If
+    // the kind is Excluded, there is no time unless a rule knows it.
+    std::optional<Duration> retryAfter {};
     bool isPause { false };
+    // Name of the rule that excludes the last one of the servers, if the kind is Excluded.
+    std::string_view excludingRule {};
 };
 
 // Selects the backend server for a request: the least loaded one, by the requests that all entries have in flight
@@ -72,9 +79,17 @@
     ServerSelector(const Clock& clock, const FleetView& fleet, const InFlightTracker& loads, const OutlierDetector& outliers, const ServerRateLimits& rateLimits, Random& random,
         ServerSelectorSettings settings);
 
-    // Servers in tried are selected only after all servers of the service have been tried. Servers without a free
-    // slot are selected only if mayQueue is set.
-    ServerSelection select(std::string_view service, gsl::span<const std::string> tried, bool mayQueue);
+    // Adds a rule. Rules are applied in the order in which they were added.
+    void addRule(SelectionRule rule) { rules_.push_back(std::move(rule)); }
+
+    ServerSelection select(const SelectionRequest& request);
+    ServerSelection select(std::string_view service, gsl::span<const std::string> tried, bool mayQueue) { return select({ service, tried, mayQueue }); }
+
+    // Records that the request is sent to the server.
+    void recordSend(const ServerRecord& server, const SelectionRequest& request);
+
+    // Returns whether a rule that is also applied to open connections excludes the server for the request.
+    bool isExcludedByNow(const ServerRecord& server, const SelectionRequest& request) const;
 
     // Sets the numbers of entries that select among the same servers: of all zones, and of the local zone.
     void setEntryCount(std::size_t count, std::size_t localCount);
@@ -130,9 +145,24 @@
         TimePoint until;
     };
 
+    // The assessments of all rules for one server.
+    struct CombinedAssessment {
+        const SelectionRule* excludedBy { nullptr };
+        std::optional<Duration> retryAfter;
+        std::optional<double> capacity;
+        double cost { 0 };
+    };
+
+    struct Candidate {
+        const ServerRecord* server { nullptr };
+        double cost { 0 };
+    };
+
     bool isRefusing(const Outage& outage) const { return outage.refusalsInRow >= settings_.refusalsUntilOutage; }
 
-    void reduceToSample(std::vector<const ServerRecord*>& servers, std::size_t entryCount);
+    CombinedAssessment assess(const ServerRecord& server, const SelectionRequest& request) const;
+    const ServerRecord* selectBest(gsl::span<const Candidate> candidates);
+    void reduceToSample(std::vector<Candidate>& candidates, std::size_t entryCount);
     void endOutage(std::string_view service, Outage& outage);
     double slotsOf(const ServerRecord& server) const;
     double capacityOf(const ServerRecord& server, bool mayQueue) const;
@@ -148,6 +178,7 @@
     const ServerRateLimits& rateLimits_;
     Random& random_;
     ServerSelectorSettings settings_;
+    std::vector<SelectionRule> rules_;
     std::map<std::string, TimePoint, std::less<>> avoidedUntil_;
     std::map<std::string, Pause, std::less<>> pauses_;
     std::map<std::string, Progress, std::less<>> progress_;
--- a/Tests/Forwarding/ForwardingSimulation.h
+++ b/Tests/Forwarding/ForwardingSimulation.h
@@ -72,6 +72,8 @@
     // States whether servers accept connections from now on.
     void setAcceptsConnections(bool accepts) { acceptsConnections_ = accepts; }
 
+    void addRule(SelectionRule rule) { selector_.addRule(std::move(rule)); }
+
     ManualClock clock;
     ServiceRetryBudget retryBudget;
     ForwardingCounters counters;
