Evacuation: Send nothing to servers of zones that the operator has asked to evacuate

Cause: nothing reads the operator's rows evacuate/ZONE. Change: the rows arrive with the answers that the catalog follower gets from the store anyway. Each entry holds the set of evacuated zones as of a position in the store's history and states it to its peers; a higher position replaces a lower one as a whole. A selection rule excludes the servers of these zones. Where the settings state a bound, an entry that has just started serves nothing before it knows the set. The catalog also decodes the published times of engines, cold starts and sticky sessions, which later parts need.

--- a/Source/Catalog/Catalog.h
+++ b/Source/Catalog/Catalog.h
@@ -48,6 +48,8 @@
     bool isPublic { false };
     // An interrupted stream may be resumed at another backend server.
     bool isResumable { false };
+    // Requests of the route state the parts of their prompts.
+    bool hasStickySessions { false };
 
     // Returns whether a request may be executed more than once.
     bool isRetryable() const { return kind == RequestKind::Idempotent || (kind == RequestKind::Streaming && isResumable); }
@@ -63,11 +65,32 @@
     std::uint32_t expertSlotsPerRank { 0 };
     // Number of experts of a set that a rank can load in addition to those in use.
     std::uint32_t spareExpertSlots { 0 };
+    // The times below are 0 if the operator does not state them.
+    // Number of token steps in one pass of the group, which is also the number of tokens in an event of a stream.
+    std::uint32_t stepsPerPass { 1 };
+    // Time of a step, without and for each running request, and for each 1,000 tokens of context.
+    double stepMilliseconds { 0 };
+    double requestMillisecondsPerStep { 0 };
+    double contextMillisecondsPerStep { 0 };
+    // Prompt tokens that are read in a second, and the additional time for a million pairs of a token and an earlier one.
+    double promptTokensPerSecond { 0 };
+    double millisecondsPerMillionPairs { 0 };
+    // Share of the work for tokens that is done by experts.
+    double expertShare { 0 };
+    // Memory for the tokens of all requests of the engine.
+    double tokenCapacity { 0 };
+    // Mean numbers of tokens.
+    double usualPromptTokens { 0 };
+    double usualAnswerTokens { 0 };
 };
 
 struct ServiceSpecification {
     std::string name;
     std::optional<EngineModel> engine;
+    // How long a server is cold after its start, and how many requests per second a cold server takes from all entries
+    // together. 0 for no limit.
+    std::chrono::milliseconds coldStartTime { 0 };
+    double coldRequestsPerSecond { 0 };
 };
 
 struct CustomerKeys {
--- a/Source/Catalog/CatalogFollower.cpp
+++ b/Source/Catalog/CatalogFollower.cpp
@@ -105,6 +105,8 @@
         completeUntil_ = std::max<std::optional<SourceTime>>(completeUntil_, result.time);
         answeredAt_ = result.time;
         answeredCallAt_ = call.startedAt;
+        if (result.status == CatalogReadStatus::Ok && hooks_.onEvacuations)
+            hooks_.onEvacuations({ { result.generation, result.revision }, !isWatch, result.evacuations });
     }
     if (result.status == CatalogReadStatus::Ok)
         holder_.applyIfNewer(result.version);
--- a/Source/Catalog/CatalogFollower.h
+++ b/Source/Catalog/CatalogFollower.h
@@ -34,6 +34,8 @@
     std::function<void(std::uint64_t)> onHistoryLost;
     // Returns whether a peer watches the source, so that this entry need not do so.
     std::function<bool()> isWatchedByPeer;
+    // Called with what each valid answer states of evacuations. May be empty.
+    std::function<void(const EvacuationUpdate&)> onEvacuations {};
 };
 
 // Keeps the catalog holder up to date. One entry watches the source by long polling, and the others rely on its
--- a/Source/Catalog/CatalogSource.h
+++ b/Source/Catalog/CatalogSource.h
@@ -2,12 +2,14 @@
 
 #include "Catalog/CatalogHolder.h"
 #include "Catalog/CatalogKnowledge.h"
+#include "Evacuation/EvacuationMessages.h"
 #include "Platform/StoreGeneration.h"
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace Damaskgrade {
 
@@ -28,6 +30,8 @@
     StoreGeneration generation { 0 };
     // When the source made this answer.
     SourceTime time { 0 };
+    // The rows with evacuations that the answer contains.
+    std::vector<EvacuationRow> evacuations {};
 };
 
 // Interface of the store that contains the operator's catalog.
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Error.h"
 #include "Gateway/EntryAddresses.h"
+#include "Gateway/SelectionRules.h"
 #include "Metrics/MetricsPage.h"
 
 #include <algorithm>
@@ -91,6 +92,7 @@
     , log_(log)
     , incarnation_(startTime(clock))
     , catalog_([this](const Catalog& catalog) { handleCatalogChange(catalog); })
+    , evacuations_(clock, {}, [this](const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer) { handleEvacuation(zone, isEvacuated, position, isFromPeer); })
     , fleet_(clock, {}, [this](const ServerRecord& server) { handleServerLeft(server); })
     , loads_(clock, maxPeerReportAge)
     , outliers_(clock, gatewayOutlierSettings())
@@ -106,6 +108,7 @@
     , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, fleet_, {} }
     , forwarder_(loop, context_, catalog_, random)
 {
+    serverSelector_.addRule(makeEvacuationRule(evacuations_, settings_.mustKnowEvacuations));
     PeerGroupSettings peerSettings;
     peerSettings.name = settings_.name;
     peerSettings.link = settings_.link;
@@ -138,6 +141,7 @@
         log_.write(LogLine("catalogReadFailed").add("catalog", catalog_.version()).add("elapsedMs", elapsed.count()));
     };
     catalogHooks.onHistoryLost = [this](std::uint64_t revision) { log_.write(LogLine("catalogHistoryLost").add("catalog", catalog_.version()).add("revision", revision)); };
+    catalogHooks.onEvacuations = [this](const EvacuationUpdate& update) { evacuations_.apply(update); };
     catalogHooks.isWatchedByPeer = [this] { return isCatalogWatchedByPeer(); };
     catalogFollower_ = std::make_unique<CatalogFollower>(clock_, random_, platform_.catalog, catalog_, CatalogFollowerSettings { settings_.catalogApplyBound }, catalogHooks);
     catalogFollower_->tick();
@@ -200,6 +204,7 @@
     state.suspects = quarantine_.nextReports();
     state.rateLimits = rateLimits_.nextReports();
     state.leavingServers = fleet_.statedLeaving();
+    state.evacuations = evacuations_.knowledge();
     if (fleetReader_) {
         state.fleetDigest = fleetReader_->digest();
         state.fleetPosition = fleet_.lastSnapshot().position;
@@ -214,6 +219,7 @@
         loads_.setPeerCounts(state.name, *state.inFlight);
     quarantine_.applyReports(state.suspects);
     rateLimits_.applyReports(state.rateLimits);
+    evacuations_.applyPeer(state.evacuations);
     for (const ServerStart& server : state.leavingServers)
         fleet_.recordLeaving(server);
     fleetReader_->handlePeerState(state);
@@ -283,6 +289,19 @@
         peers_->sendState();
 }
 
+// What a peer has told is not sent on at once, because the peer tells the others itself.
+void GatewayProcess::handleEvacuation(const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer)
+{
+    const auto& servers = fleet_.servers();
+    auto isAffected = [&zone](const auto& entry) { return entry.second.availabilityZone == zone; };
+    LogLine line(isEvacuated ? "evacuationStarted" : "evacuationEnded");
+    line.add("zone", zone).add("generation", position.generation).add("revision", position.revision).add("fromPeer", isFromPeer);
+    line.add("servers", static_cast<std::int64_t>(std::count_if(servers.begin(), servers.end(), isAffected)));
+    log_.write(line);
+    if (!isFromPeer)
+        sendStateSoon();
+}
+
 // Selects a random server, so that a server which is down as well is not selected each time.
 std::optional<ServerRecord> GatewayProcess::selectWitness(const std::set<std::string>& excludedIds) const
 {
@@ -303,7 +322,7 @@
 
 bool GatewayProcess::isReady() const
 {
-    return !isDraining_ && catalog_.current() && fleet_.hasData();
+    return !isDraining_ && catalog_.current() && fleet_.hasData() && (evacuations_.isKnown() || !settings_.mustKnowEvacuations);
 }
 
 void GatewayProcess::respondWithAddresses(HttpExchange& exchange)
@@ -347,6 +366,11 @@
     page.addGauge("damaskgrade_servers_ejected", "Backend servers ejected.", static_cast<double>(outliers_.ejectedCount()));
     page.addGauge("damaskgrade_prompt_parts_suspected", "Prompt parts that are probed or blocked.", static_cast<double>(quarantine_.suspectCount()));
     page.addGauge("damaskgrade_servers_rate_limited", "Backend servers that state a rate limit.", static_cast<double>(rateLimits_.limitCount()));
+    page.addGauge("damaskgrade_zones_evacuated", "Availability zones that the operator has asked to evacuate.", static_cast<double>(evacuations_.zones().size()));
+    Duration longestEvacuation { 0 };
+    for (const auto& [zone, since] : evacuations_.zones())
+        longestEvacuation = std::max(longestEvacuation, clock_.now() - since);
+    page.addGauge("damaskgrade_evacuation_seconds", "Time since the first of the evacuations in force became known.", std::chrono::duration<double>(longestEvacuation).count());
     page.addGauge("damaskgrade_peers_alive", "Other entries that are alive.", static_cast<double>(peers_->aliveCount()));
     return page.text();
 }
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -3,6 +3,7 @@
 #include "Catalog/CatalogFollower.h"
 #include "Core/Clock.h"
 #include "Core/Random.h"
+#include "Evacuation/ZoneEvacuations.h"
 #include "Forwarding/ForwardingContext.h"
 #include "Gateway/EntryRegistration.h"
 #include "Gateway/FleetReader.h"
@@ -65,6 +66,7 @@
     void handlePeerCatalog(const std::string& text);
     bool isCatalogWatchedByPeer() const;
     void handleCatalogChange(const Catalog& catalog);
+    void handleEvacuation(const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer);
     std::optional<ServerRecord> selectWitness(const std::set<std::string>& excludedIds) const;
     void handleServerLeft(const ServerRecord& server);
     bool isReady() const;
@@ -84,6 +86,7 @@
     std::uint64_t incarnation_;
 
     CatalogHolder catalog_;
+    ZoneEvacuations evacuations_;
     FleetView fleet_;
     InFlightTracker loads_;
     OutlierDetector outliers_;
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -32,6 +32,8 @@
     std::chrono::milliseconds addressLifetime { 2000 };
     // An acknowledged version of the catalog must be in force within this time. Not changed at run time.
     std::chrono::milliseconds catalogApplyBound { 2000 };
+    // Nothing is sent to backend servers before it is known which availability zones are evacuated.
+    bool mustKnowEvacuations { false };
     // Maximum duration of a shutdown.
     std::chrono::milliseconds shutdownGrace { 8000 };
     // Retry budget: ratio of retries to requests, additional retries of all entries together, and the time window in
--- /dev/null
+++ b/Source/Gateway/SelectionRules.cpp
@@ -0,0 +1,19 @@
+#include "Gateway/SelectionRules.h"
+
+namespace Damaskgrade {
+
+SelectionRule makeEvacuationRule(const ZoneEvacuations& evacuations, bool mustBeKnown)
+{
+    SelectionRule rule;
+    rule.name = "evacuation";
+    // The evacuation may begin while a connection is being opened.
+    rule.isAppliedToOpenConnections = true;
+    rule.assess = [&evacuations, mustBeKnown](const ServerRecord& server, const SelectionRequest&) {
+        ServerAssessment assessment;
+        assessment.isExcluded = evacuations.isEvacuated(server.availabilityZone) || (mustBeKnown && !evacuations.isKnown());
+        return assessment;
+    };
+    return rule;
+}
+
+}
--- a/Source/Peers/PeerMessages.cpp
+++ b/Source/Peers/PeerMessages.cpp
@@ -52,6 +52,19 @@
     return report;
 }
 
+// Null if nothing is known.
+Json evacuationsToJson(const EvacuationKnowledge& knowledge)
+{
+    return knowledge.isKnown ? Json::array({ knowledge.position.generation, knowledge.position.revision, knowledge.zones }) : Json();
+}
+
+EvacuationKnowledge evacuationsFromJson(const Json& json)
+{
+    if (json.is_null())
+        return {};
+    return { true, { json.at(0).get<StoreGeneration>(), json.at(1).get<std::uint64_t>() }, json.at(2).get<std::vector<std::string>>() };
+}
+
 // A time of -1 stands for an unknown one.
 std::int64_t sourceTimeToNumber(const std::optional<SourceTime>& time)
 {
@@ -86,7 +99,7 @@
         { { "n", message.name }, { "i", message.incarnation }, { "l", formatEndpoint(message.link) }, { "c", formatEndpoint(message.callers) },
             { "z", message.availabilityZone }, { "r", message.isReady }, { "d", message.isDraining }, { "v", message.catalog.version }, { "cg", message.catalog.generation },
             { "ct", sourceTimeToNumber(message.catalog.completeUntil) }, { "ca", sourceTimeToNumber(message.catalog.answeredAt) },
-            { "fd", message.fleetDigest }, { "fg", message.fleetPosition.generation }, { "fr", message.fleetPosition.revision }, { "fa", message.fleetAge.count() }, { "f", counts }, { "s", suspects }, { "rl", rateLimits }, { "ls", leaving } });
+            { "fd", message.fleetDigest }, { "fg", message.fleetPosition.generation }, { "fr", message.fleetPosition.revision }, { "fa", message.fleetAge.count() }, { "f", counts }, { "s", suspects }, { "rl", rateLimits }, { "ls", leaving }, { "ev", evacuationsToJson(message.evacuations) } });
 }
 
 Frame encodeMessage(const CatalogTextMessage& message, HybridTime time)
@@ -131,6 +144,7 @@
             message.leavingServers.push_back({ server.at(0).get<std::string>(), server.at(1).get<std::int64_t>() });
         for (const Json& limit : json.value("rl", Json::array()))
             message.rateLimits.push_back({ limit.at(0).get<std::string>(), limit.at(1).get<std::uint64_t>(), limit.at(2).get<double>(), std::chrono::milliseconds(limit.at(3).get<std::int64_t>()) });
+        message.evacuations = evacuationsFromJson(json.value("ev", Json()));
         return message;
     });
 }
--- a/Source/Peers/PeerMessages.h
+++ b/Source/Peers/PeerMessages.h
@@ -2,6 +2,7 @@
 
 #include "Catalog/CatalogKnowledge.h"
 #include "Core/Endpoint.h"
+#include "Evacuation/EvacuationMessages.h"
 #include "Fleet/FleetView.h"
 #include "Forwarding/InFlightTracker.h"
 #include "Forwarding/RateLimitReport.h"
@@ -40,6 +41,7 @@
     std::optional<InFlightCounts> inFlight;
     std::vector<SuspectReport> suspects;
     std::vector<RateLimitReport> rateLimits;
+    EvacuationKnowledge evacuations;
 };
 
 // The text of a catalog that is newer than the receiver's.
--- a/Tests/Peers/PeerMessagesTest.cpp
+++ b/Tests/Peers/PeerMessagesTest.cpp
@@ -10,6 +10,7 @@
 TEST_CASE("the state of an entry carries its suspected prompt parts and the rate limits of servers")
 {
     EntryStateMessage sent;
+    sent.evacuations = { true, { 3, 70 }, { "a", "b" } };
     sent.link = { "127.0.0.1", 1 };
     sent.callers = { "127.0.0.1", 2 };
     SuspectReport suspected;
@@ -26,6 +27,11 @@
     sent.rateLimits = { { "server", 3, 2.25, std::chrono::milliseconds(40) } };
     Frame frame = encodeMessage(sent, {});
     EntryStateMessage received = decodeEntryState(frame.body);
+    CHECK(received.evacuations.isKnown);
+    CHECK(received.evacuations.position.generation == 3);
+    CHECK(received.evacuations.position.revision == 70);
+    CHECK(received.evacuations.zones == std::vector<std::string> { "a", "b" });
+    CHECK(!decodeEntryState(encodeMessage(EntryStateMessage(), 0).body).evacuations.isKnown);
     REQUIRE(received.suspects.size() == 2);
     CHECK(received.suspects[0].part == suspected.part);
     CHECK(received.suspects[0].crashes == 2);
--- a/Tests/UsersPlatform/CodecsTest.cpp
+++ b/Tests/UsersPlatform/CodecsTest.cpp
@@ -35,6 +35,35 @@
     CHECK_THROWS_AS(decodeCatalog("not json"), Error);
 }
 
+// Guards against accidental changes of the names of an engine's times, and against a wrong value that makes a catalog invalid.
+TEST_CASE("the times of an engine are decoded, and values of a wrong type or below zero count as not stated")
+{
+    Catalog catalog = decodeCatalog(R"({"Version":7,"Routes":[{"Host":"h","Prefix":"/a/","Kind":"streaming","Service":"s1","StickySessions":true}],
+        "Services":[{"Name":"s1","ColdStartS":3.0,"ColdPerS":17.0,"Engine":{"Slots":10,"KvCapacity":411666,"Stride":7,"step_ms":4.84,"per_seq_ms":0.435,
+            "context_per_k":0.0132,"read_per_s":74800.0,"pairs_per_m":0.232,"usual":{"prompt":868,"answer":158},"ExpertShare":0.85}},
+        {"Name":"s2","ColdStartS":"soon","ColdPerS":-1,"Engine":{"Stride":-3,"step_ms":"slow","usual":[]}}]})");
+    CHECK(catalog.findRoute("h", "/a/x")->hasStickySessions);
+    const ServiceSpecification* service = catalog.findService("s1");
+    CHECK(service->coldStartTime == std::chrono::milliseconds(3000));
+    CHECK(service->coldRequestsPerSecond == 17);
+    CHECK(service->engine->stepsPerPass == 7);
+    CHECK(service->engine->stepMilliseconds == 4.84);
+    CHECK(service->engine->requestMillisecondsPerStep == 0.435);
+    CHECK(service->engine->contextMillisecondsPerStep == 0.0132);
+    CHECK(service->engine->promptTokensPerSecond == 74800);
+    CHECK(service->engine->millisecondsPerMillionPairs == 0.232);
+    CHECK(service->engine->expertShare == 0.85);
+    CHECK(service->engine->tokenCapacity == 411666);
+    CHECK(service->engine->usualPromptTokens == 868);
+    CHECK(service->engine->usualAnswerTokens == 158);
+    const ServiceSpecification* invalid = catalog.findService("s2");
+    CHECK(invalid->coldStartTime == std::chrono::milliseconds(0));
+    CHECK(invalid->coldRequestsPerSecond == 0);
+    CHECK(invalid->engine->stepsPerPass == 1);
+    CHECK(invalid->engine->stepMilliseconds == 0);
+    CHECK(invalid->engine->usualPromptTokens == 0);
+}
+
 // Guards against requests to servers from malformed rows that other writers left in the store.
 TEST_CASE("a row with a missing field, a wrong type or an unknown state is ignored")
 {
