--- a/Source/Gateway/EntryAddresses.cpp
+++ b/Source/Gateway/EntryAddresses.cpp
@@ -9,11 +9,11 @@
 
 }
 
-std::vector<Endpoint> selectEntriesForCaller(gsl::span<const EntryAddress> entries, std::string_view callerZone)
+std::vector<Endpoint> selectEntriesForCaller(gsl::span<const DirectoryEntry> entries, std::string_view callerZone)
 {
     std::vector<Endpoint> all;
     std::vector<Endpoint> local;
-    for (const EntryAddress& entry : entries) {
+    for (const DirectoryEntry& entry : entries) {
         all.push_back(entry.callers);
         if (entry.availabilityZone == callerZone)
             local.push_back(entry.callers);
--- a/Source/Gateway/EntryAddresses.h
+++ b/Source/Gateway/EntryAddresses.h
@@ -11,7 +11,7 @@
 namespace Damaskgrade {
 
 // An entry to which callers may connect.
-struct EntryAddress {
+struct DirectoryEntry {
     Endpoint callers;
     std::string availabilityZone;
 };
@@ -19,6 +19,6 @@
 // Returns the addresses of the entries in the zone of the caller, because bytes between zones are expensive, or of all
 // entries if the zone has too few to bear the loss of one. Ready entries of a zone are never listed without another
 // entry that a caller can turn to.
-std::vector<Endpoint> selectEntriesForCaller(gsl::span<const EntryAddress> entries, std::string_view callerZone);
+std::vector<Endpoint> selectEntriesForCaller(gsl::span<const DirectoryEntry> entries, std::string_view callerZone);
 
 }
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -327,7 +327,7 @@
 
 void GatewayProcess::respondWithAddresses(HttpExchange& exchange)
 {
-    std::vector<EntryAddress> entries;
+    std::vector<DirectoryEntry> entries;
     if (isReady())
         entries.push_back({ settings_.callers, settings_.availabilityZone });
     for (const EntryStateMessage& peer : peers_->alive()) {
--- a/Tests/Gateway/EntryAddressesTest.cpp
+++ b/Tests/Gateway/EntryAddressesTest.cpp
@@ -10,7 +10,7 @@
     Endpoint a1 { "10.0.0.1", 80 };
     Endpoint a2 { "10.0.0.2", 80 };
     Endpoint b1 { "10.1.0.1", 80 };
-    std::vector<EntryAddress> entries { { a1, "a" }, { a2, "a" }, { b1, "b" } };
+    std::vector<DirectoryEntry> entries { { a1, "a" }, { a2, "a" }, { b1, "b" } };
     CHECK(selectEntriesForCaller(entries, "a") == std::vector<Endpoint> { a1, a2 });
     CHECK(selectEntriesForCaller(entries, "b") == std::vector<Endpoint> { a1, a2, b1 });
     CHECK(selectEntriesForCaller(entries, "") == std::vector<Endpoint> { a1, a2, b1 });
--- a/Tests/Peers/PeerMessagesTest.cpp
+++ b/Tests/Peers/PeerMessagesTest.cpp
@@ -31,7 +31,8 @@
     CHECK(received.evacuations.position.generation == 3);
     CHECK(received.evacuations.position.revision == 70);
     CHECK(received.evacuations.zones == std::vector<std::string> { "a", "b" });
-    CHECK(!decodeEntryState(encodeMessage(EntryStateMessage(), 0).body).evacuations.isKnown);
+    sent.evacuations = {};
+    CHECK(!decodeEntryState(encodeMessage(sent, 0).body).evacuations.isKnown);
     REQUIRE(received.suspects.size() == 2);
     CHECK(received.suspects[0].part == suspected.part);
     CHECK(received.suspects[0].crashes == 2);
