--- a/Tests/Evacuation/ZoneEvacuationsTest.cpp
+++ b/Tests/Evacuation/ZoneEvacuationsTest.cpp
@@ -108,7 +108,7 @@
 // the evacuations as of its position.
 TEST_CASE("entries that exchange their knowledge agree with the store as of their positions")
 {
-    rc::check([] {
+    bool holds = rc::check([] {
         constexpr std::size_t entryCount = 4;
         constexpr std::size_t steps = 200;
         Random random(*rc::gen::arbitrary<std::uint32_t>());
@@ -174,6 +174,7 @@
             }
         }
     });
+    CHECK(holds);
 }
 
 }
