--- a/Source/Fleet/ServerRecord.h
+++ b/Source/Fleet/ServerRecord.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Damaskgrade {
@@ -24,17 +25,24 @@
     std::string availabilityZone;
     std::uint32_t slots { 0 };
     bool isDraining { false };
-    // Remaining time during which the server is slow after its start.
-    std::chrono::milliseconds remainingWarmUp { 0 };
+    // Remaining time during which the server is cold, as of the last write of the record; absent if it is not stated.
+    std::optional<std::chrono::milliseconds> remainingWarmUp;
     // Start time of the server in milliseconds since 1970, or 0 if unknown. Distinguishes a restart with the same id.
     std::int64_t startedAt { 0 };
 };
 
-// Ignores remainingWarmUp, which changes without a change of the server.
+// Returns whether the record states that the server is warm.
+inline bool isStatedWarm(const ServerRecord& server)
+{
+    return server.remainingWarmUp && *server.remainingWarmUp <= std::chrono::milliseconds::zero();
+}
+
+// Of remainingWarmUp, which changes with each write of the record, only whether the server is warm is compared.
 inline bool operator==(const ServerRecord& left, const ServerRecord& right)
 {
     return left.id == right.id && left.service == right.service && left.address == right.address && left.availabilityZone == right.availabilityZone
-        && left.slots == right.slots && left.isDraining == right.isDraining && left.startedAt == right.startedAt;
+        && left.slots == right.slots && left.isDraining == right.isDraining && left.startedAt == right.startedAt
+        && isStatedWarm(left) == isStatedWarm(right);
 }
 
 }
--- a/Source/Forwarding/HeaderNames.h
+++ b/Source/Forwarding/HeaderNames.h
@@ -18,6 +18,8 @@
     std::string serverLoad;
     // Requests per second that a server takes from all entries together, stated only while it needs a limit.
     std::string rateLimit;
+    // Milliseconds for which a server is still cold, 0 if it is warm.
+    std::string remainingWarmUp;
     // "1" if the server leaves and must not be sent further requests.
     std::string leaving;
     // The server states that it did not execute the request.
--- a/Source/Peers/PeerMessages.cpp
+++ b/Source/Peers/PeerMessages.cpp
@@ -10,10 +10,13 @@
 
 namespace {
 
+// Stands for a warm-up time that the registry does not state.
+constexpr std::chrono::milliseconds notStated { -1 };
+
 Json serverToJson(const ServerRecord& server)
 {
     return Json::array({ server.id, server.service, formatEndpoint(server.address), server.availabilityZone, server.slots, server.isDraining,
-        server.remainingWarmUp.count(), server.startedAt });
+        server.remainingWarmUp.value_or(notStated).count(), server.startedAt });
 }
 
 ServerRecord serverFromJson(const Json& json)
@@ -25,7 +28,9 @@
     server.availabilityZone = json.at(3).get<std::string>();
     server.slots = json.at(4).get<std::uint32_t>();
     server.isDraining = json.at(5).get<bool>();
-    server.remainingWarmUp = std::chrono::milliseconds(json.at(6).get<std::int64_t>());
+    std::chrono::milliseconds remainingWarmUp(json.at(6).get<std::int64_t>());
+    if (remainingWarmUp != notStated)
+        server.remainingWarmUp = remainingWarmUp;
     server.startedAt = json.at(7).get<std::int64_t>();
     return server;
 }
@@ -171,7 +176,7 @@
     std::string text;
     for (const ServerRecord& server : snapshot.servers) {
         text += server.id + ' ' + server.service + ' ' + formatEndpoint(server.address) + ' ' + server.availabilityZone + ' ' + std::to_string(server.slots);
-        text += ' ' + std::to_string(server.startedAt) + (server.isDraining ? " d\n" : " r\n");
+        text += ' ' + std::to_string(server.startedAt) + (server.isDraining ? " d" : " r") + (isStatedWarm(server) ? "w\n" : "c\n");
     }
     return XXH64(text.data(), text.size(), 0);
 }
--- a/Source/Peers/PeerMessages.h
+++ b/Source/Peers/PeerMessages.h
@@ -65,7 +65,7 @@
 CatalogTextMessage decodeCatalogText(ByteView body);
 FleetMessage decodeFleet(ByteView body);
 
-// Returns a hash of the servers in a snapshot. Ignores the revision and remainingWarmUp.
+// Returns a hash of the servers in a snapshot. Ignores the revision, and of remainingWarmUp all but whether the server is warm.
 std::uint64_t fleetDigest(const FleetSnapshot& snapshot);
 
 }
--- a/Tests/Peers/PeerGroupTest.cpp
+++ b/Tests/Peers/PeerGroupTest.cpp
@@ -165,6 +165,18 @@
     CHECK(fleetCopy.snapshot.position.generation == 2);
     CHECK(fleetCopy.snapshot.position.revision == 9);
     CHECK(fleetDigest(fleetCopy.snapshot) == fleetDigest(fleet.snapshot));
+    CHECK(fleetCopy.snapshot.servers[0].remainingWarmUp == std::chrono::milliseconds(0));
+    // A server that has become cold again, or whose state is unknown, is a change; less time left is none.
+    for (std::optional<std::chrono::milliseconds> remaining : { std::optional<std::chrono::milliseconds>(2500), std::optional<std::chrono::milliseconds>() }) {
+        FleetMessage cold = fleet;
+        cold.snapshot.servers[0].remainingWarmUp = remaining;
+        FleetMessage coldCopy = decodeFleet(encodeMessage(cold, 0).body);
+        CHECK(coldCopy.snapshot.servers[0].remainingWarmUp == remaining);
+        CHECK(fleetDigest(coldCopy.snapshot) != fleetDigest(fleet.snapshot));
+        CHECK(!(coldCopy.snapshot.servers == fleet.snapshot.servers));
+        coldCopy.snapshot.servers[0].remainingWarmUp = std::chrono::milliseconds(700);
+        CHECK(fleetDigest(coldCopy.snapshot) == fleetDigest(cold.snapshot));
+    }
     Bytes broken { 0x81, 0x01 };
     CHECK_THROWS(decodeEntryState(broken));
     CHECK_THROWS(decodeFleet(broken));
