Gateway: Limit and space the requests to cold servers

Change: two rules of the server selection apply ColdServers and ColdShares, with log lines and metrics. The settings Bounds.ColdOverage and Bounds.ColdSlack state the bound. An evacuation that ends makes the servers of its zone cold. The times that responses state are used.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -419,6 +419,8 @@
     if (findHeader(head.headers, context_.names.leaving) == "1" && context_.fleet.recordLeaving({ server_->id, server_->startedAt }))
         context_.log.write(LogLine("serverStatedLeaving").add("server", server_->id).add("request", requestId_).add("status", head.status));
     bool isSuccess = head.status < firstFailureStatus;
+    if (context_.onResponse)
+        context_.onResponse(*server_, head, sentAt_);
     recordPause(head);
     recordRateLimit(head, isSuccess && !isRefusal_);
     if (!isRefusal_ && isSuccess && !isResponseAuthentic(head)) {
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -120,6 +120,8 @@
     CrashDetector& crashDetector;
     FleetView& fleet;
     ForwardingSettings settings;
+    // Called with the head of each response of a server and the time at which the request was sent. May be empty.
+    std::function<void(const ServerRecord&, const HttpResponse&, TimePoint)> onResponse {};
 };
 
 }
--- a/Source/Gateway/EntryRegistration.cpp
+++ b/Source/Gateway/EntryRegistration.cpp
@@ -52,6 +52,7 @@
 void EntryRegistration::handleRows(const TableReadResult& result)
 {
     bool hasLocalRow = false;
+    hasReadRows_ = true;
     std::string localAddress = formatEndpoint(settings_.link);
     for (const TableRow& row : result.rows) {
         std::string name = row.key.substr(rowPrefix.size());
--- a/Source/Gateway/EntryRegistration.h
+++ b/Source/Gateway/EntryRegistration.h
@@ -28,6 +28,9 @@
     // Reads the rows again, and writes the row of this entry again if the table has lost it.
     void readAgain();
 
+    // Returns whether the rows have been read since the start.
+    bool hasReadRows() const { return hasReadRows_; }
+
     // Deletes the row of this entry. Call before a planned shutdown.
     void unregister();
 
@@ -42,6 +45,7 @@
     PeerGroup& peers_;
     EntryRegistrationSettings settings_;
     bool isUnregistered_ { false };
+    bool hasReadRows_ { false };
     std::unique_ptr<Timer> timer_;
 };
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -1,8 +1,8 @@
 #include "Gateway/GatewayProcess.h"
 
 #include "Core/Error.h"
+#include "Forwarding/HeaderValues.h"
 #include "Gateway/EntryAddresses.h"
-#include "Gateway/SelectionRules.h"
 #include "Metrics/MetricsPage.h"
 
 #include <algorithm>
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds exitMargin { 400 };
 constexpr std::chrono::milliseconds catalogResendPeriod { 500 };
 constexpr std::chrono::milliseconds maxPeerReportAge { 1500 };
+// The age of what is known of the servers changes with many states of peers, so not each of these changes is worth an update.
+constexpr std::chrono::milliseconds coldEvidencePeriod { 200 };
 // Far below the memory of a small instance, and several times the responses that are in flight at its usual load.
 constexpr std::size_t maxBufferedResponseBytes = 64U << 20U;
 
@@ -40,6 +42,14 @@
     return settings;
 }
 
+ColdSharesSettings coldSharesSettings(const GatewaySettings& settings)
+{
+    ColdSharesSettings result;
+    result.overage = settings.coldOverage;
+    result.slack = settings.coldSlack;
+    return result;
+}
+
 std::uint64_t startTime(const Clock& clock)
 {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
@@ -94,6 +104,16 @@
     , catalog_([this](const Catalog& catalog) { handleCatalogChange(catalog); })
     , evacuations_(clock, {}, [this](const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer) { handleEvacuation(zone, isEvacuated, position, isFromPeer); })
     , fleet_(clock, {}, [this](const ServerRecord& server) { handleServerLeft(server); })
+    , coldServers_(
+          clock, {},
+          [this](std::string_view service) {
+              auto limit = coldLimits_.find(service);
+              return limit == coldLimits_.end() ? ColdLimit {} : limit->second;
+          },
+          [this](const std::string& zone, bool isCold, std::size_t count) {
+              log_.write(LogLine(isCold ? "serversCold" : "serversWarm").add("zone", zone).add("servers", static_cast<std::int64_t>(count)));
+          })
+    , coldShares_(clock, settings_.name, coldSharesSettings(settings_))
     , loads_(clock, maxPeerReportAge)
     , outliers_(clock, gatewayOutlierSettings())
     , rateLimits_(clock, settings_.name, {}, [this](const std::string& serverId, double perSecond, bool isLocal) { handleRateLimit(serverId, perSecond, isLocal); })
@@ -105,10 +125,12 @@
     , quarantine_(clock, settings_.name, {}, [this](PromptPart part, QuarantineEvent event, std::uint32_t crashes, bool isLocal) { handleQuarantineEvent(part, event, crashes, isLocal); })
     , crashDetector_(
           clock, quarantine_, [this] { return makeUpstreamConnection(loop_, platform_.names.requestId); }, {}, [this](const std::set<std::string>& excludedIds) { return selectWitness(excludedIds); })
-    , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, fleet_, {} }
+    , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, fleet_, {}, [this](const ServerRecord& server, const HttpResponse& head, TimePoint sentAt) { handleColdStatement(server, head, sentAt); } }
     , forwarder_(loop, context_, catalog_, random)
 {
     serverSelector_.addRule(makeEvacuationRule(evacuations_, settings_.mustKnowEvacuations));
+    serverSelector_.addRule(makeColdServerRule(coldServers_, coldShares_, coldCounters_));
+    serverSelector_.addRule(makeColdConnectionRule(coldServers_, coldShares_));
     PeerGroupSettings peerSettings;
     peerSettings.name = settings_.name;
     peerSettings.link = settings_.link;
@@ -220,6 +242,7 @@
     quarantine_.applyReports(state.suspects);
     rateLimits_.applyReports(state.rateLimits);
     evacuations_.applyPeer(state.evacuations);
+    coldShares_.recordPeer(state.name, state.link, state.isDraining);
     for (const ServerStart& server : state.leavingServers)
         fleet_.recordLeaving(server);
     fleetReader_->handlePeerState(state);
@@ -282,6 +305,11 @@
 void GatewayProcess::handleCatalogChange(const Catalog& catalog)
 {
     log_.write(LogLine("catalogInForce").add("catalog", catalog.version()).add("routes", static_cast<std::int64_t>(catalog.routes().size())));
+    coldLimits_.clear();
+    for (const ServiceSpecification& service : catalog.services()) {
+        if (service.coldRequestsPerSecond > 0)
+            coldLimits_[service.name] = { service.coldRequestsPerSecond, service.coldStartTime };
+    }
     // The first catalog can arrive before the HTTP server for callers is created.
     if (callerServer_)
         callerServer_->setLimits(callerServerLimits(catalog.limits()));
@@ -298,10 +326,38 @@
     line.add("zone", zone).add("generation", position.generation).add("revision", position.revision).add("fromPeer", isFromPeer);
     line.add("servers", static_cast<std::int64_t>(std::count_if(servers.begin(), servers.end(), isAffected)));
     log_.write(line);
+    if (!isEvacuated)
+        coldServers_.recordEvacuationEnd(zone, servers);
     if (!isFromPeer)
         sendStateSoon();
 }
 
+// Where no service has a limit, nothing is updated. When one gets a limit, the gap in the updates has the effect of a start.
+void GatewayProcess::updateColdServers()
+{
+    if (coldLimits_.empty())
+        return;
+    coldShares_.tick(peers_->addresses(), entryRegistration_->hasReadRows());
+    if (fleet_.asOf() - coldEvidenceAsOf_ >= coldEvidencePeriod) {
+        coldEvidenceAsOf_ = fleet_.asOf();
+        coldServers_.update(fleet_.servers(), fleet_.asOf());
+    }
+    bool isAbstaining = coldShares_.isAbstaining();
+    if (std::exchange(wasAbstaining_, isAbstaining) != isAbstaining)
+        log_.write(LogLine(isAbstaining ? "coldShareSuspended" : "coldShareResumed").add("entries", static_cast<std::int64_t>(coldShares_.knownCount())));
+}
+
+// Another server may have sent a refusal as misdirected, and only a signed response is sure to be the server's.
+void GatewayProcess::handleColdStatement(const ServerRecord& server, const HttpResponse& head, TimePoint sentAt)
+{
+    std::optional<std::chrono::milliseconds> remaining = parseMilliseconds(findHeader(head.headers, platform_.names.remainingWarmUp));
+    if (!remaining || head.status == statusMisdirected)
+        return;
+    bool isSigned = findHeader(head.headers, platform_.names.signature).has_value();
+    if (*remaining > std::chrono::milliseconds::zero() || isSigned)
+        coldServers_.recordResponse(server, *remaining, sentAt);
+}
+
 // Selects a random server, so that a server which is down as well is not selected each time.
 std::optional<ServerRecord> GatewayProcess::selectWitness(const std::set<std::string>& excludedIds) const
 {
@@ -371,6 +427,10 @@
     for (const auto& [zone, since] : evacuations_.zones())
         longestEvacuation = std::max(longestEvacuation, clock_.now() - since);
     page.addGauge("damaskgrade_evacuation_seconds", "Time since the first of the evacuations in force became known.", std::chrono::duration<double>(longestEvacuation).count());
+    page.addCounter("damaskgrade_cold_sends_total", "Requests sent to cold backend servers.", static_cast<double>(coldCounters_.sends));
+    page.addCounter("damaskgrade_cold_exclusions_total", "Selections in which a cold backend server was excluded.", static_cast<double>(coldCounters_.exclusions));
+    page.addGauge("damaskgrade_servers_cold", "Backend servers that are cold.", static_cast<double>(coldServers_.coldCount()));
+    page.addGauge("damaskgrade_cold_share_suspended", "1 if this entry may not send to any cold server.", !coldLimits_.empty() && coldShares_.isAbstaining() ? 1 : 0);
     page.addGauge("damaskgrade_peers_alive", "Other entries that are alive.", static_cast<double>(peers_->aliveCount()));
     return page.text();
 }
@@ -382,6 +442,7 @@
     serverSelector_.setEntryCount(entries, peers_->knownCountIn(settings_.availabilityZone) + 1);
     quarantine_.setIsolated(2 * peers_->aliveCount() < peers_->knownCount());
     catalogFollower_->tick();
+    updateColdServers();
     forwarder_.tick();
 }
 
@@ -402,6 +463,9 @@
         }
     }
     knownServers_ = std::move(present);
+    if (!coldLimits_.empty())
+        coldServers_.update(fleet_.servers(), fleet_.asOf());
+    coldShares_.removeOldSends();
 }
 
 void GatewayProcess::startShutdown()
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Catalog/CatalogFollower.h"
+#include "ColdServers/ColdServers.h"
+#include "ColdServers/ColdShares.h"
 #include "Core/Clock.h"
 #include "Core/Random.h"
 #include "Evacuation/ZoneEvacuations.h"
@@ -10,6 +12,7 @@
 #include "Gateway/Forwarder.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/QuarantineRows.h"
+#include "Gateway/SelectionRules.h"
 #include "Peers/PeerGroup.h"
 #include "Platform/Table.h"
 #include "Transport/HttpServer.h"
@@ -66,6 +69,8 @@
     void handlePeerCatalog(const std::string& text);
     bool isCatalogWatchedByPeer() const;
     void handleCatalogChange(const Catalog& catalog);
+    void updateColdServers();
+    void handleColdStatement(const ServerRecord& server, const HttpResponse& head, TimePoint sentAt);
     void handleEvacuation(const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer);
     std::optional<ServerRecord> selectWitness(const std::set<std::string>& excludedIds) const;
     void handleServerLeft(const ServerRecord& server);
@@ -85,9 +90,14 @@
     DecisionLog& log_;
     std::uint64_t incarnation_;
 
+    // Limits of the services that have one.
+    std::map<std::string, ColdLimit, std::less<>> coldLimits_;
     CatalogHolder catalog_;
     ZoneEvacuations evacuations_;
     FleetView fleet_;
+    ColdServers coldServers_;
+    ColdShares coldShares_;
+    ColdServerCounters coldCounters_;
     InFlightTracker loads_;
     OutlierDetector outliers_;
     ServerRateLimits rateLimits_;
@@ -118,6 +128,9 @@
     std::map<std::string, TimePoint> catalogSentAt_;
     std::set<std::string> knownServers_;
     StoreGeneration storeGeneration_ { 0 };
+    TimePoint coldEvidenceAsOf_;
+    // The state of the share for cold servers that was logged last.
+    bool wasAbstaining_ { true };
     bool isStateSendPosted_ { false };
     bool isDraining_ { false };
     TimePoint drainStartedAt_;
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -34,6 +34,9 @@
     std::chrono::milliseconds catalogApplyBound { 2000 };
     // Nothing is sent to backend servers before it is known which availability zones are evacuated.
     bool mustKnowEvacuations { false };
+    // In any second, a cold server may get this many times the rate that it tolerates, plus the slack. Not changed at run time.
+    double coldOverage { 1 };
+    double coldSlack { 0 };
     // Maximum duration of a shutdown.
     std::chrono::milliseconds shutdownGrace { 8000 };
     // Retry budget: ratio of retries to requests, additional retries of all entries together, and the time window in
--- a/Source/Peers/PeerGroup.h
+++ b/Source/Peers/PeerGroup.h
@@ -73,6 +73,8 @@
     // The same for one availability zone.
     std::size_t knownCountIn(std::string_view availabilityZone) const;
     std::size_t addressCount() const { return addresses_.size(); }
+    // Returns the addresses of possible peers by name.
+    const std::map<std::string, Endpoint>& addresses() const { return addresses_; }
 
     void sendCatalog(const std::string& peer, const std::string& text);
     void sendFleet(const std::string& peer, const FleetMessage& message);
--- a/Tests/UsersPlatform/CodecsTest.cpp
+++ b/Tests/UsersPlatform/CodecsTest.cpp
@@ -72,12 +72,42 @@
     REQUIRE(server);
     CHECK(server->isDraining);
     CHECK(server->startedAt == 5);
+    CHECK(server->remainingWarmUp == std::chrono::milliseconds(0));
     CHECK(!decodeServer("i-2", R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":"many","State":"ready"})"));
     CHECK(!decodeServer("i-3", R"({"Service":"s","Address":"nowhere","Zone":"z","Slots":1,"State":"ready"})"));
     CHECK(!decodeServer("i-4", R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1,"State":"asleep"})"));
     CHECK(!decodeServer("i-5", "\xff\xfe"));
 }
 
+// Guards against a server that counts as warm because the time that its row states is missing or invalid.
+TEST_CASE("an unreadable remaining cold time is unknown, and the rest of the row is used")
+{
+    auto remaining = [](const std::string& field) {
+        std::optional<ServerRecord> server = decodeServer("i-1", R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":12,"State":"ready")" + field + "}");
+        REQUIRE(server);
+        return server->remainingWarmUp;
+    };
+    CHECK(remaining(R"(,"ColdRemainingMs":1500)") == std::chrono::milliseconds(1500));
+    CHECK(remaining(R"(,"ColdRemainingMs":0.2)") == std::chrono::milliseconds(1));
+    CHECK(remaining(R"(,"ColdRemainingMs":1e300)") == std::chrono::hours(1));
+    for (std::string field : { "", R"(,"ColdRemainingMs":-1)", R"(,"ColdRemainingMs":"0")", R"(,"ColdRemainingMs":null)", R"(,"ColdRemainingMs":[])" })
+        CHECK(!remaining(field));
+}
+
+// Guards against settings for cold servers that are not read, and against an invalid one that ends the process or lifts the bound.
+TEST_CASE("the settings for cold servers are read, and invalid ones have the strictest effect")
+{
+    auto read = [](const std::string& lines) {
+        std::istringstream input("NodeName=n\nZone=z\nIp=10.1.0.40\nListen.Front=10.1.0.40:8227\nListen.Readiness=10.1.0.40:8220\nListen.Directory=10.1.0.40:8224\nInternalPorts=7340,7355\n" + lines);
+        GatewaySettings settings = gatewaySettings(SettingsFile::read(input));
+        return std::make_pair(settings.coldOverage, settings.coldSlack);
+    };
+    CHECK(read("") == std::make_pair(1.0, 0.0));
+    CHECK(read("Bounds.ColdOverage=1.5\nBounds.ColdSlack=5\n") == std::make_pair(1.5, 5.0));
+    for (std::string invalid : { "-1", "many", "nan", "inf", "1e999" })
+        CHECK(read("Bounds.ColdOverage=" + invalid + "\nBounds.ColdSlack=" + invalid + "\n") == std::make_pair(1.0, 0.0));
+}
+
 // Guards against settings that are read from the wrong field, and against invalid settings without an error message.
 TEST_CASE("settings are read by their dotted names, and the error for a missing field contains its name")
 {
