--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -41,9 +41,13 @@
 {
     const std::vector<HttpHeader>& headers = exchange_->request().headers;
     requestId_ = findHeader(headers, context_.names.requestId).value_or("");
-    if (std::optional<std::string> parts = findHeader(headers, context_.names.promptParts))
+    if (std::optional<std::string> parts = findHeader(headers, context_.names.promptParts)) {
         promptParts_ = context_.decodePromptParts(*parts);
+        if (options_.route->hasStickySessions && context_.decodePromptSegments)
+            prompt_ = context_.decodePromptSegments(*parts);
+    }
     promptParts_.resize(std::min(promptParts_.size(), context_.settings.maxPromptParts));
+    prompt_.resize(std::min(prompt_.size(), context_.settings.maxPromptParts));
     expiresAt_ = arrivedAt_ + options_.route->timeout;
     expiresAtRouteTimeout_ = true;
     std::optional<std::chrono::milliseconds> deadline = parseMilliseconds(findHeader(headers, context_.names.deadline));
@@ -193,12 +197,13 @@
 {
     if (!held_)
         return;
-    std::string serverId = held_->server.id;
+    ServerRecord server = held_->server;
     std::shared_ptr<UpstreamConnection> connection = std::move(held_->connection);
     held_.reset();
     connection->close();
-    context_.loads.finished(serverId);
-    tried_.push_back(serverId);
+    context_.loads.finished(server.id);
+    context_.selector.recordEnd(server, selectionRequest(tried_, true));
+    tried_.push_back(server.id);
 }
 
 // Handles the head of the response to a held attempt that had none. The other attempt is held until that response is
@@ -502,8 +507,10 @@
     if (state_ != State::Streaming || attempt != attempt_ || isCallerDisconnected_)
         return;
     progressAt_ = context_.clock.now();
-    if (!attemptBegunAt_)
+    if (!attemptBegunAt_) {
         attemptBegunAt_ = progressAt_;
+        context_.selector.recordFirstEvent(*server_, selectionRequest(tried_, true));
+    }
     if (progressAt_ - *attemptBegunAt_ >= context_.settings.crashExposure)
         recordSurvival();
     context_.selector.recordProgress(options_.service, server_->id);
@@ -739,6 +746,7 @@
         context_.pool.release(server_->id, std::move(connection_));
     connection_ = nullptr;
     context_.loads.finished(server_->id);
+    context_.selector.recordEnd(*server_, selectionRequest(tried_, true));
     server_.reset();
 }
 
@@ -751,6 +759,8 @@
     context_.outliers.callSucceeded(server_->id, context_.clock.now() - sentAt_);
     context_.selector.recordSuccess(server_->id);
     context_.selector.recordProgress(options_.service, server_->id);
+    if (head_->status < firstFailureStatus)
+        context_.selector.recordFirstEvent(*server_, selectionRequest(tried_, true));
     ++context_.counters.succeeded;
     HttpResponse response;
     response.status = head_->status;
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -75,7 +75,7 @@
         ServerFailure,
     };
 
-    SelectionRequest selectionRequest(gsl::span<const std::string> tried, bool mayQueue) const { return { options_.service, tried, mayQueue }; }
+    SelectionRequest selectionRequest(gsl::span<const std::string> tried, bool mayQueue) const { return { options_.service, tried, mayQueue, prompt_ }; }
     void send();
     bool isAdmittedByQuarantine();
     void sendTo(const ServerRecord& server);
@@ -137,6 +137,8 @@
     // Distinguishes the requests of this entry in the quarantine.
     std::uint64_t number_ { 0 };
     std::vector<PromptPart> promptParts_;
+    // Empty unless the server selection considers which parts a server holds.
+    std::vector<PromptSegment> prompt_;
     TimePoint arrivedAt_;
     // The caller's deadline or the end of the route's timeout, whichever is earlier.
     TimePoint expiresAt_;
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -6,6 +6,7 @@
 #include "Forwarding/CrashDetector.h"
 #include "Forwarding/HeaderNames.h"
 #include "Forwarding/InFlightTracker.h"
+#include "Forwarding/PromptSegment.h"
 #include "Forwarding/ResponseBuffers.h"
 #include "Forwarding/ResponseTimes.h"
 #include "Forwarding/ServerRateLimits.h"
@@ -120,6 +121,8 @@
     CrashDetector& crashDetector;
     FleetView& fleet;
     ForwardingSettings settings;
+    // Empty unless parts of prompts that a server holds are considered.
+    PromptSegmentsDecoder decodePromptSegments {};
 };
 
 }
--- /dev/null
+++ b/Source/Forwarding/PromptSegment.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Quarantine/PromptPart.h"
+
+#include <cstdint>
+#include <functional>
+#include <string_view>
+#include <vector>
+
+namespace Damaskgrade {
+
+// A part of a prompt with its length.
+struct PromptSegment {
+    PromptPart part { 0 };
+    std::uint32_t tokens { 0 };
+};
+
+inline bool operator==(const PromptSegment& left, const PromptSegment& right)
+{
+    return left.part == right.part && left.tokens == right.tokens;
+}
+
+// Returns all parts of a prompt, in order, from the value of the header with its parts.
+using PromptSegmentsDecoder = std::function<std::vector<PromptSegment>(std::string_view)>;
+
+}
--- a/Source/Forwarding/SelectionRule.h
+++ b/Source/Forwarding/SelectionRule.h
@@ -2,6 +2,7 @@
 
 #include "Core/Clock.h"
 #include "Fleet/ServerRecord.h"
+#include "Forwarding/PromptSegment.h"
 
 #include <gsl/span>
 
@@ -19,6 +20,8 @@
     gsl::span<const std::string> tried;
     // Servers without a free slot may be selected.
     bool mayQueue { false };
+    // The parts of the prompt, in order. Empty unless parts that a server holds are considered.
+    gsl::span<const PromptSegment> prompt {};
 };
 
 // What a rule states about one server for one request.
@@ -44,6 +47,10 @@
     bool isAppliedToOpenConnections { false };
     // Called for each request that is sent to a server, also if no connection can be opened. May be empty.
     std::function<void(const ServerRecord&, const SelectionRequest&)> onSend;
+    // Called for the first event or the complete response of a request, and once for the end of each one that was sent. May
+    // be empty.
+    std::function<void(const ServerRecord&, const SelectionRequest&)> onFirstEvent {};
+    std::function<void(const ServerRecord&, const SelectionRequest&)> onEnd {};
 };
 
 }
--- a/Source/Forwarding/ServerSelector.cpp
+++ b/Source/Forwarding/ServerSelector.cpp
@@ -7,6 +7,13 @@
 
 namespace Damaskgrade {
 
+namespace {
+
+// Upper bound of the random part in the comparison of servers, in requests in flight. Smaller preferences do not decide.
+constexpr double randomCost = 0.1;
+
+}
+
 ServerSelector::ServerSelector(const Clock& clock, const FleetView& fleet, const InFlightTracker& loads, const OutlierDetector& outliers, const ServerRateLimits& rateLimits, Random& random,
     ServerSelectorSettings settings)
     : clock_(clock)
@@ -89,7 +96,7 @@
     for (const Candidate& candidate : candidates) {
         const ServerRecord& server = *candidate.server;
         double zonePenalty = server.availabilityZone == settings_.localZone ? 0 : settings_.zoneBias;
-        double score = (loads_.inFlight(server.id) + zonePenalty + candidate.cost + random_.fraction() * 0.1) / slotsOf(server);
+        double score = (loads_.inFlight(server.id) + zonePenalty + candidate.cost + random_.fraction() * randomCost) / slotsOf(server);
         if (score < bestScore) {
             bestScore = score;
             best = candidate.server;
@@ -123,6 +130,22 @@
     }
 }
 
+void ServerSelector::recordFirstEvent(const ServerRecord& server, const SelectionRequest& request)
+{
+    for (const SelectionRule& rule : rules_) {
+        if (rule.onFirstEvent)
+            rule.onFirstEvent(server, request);
+    }
+}
+
+void ServerSelector::recordEnd(const ServerRecord& server, const SelectionRequest& request)
+{
+    for (const SelectionRule& rule : rules_) {
+        if (rule.onEnd)
+            rule.onEnd(server, request);
+    }
+}
+
 bool ServerSelector::isExcludedByNow(const ServerRecord& server, const SelectionRequest& request) const
 {
     return std::any_of(rules_.begin(), rules_.end(), [&](const SelectionRule& rule) { return rule.isAppliedToOpenConnections && rule.assess(server, request).isExcluded; });
@@ -134,13 +157,24 @@
     localEntryCount_ = std::max<std::size_t>(1, localCount);
 }
 
-// Reduces the servers to a random sample. Its size is the number of servers per entry, but at least minSampleSize.
+// Reduces the servers to a random sample. Its size is the number of servers per entry, but at least minSampleSize. The server
+// that the rules prefer most is added to the sample, because a sample would seldom contain it. A preference too small to decide
+// is ignored: otherwise all entries would compare the same server more often than the others.
 void ServerSelector::reduceToSample(std::vector<Candidate>& candidates, std::size_t entryCount)
 {
+    auto isCheaper = [](const Candidate& left, const Candidate& right) { return left.cost < right.cost; };
+    auto cheapest = std::min_element(candidates.begin(), candidates.end(), isCheaper);
+    std::optional<Candidate> preferred;
+    if (cheapest != candidates.end() && cheapest->cost < -randomCost) {
+        preferred = *cheapest;
+        candidates.erase(cheapest);
+    }
     std::size_t sampleSize = std::max(settings_.minSampleSize, candidates.size() / entryCount);
     for (std::size_t i = 0; i < sampleSize && i < candidates.size(); ++i)
         std::swap(candidates[i], candidates[i + random_.index(candidates.size() - i)]);
     candidates.resize(std::min(candidates.size(), sampleSize));
+    if (preferred)
+        candidates.push_back(*preferred);
 }
 
 void ServerSelector::avoid(const std::string& serverId, TimePoint until)
--- a/Source/Forwarding/ServerSelector.h
+++ b/Source/Forwarding/ServerSelector.h
@@ -88,6 +88,12 @@
     // Records that the request is sent to the server.
     void recordSend(const ServerRecord& server, const SelectionRequest& request);
 
+    // Records the first event or the complete response of a request that was sent to the server.
+    void recordFirstEvent(const ServerRecord& server, const SelectionRequest& request);
+
+    // Records the end of a request that was sent to the server, whatever its outcome.
+    void recordEnd(const ServerRecord& server, const SelectionRequest& request);
+
     // Returns whether a rule that is also applied to open connections excludes the server for the request.
     bool isExcludedByNow(const ServerRecord& server, const SelectionRequest& request) const;
 
