Gateway: Prefer servers that hold a prompt's beginning, behind a switch

Cause: the rule of PrefixAffinity is not used. If the switch is on, the gateway decodes the parts of prompts with their lengths on routes with sticky sessions and adds the rule. A prompt is used up to its first invalid part, which is counted and logged at most every 10 s. The metrics damaskgrade_prefix_* are on the page only if the switch is on. If it is off, no rule is added and nothing is decoded.

--- a/Source/Forwarding/PromptSegment.h
+++ b/Source/Forwarding/PromptSegment.h
@@ -20,6 +20,12 @@
     return left.part == right.part && left.tokens == right.tokens;
 }
 
+// The parts of a prompt, in order, up to the first one that is invalid.
+struct DecodedPrompt {
+    std::vector<PromptSegment> segments;
+    bool isValid { true };
+};
+
 // Returns all parts of a prompt, in order, from the value of the header with its parts.
 using PromptSegmentsDecoder = std::function<std::vector<PromptSegment>(std::string_view)>;
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -3,7 +3,6 @@
 #include "Core/Error.h"
 #include "Gateway/EntryAddresses.h"
 #include "Gateway/SelectionRules.h"
-#include "Metrics/MetricsPage.h"
 
 #include <algorithm>
 #include <utility>
@@ -27,6 +26,10 @@
 constexpr std::chrono::milliseconds maxPeerReportAge { 1500 };
 // Far below the memory of a small instance, and several times the responses that are in flight at its usual load.
 constexpr std::size_t maxBufferedResponseBytes = 64U << 20U;
+// A caller may state an invalid prompt in each of its requests.
+constexpr std::chrono::seconds invalidPromptLogPeriod { 10 };
+// Bounds what is logged of a value that a caller states.
+constexpr std::size_t maxLoggedPrompt = 64;
 
 // Each entry sends only a part of the requests to a server, so a few consecutive failures must be enough for an ejection.
 OutlierSettings gatewayOutlierSettings()
@@ -109,6 +112,8 @@
     , forwarder_(loop, context_, catalog_, random)
 {
     serverSelector_.addRule(makeEvacuationRule(evacuations_, settings_.mustKnowEvacuations));
+    if (settings_.hasPrefixAffinity && platform_.decodePromptSegments)
+        enablePrefixAffinity();
     PeerGroupSettings peerSettings;
     peerSettings.name = settings_.name;
     peerSettings.link = settings_.link;
@@ -320,6 +325,36 @@
     sendStateSoon();
 }
 
+void GatewayProcess::enablePrefixAffinity()
+{
+    PrefixAffinitySettings settings;
+    settings.index.retention = settings_.promptRetention;
+    PrefixAffinityHooks hooks;
+    hooks.findEngine = [this](std::string_view service) -> std::optional<EngineModel> {
+        CatalogPointer catalog = catalog_.current();
+        const ServiceSpecification* specification = catalog ? catalog->findService(service) : nullptr;
+        return specification ? specification->engine : std::nullopt;
+    };
+    hooks.isSound = [this](const ServerRecord& server) { return outliers_.admissionShare(server.id) >= 1; };
+    prefixAffinity_ = std::make_unique<PrefixAffinity>(clock_, fleet_, loads_, settings, std::move(hooks));
+    serverSelector_.addRule(prefixAffinity_->makeRule());
+    context_.decodePromptSegments = [this](std::string_view text) { return decodePrompt(text); };
+    log_.write(LogLine("prefixAffinityEnabled").add("promptRetentionMs", settings_.promptRetention.count()).add("memoryBytes", std::uint64_t { prefixAffinity_->index().memoryBytes() }));
+}
+
+std::vector<PromptSegment> GatewayProcess::decodePrompt(std::string_view text)
+{
+    DecodedPrompt prompt = platform_.decodePromptSegments(text);
+    if (!prompt.isValid) {
+        ++invalidPrompts_;
+        if (!invalidPromptLoggedAt_ || clock_.now() - *invalidPromptLoggedAt_ >= invalidPromptLogPeriod) {
+            invalidPromptLoggedAt_ = clock_.now();
+            log_.write(LogLine("promptInvalid").add("header", platform_.names.promptParts).add("invalidPart", std::uint64_t { prompt.segments.size() + 1 }).add("value", text.substr(0, maxLoggedPrompt)));
+        }
+    }
+    return std::move(prompt.segments);
+}
+
 bool GatewayProcess::isReady() const
 {
     return !isDraining_ && catalog_.current() && fleet_.hasData() && (evacuations_.isKnown() || !settings_.mustKnowEvacuations);
@@ -371,10 +406,24 @@
     for (const auto& [zone, since] : evacuations_.zones())
         longestEvacuation = std::max(longestEvacuation, clock_.now() - since);
     page.addGauge("damaskgrade_evacuation_seconds", "Time since the first of the evacuations in force became known.", std::chrono::duration<double>(longestEvacuation).count());
+    if (prefixAffinity_)
+        addPrefixMetrics(page);
     page.addGauge("damaskgrade_peers_alive", "Other entries that are alive.", static_cast<double>(peers_->aliveCount()));
     return page.text();
 }
 
+void GatewayProcess::addPrefixMetrics(MetricsPage& page) const
+{
+    const PrefixAffinityCounters& counters = prefixAffinity_->counters();
+    const PrefixIndex& index = prefixAffinity_->index();
+    page.addCounter("damaskgrade_prefix_sends_total", "Sends of requests that state their prompt, on routes with sticky sessions.", static_cast<double>(counters.sends));
+    page.addCounter("damaskgrade_prefix_sends_to_holders_total", "The sends of these to a server that was expected to hold a part of the prompt.", static_cast<double>(counters.sendsToHolders));
+    page.addCounter("damaskgrade_prefix_expected_tokens_total", "Prompt tokens that servers were expected to hold.", counters.expectedTokens);
+    page.addCounter("damaskgrade_prefix_evictions_total", "Prompt prefixes that were dropped because the table was full.", static_cast<double>(index.evictionCount()));
+    page.addCounter("damaskgrade_prefix_invalid_prompts_total", "Requests whose prompt parts were invalid.", static_cast<double>(invalidPrompts_));
+    page.addGauge("damaskgrade_prefix_entries", "Prompt prefixes at servers in the table.", static_cast<double>(index.entryCount()));
+}
+
 void GatewayProcess::tick()
 {
     std::size_t entries = std::max(peers_->knownCount(), peers_->addressCount()) + 1;
@@ -398,6 +447,8 @@
         if (present.count(id) == 0) {
             outliers_.remove(id);
             rateLimits_.forget(id);
+            if (prefixAffinity_)
+                prefixAffinity_->forget(id);
             pool_.closeIdleConnections(id);
         }
     }
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -10,8 +10,10 @@
 #include "Gateway/Forwarder.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/QuarantineRows.h"
+#include "Metrics/MetricsPage.h"
 #include "Peers/PeerGroup.h"
 #include "Platform/Table.h"
+#include "PrefixAffinity/PrefixAffinity.h"
 #include "Transport/HttpServer.h"
 
 #include <functional>
@@ -20,6 +22,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Damaskgrade {
 
@@ -40,6 +44,8 @@
     std::function<std::string(const HttpRequest&)> decodeCallerZone;
     // Encodes the response with the entry addresses, or an error response if there is no address.
     std::function<HttpResponse(const HttpRequest&, const AddressResponse&)> encodeAddresses;
+    // Decodes all parts of a prompt with their lengths from the value of the header with its parts.
+    std::function<DecodedPrompt(std::string_view)> decodePromptSegments {};
 };
 
 // An entry that forwards requests to backend servers itself. Creates and connects the components, and shuts down
@@ -69,6 +75,9 @@
     void handleEvacuation(const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer);
     std::optional<ServerRecord> selectWitness(const std::set<std::string>& excludedIds) const;
     void handleServerLeft(const ServerRecord& server);
+    void enablePrefixAffinity();
+    std::vector<PromptSegment> decodePrompt(std::string_view text);
+    void addPrefixMetrics(MetricsPage& page) const;
     bool isReady() const;
     void respondWithAddresses(HttpExchange& exchange);
     std::string metricsText() const;
@@ -91,6 +100,8 @@
     InFlightTracker loads_;
     OutlierDetector outliers_;
     ServerRateLimits rateLimits_;
+    // Null unless the setting is on. Requests use it until they are destroyed.
+    std::unique_ptr<PrefixAffinity> prefixAffinity_;
     ServerSelector serverSelector_;
     UpstreamPool pool_;
     ResponseBuffers responseBuffers_;
@@ -118,6 +129,8 @@
     std::map<std::string, TimePoint> catalogSentAt_;
     std::set<std::string> knownServers_;
     StoreGeneration storeGeneration_ { 0 };
+    std::uint64_t invalidPrompts_ { 0 };
+    std::optional<TimePoint> invalidPromptLoggedAt_;
     bool isStateSendPosted_ { false };
     bool isDraining_ { false };
     TimePoint drainStartedAt_;
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -34,6 +34,10 @@
     std::chrono::milliseconds catalogApplyBound { 2000 };
     // Nothing is sent to backend servers before it is known which availability zones are evacuated.
     bool mustKnowEvacuations { false };
+    // Servers that still hold the beginning of a prompt are preferred on routes with sticky sessions. Not changed at run time.
+    bool hasPrefixAffinity { false };
+    // Longest time that servers retain a prompt after its last request. Not changed at run time.
+    std::chrono::milliseconds promptRetention { 0 };
     // Maximum duration of a shutdown.
     std::chrono::milliseconds shutdownGrace { 8000 };
     // Retry budget: ratio of retries to requests, additional retries of all entries together, and the time window in
--- a/Tests/UsersPlatform/CodecsTest.cpp
+++ b/Tests/UsersPlatform/CodecsTest.cpp
@@ -123,4 +123,25 @@
     CHECK(parts == decodePromptParts("system-prompt:9,another:9,x:1"));
 }
 
+// Guards against invalid lengths that are taken for long prefixes, and against identifiers that differ from the quarantine's.
+TEST_CASE("all parts of a prompt are decoded with their sizes, up to the first invalid one")
+{
+    DecodedPrompt prompt = decodePromptSegments("5c1e07a2:800, 91bd3f06:410 ,system-prompt:250");
+    CHECK(prompt.isValid);
+    REQUIRE(prompt.segments.size() == 3);
+    CHECK(prompt.segments[0] == PromptSegment { 0x5c1e07a2, 800 });
+    CHECK(prompt.segments[1] == PromptSegment { 0x91bd3f06, 410 });
+    CHECK(prompt.segments[2] == PromptSegment { decodePromptParts("system-prompt:1,x:1").front(), 250 });
+    CHECK(decodePromptSegments("").isValid);
+    for (const char* invalid : { "-5", "4294967296", "99999999999999999999", "", "1.5", "x", "5 6" }) {
+        CAPTURE(invalid);
+        DecodedPrompt broken = decodePromptSegments("a:1,b:" + std::string(invalid) + ",c:3");
+        CHECK(!broken.isValid);
+        CHECK(broken.segments == std::vector<PromptSegment> { { 0xa, 1 } });
+    }
+    CHECK(!decodePromptSegments("a").isValid);
+    CHECK(!decodePromptSegments(":7").isValid);
+    CHECK(!decodePromptSegments("a:1,,b:1").isValid);
+}
+
 }
