--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -130,7 +130,7 @@
         return;
     std::vector<std::string> excluded = tried_;
     excluded.push_back(server_->id);
-    ServerSelection selection = context_.selector.select(selectionRequest(excluded, false));
+    ServerSelection selection = context_.selector.select(serverSelectionRequest(excluded, false));
     if (selection.kind != SelectionKind::Server || selection.server->id == server_->id || !context_.retryBudget.trySpend(options_.service))
         return;
     holdAttempt();
@@ -202,7 +202,7 @@
     held_.reset();
     connection->close();
     context_.loads.finished(server.id);
-    context_.selector.recordEnd(server, selectionRequest(tried_, true));
+    context_.selector.recordEnd(server, serverSelectionRequest(tried_, true));
     tried_.push_back(server.id);
 }
 
@@ -259,7 +259,7 @@
     if (isCrashCheckPending_ || !isAdmittedByQuarantine())
         return;
     // Only a request that can still meet its target latency is queued at a server without a free slot.
-    ServerSelection selection = context_.selector.select(selectionRequest(tried_, !willBeLate()));
+    ServerSelection selection = context_.selector.select(serverSelectionRequest(tried_, !willBeLate()));
     if (selection.kind == SelectionKind::RateLimited && executions_ == 0 && context_.clock.now() + *selection.retryAfter > waitUntil_) {
         // Callers that are refused during a pause are told different times after its end, so that they do not return at once.
         Duration spread = selection.isPause ? *selection.retryAfter * static_cast<int>(number_ % retryAfterSteps) / (4 * retryAfterSteps) : Duration::zero();
@@ -324,7 +324,7 @@
     attempt_ = attempt;
     context_.loads.started(server.id);
     context_.rateLimits.recordSend(server.id);
-    context_.selector.recordSend(server, selectionRequest(tried_, true));
+    context_.selector.recordSend(server, serverSelectionRequest(tried_, true));
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
     bool mayReuse = staleConnections_ == 0;
     context_.pool.acquire(server.id, server.address, requestId_, mayReuse, [weak, attempt, serverId = server.id, &pool = context_.pool](std::shared_ptr<UpstreamConnection> connection, bool isReused) {
@@ -339,7 +339,7 @@
 void ForwardedRequest::connected(std::uint32_t attempt, std::shared_ptr<UpstreamConnection> connection, bool isReused)
 {
     // The server may have asked for a pause, or a rule may exclude it, since the connection was opened.
-    bool isStillAllowed = connection && !context_.selector.isPaused(*server_) && !context_.selector.isExcludedByNow(*server_, selectionRequest(tried_, true));
+    bool isStillAllowed = connection && !context_.selector.isPaused(*server_) && !context_.selector.isExcludedByNow(*server_, serverSelectionRequest(tried_, true));
     if (connection && !isStillAllowed) {
         connection_ = std::move(connection);
         releaseServer();
@@ -509,7 +509,7 @@
     progressAt_ = context_.clock.now();
     if (!attemptBegunAt_) {
         attemptBegunAt_ = progressAt_;
-        context_.selector.recordFirstEvent(*server_, selectionRequest(tried_, true));
+        context_.selector.recordFirstEvent(*server_, serverSelectionRequest(tried_, true));
     }
     if (progressAt_ - *attemptBegunAt_ >= context_.settings.crashExposure)
         recordSurvival();
@@ -746,7 +746,7 @@
         context_.pool.release(server_->id, std::move(connection_));
     connection_ = nullptr;
     context_.loads.finished(server_->id);
-    context_.selector.recordEnd(*server_, selectionRequest(tried_, true));
+    context_.selector.recordEnd(*server_, serverSelectionRequest(tried_, true));
     server_.reset();
 }
 
@@ -760,7 +760,7 @@
     context_.selector.recordSuccess(server_->id);
     context_.selector.recordProgress(options_.service, server_->id);
     if (head_->status < firstFailureStatus)
-        context_.selector.recordFirstEvent(*server_, selectionRequest(tried_, true));
+        context_.selector.recordFirstEvent(*server_, serverSelectionRequest(tried_, true));
     ++context_.counters.succeeded;
     HttpResponse response;
     response.status = head_->status;
--- a/Source/Gateway/SelectionRules.cpp
+++ b/Source/Gateway/SelectionRules.cpp
@@ -8,7 +8,7 @@
     rule.name = "evacuation";
     // The evacuation may begin while a connection is being opened.
     rule.isAppliedToOpenConnections = true;
-    rule.assess = [&evacuations, mustBeKnown](const ServerRecord& server, const SelectionRequest&) {
+    rule.assess = [&evacuations, mustBeKnown](const ServerRecord& server, const ServerSelectionRequest&) {
         ServerAssessment assessment;
         assessment.isExcluded = evacuations.isEvacuated(server.availabilityZone) || (mustBeKnown && !evacuations.isKnown());
         return assessment;
--- a/Source/PrefixAffinity/PrefixAffinity.cpp
+++ b/Source/PrefixAffinity/PrefixAffinity.cpp
@@ -20,14 +20,14 @@
 {
     SelectionRule rule;
     rule.name = "prefixAffinity";
-    rule.assess = [this](const ServerRecord& server, const SelectionRequest& request) { return assess(server, request); };
-    rule.onSend = [this](const ServerRecord& server, const SelectionRequest& request) { recordSend(server, request); };
-    rule.onFirstEvent = [this](const ServerRecord& server, const SelectionRequest& request) { index_.recordFirstEvent(server, request.prompt); };
-    rule.onEnd = [this](const ServerRecord& server, const SelectionRequest& request) { index_.recordEnd(server, request.prompt); };
+    rule.assess = [this](const ServerRecord& server, const ServerSelectionRequest& request) { return assess(server, request); };
+    rule.onSend = [this](const ServerRecord& server, const ServerSelectionRequest& request) { recordSend(server, request); };
+    rule.onFirstEvent = [this](const ServerRecord& server, const ServerSelectionRequest& request) { index_.recordFirstEvent(server, request.prompt); };
+    rule.onEnd = [this](const ServerRecord& server, const ServerSelectionRequest& request) { index_.recordEnd(server, request.prompt); };
     return rule;
 }
 
-ServerAssessment PrefixAffinity::assess(const ServerRecord& server, const SelectionRequest& request)
+ServerAssessment PrefixAffinity::assess(const ServerRecord& server, const ServerSelectionRequest& request)
 {
     ServerAssessment assessment;
     std::optional<EngineModel> engine = request.prompt.empty() ? std::nullopt : hooks_.findEngine(request.service);
@@ -43,7 +43,7 @@
     return assessment;
 }
 
-std::vector<HeldPart> PrefixAffinity::heldParts(const ServerRecord& server, const SelectionRequest& request, double pressure)
+std::vector<HeldPart> PrefixAffinity::heldParts(const ServerRecord& server, const ServerSelectionRequest& request, double pressure)
 {
     std::vector<HeldPart> parts = index_.held(server, request.prompt, pressure);
     double likelihood = settings_.homeLikelihood * std::clamp(1 - pressure, 0.0, 1.0);
@@ -57,7 +57,7 @@
     return parts;
 }
 
-const std::string& PrefixAffinity::homeOf(const SelectionRequest& request)
+const std::string& PrefixAffinity::homeOf(const ServerSelectionRequest& request)
 {
     PromptPart part = request.prompt.front().part;
     if (home_.part == part && home_.asOf == fleet_.asOf() && home_.service == request.service)
@@ -74,7 +74,7 @@
     return home_.serverId;
 }
 
-void PrefixAffinity::recordSend(const ServerRecord& server, const SelectionRequest& request)
+void PrefixAffinity::recordSend(const ServerRecord& server, const ServerSelectionRequest& request)
 {
     if (request.prompt.empty())
         return;
--- a/Source/PrefixAffinity/PrefixAffinity.h
+++ b/Source/PrefixAffinity/PrefixAffinity.h
@@ -53,10 +53,10 @@
     const PrefixAffinityCounters& counters() const { return counters_; }
 
 private:
-    ServerAssessment assess(const ServerRecord& server, const SelectionRequest& request);
-    std::vector<HeldPart> heldParts(const ServerRecord& server, const SelectionRequest& request, double pressure);
-    const std::string& homeOf(const SelectionRequest& request);
-    void recordSend(const ServerRecord& server, const SelectionRequest& request);
+    ServerAssessment assess(const ServerRecord& server, const ServerSelectionRequest& request);
+    std::vector<HeldPart> heldParts(const ServerRecord& server, const ServerSelectionRequest& request, double pressure);
+    const std::string& homeOf(const ServerSelectionRequest& request);
+    void recordSend(const ServerRecord& server, const ServerSelectionRequest& request);
     double ownInFlight(std::string_view serverId) const;
 
     // The home that was determined last, for the servers that were known at a time.
--- a/Tests/Gateway/PrefixAffinityTest.cpp
+++ b/Tests/Gateway/PrefixAffinityTest.cpp
@@ -118,7 +118,7 @@
     };
     applyFleet();
     std::vector<PromptSegment> prompt { { 7, 20000 }, { 1, 10 } };
-    SelectionRequest request { "model", {}, true, prompt };
+    ServerSelectionRequest request { "model", {}, true, prompt };
     const std::string holder = "s33";
     selector.recordSend(*fleet.find(holder), request);
     selector.recordFirstEvent(*fleet.find(holder), request);
--- a/Tests/PrefixAffinity/AffinitySimulation.cpp
+++ b/Tests/PrefixAffinity/AffinitySimulation.cpp
@@ -219,13 +219,13 @@
             return;
         SelectionRule rule = affinity.makeRule();
         if (policy == AffinityPolicy::AlwaysHolder) {
-            rule.assess = [this](const ServerRecord& server, const SelectionRequest& request) {
+            rule.assess = [this](const ServerRecord& server, const ServerSelectionRequest& request) {
                 ServerAssessment assessment;
                 assessment.cost = affinity.index().held(server, request.prompt, 0).empty() ? 0 : alwaysPreferred;
                 return assessment;
             };
         } else if (policy == AffinityPolicy::BoundedHashing) {
-            rule.assess = [this](const ServerRecord& server, const SelectionRequest& request) {
+            rule.assess = [this](const ServerRecord& server, const ServerSelectionRequest& request) {
                 ServerAssessment assessment;
                 assessment.cost = hashedServer(request.prompt.front().part) == server.id ? alwaysPreferred : 0;
                 return assessment;
@@ -352,7 +352,7 @@
     bool trySend(const RequestPointer& request)
     {
         SimulatedGateway& gateway = *gateways_[request->gateway];
-        SelectionRequest selection { service, {}, true, request->prompt };
+        ServerSelectionRequest selection { service, {}, true, request->prompt };
         ServerSelection selected = gateway.selector.select(selection);
         if (selected.kind != SelectionKind::Server) {
             request->retryAt = clock_.now() + retryPeriod;
