--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -6,6 +6,7 @@
 #include "Forwarding/CrashDetector.h"
 #include "Forwarding/HeaderNames.h"
 #include "Forwarding/InFlightTracker.h"
+#include "Forwarding/PromptSegment.h"
 #include "Forwarding/ResponseBuffers.h"
 #include "Forwarding/ResponseTimes.h"
 #include "Forwarding/ServerRateLimits.h"
@@ -122,6 +123,8 @@
     ForwardingSettings settings;
     // Called with the head of each response of a server and the time at which the request was sent. May be empty.
     std::function<void(const ServerRecord&, const HttpResponse&, TimePoint)> onResponse {};
+    // Empty unless parts of prompts that a server holds are considered.
+    PromptSegmentsDecoder decodePromptSegments {};
 };
 
 }
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -13,8 +13,10 @@
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/QuarantineRows.h"
 #include "Gateway/SelectionRules.h"
+#include "Metrics/MetricsPage.h"
 #include "Peers/PeerGroup.h"
 #include "Platform/Table.h"
+#include "PrefixAffinity/PrefixAffinity.h"
 #include "Transport/HttpServer.h"
 
 #include <functional>
@@ -23,6 +25,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Damaskgrade {
 
@@ -43,6 +47,8 @@
     std::function<std::string(const HttpRequest&)> decodeCallerZone;
     // Encodes the response with the entry addresses, or an error response if there is no address.
     std::function<HttpResponse(const HttpRequest&, const AddressResponse&)> encodeAddresses;
+    // Decodes all parts of a prompt with their lengths from the value of the header with its parts.
+    std::function<DecodedPrompt(std::string_view)> decodePromptSegments {};
 };
 
 // An entry that forwards requests to backend servers itself. Creates and connects the components, and shuts down
@@ -74,6 +80,9 @@
     void handleEvacuation(const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer);
     std::optional<ServerRecord> selectWitness(const std::set<std::string>& excludedIds) const;
     void handleServerLeft(const ServerRecord& server);
+    void enablePrefixAffinity();
+    std::vector<PromptSegment> decodePrompt(std::string_view text);
+    void addPrefixMetrics(MetricsPage& page) const;
     bool isReady() const;
     void respondWithAddresses(HttpExchange& exchange);
     std::string metricsText() const;
@@ -101,6 +110,8 @@
     InFlightTracker loads_;
     OutlierDetector outliers_;
     ServerRateLimits rateLimits_;
+    // Null unless the setting is on. Requests use it until they are destroyed.
+    std::unique_ptr<PrefixAffinity> prefixAffinity_;
     ServerSelector serverSelector_;
     UpstreamPool pool_;
     ResponseBuffers responseBuffers_;
@@ -131,6 +142,8 @@
     TimePoint coldEvidenceAsOf_;
     // The state of the share for cold servers that was logged last.
     bool wasAbstaining_ { true };
+    std::uint64_t invalidPrompts_ { 0 };
+    std::optional<TimePoint> invalidPromptLoggedAt_;
     bool isStateSendPosted_ { false };
     bool isDraining_ { false };
     TimePoint drainStartedAt_;
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -37,6 +37,10 @@
     // In any second, a cold server may get this many times the rate that it tolerates, plus the slack. Not changed at run time.
     double coldOverage { 1 };
     double coldSlack { 0 };
+    // Servers that still hold the beginning of a prompt are preferred on routes with sticky sessions. Not changed at run time.
+    bool hasPrefixAffinity { false };
+    // Longest time that servers retain a prompt after its last request. Not changed at run time.
+    std::chrono::milliseconds promptRetention { 0 };
     // Maximum duration of a shutdown.
     std::chrono::milliseconds shutdownGrace { 8000 };
     // Retry budget: ratio of retries to requests, additional retries of all entries together, and the time window in
