StreamCapacity: Bound the requests in flight so that pauses of streams stay within the target

The published figures of the engines, corrected by measured pauses, give the number of requests that a server may run. An entry sends beyond its equal share only while the service has room, because the counts of other entries are up to 200 ms old.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -549,6 +549,9 @@
         longestGap_ = progressAt_ - lastEventAt_;
         longestGapEndedAt_ = progressAt_;
     }
+    bool isSameAttempt = events_ > 0 && attemptBegunAt_ && lastEventAt_ >= *attemptBegunAt_;
+    if (isSameAttempt && context_.onEventPause)
+        context_.onEventPause(*server_, progressAt_ - lastEventAt_);
     lastEventAt_ = progressAt_;
 }
 
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -120,6 +120,8 @@
     CrashDetector& crashDetector;
     FleetView& fleet;
     ForwardingSettings settings;
+    // Called for each pause between two events that a server sent in one attempt. May be empty.
+    std::function<void(const ServerRecord&, Duration)> onEventPause {};
 };
 
 }
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -95,6 +95,7 @@
     , evacuations_(clock, {}, [this](const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer) { handleEvacuation(zone, isEvacuated, position, isFromPeer); })
     , fleet_(clock, {}, [this](const ServerRecord& server) { handleServerLeft(server); })
     , loads_(clock, maxPeerReportAge)
+    , streamCapacity_(clock, fleet_, loads_, { settings_.streamCapacity }, [this](const std::string& service, bool isActive) { handleStreamCapacity(service, isActive); })
     , outliers_(clock, gatewayOutlierSettings())
     , rateLimits_(clock, settings_.name, {}, [this](const std::string& serverId, double perSecond, bool isLocal) { handleRateLimit(serverId, perSecond, isLocal); })
     , serverSelector_(clock, fleet_, loads_, outliers_, rateLimits_, random, { settings_.availabilityZone })
@@ -105,10 +106,11 @@
     , quarantine_(clock, settings_.name, {}, [this](PromptPart part, QuarantineEvent event, std::uint32_t crashes, bool isLocal) { handleQuarantineEvent(part, event, crashes, isLocal); })
     , crashDetector_(
           clock, quarantine_, [this] { return makeUpstreamConnection(loop_, platform_.names.requestId); }, {}, [this](const std::set<std::string>& excludedIds) { return selectWitness(excludedIds); })
-    , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, fleet_, {} }
+    , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, fleet_, {}, [this](const ServerRecord& server, Duration pause) { streamCapacity_.recordPause(server, pause); } }
     , forwarder_(loop, context_, catalog_, random)
 {
     serverSelector_.addRule(makeEvacuationRule(evacuations_, settings_.mustKnowEvacuations));
+    serverSelector_.addRule(makeStreamCapacityRule(streamCapacity_));
     PeerGroupSettings peerSettings;
     peerSettings.name = settings_.name;
     peerSettings.link = settings_.link;
@@ -163,6 +165,7 @@
         outliers_.evaluate();
         pool_.closeExpired();
         crashDetector_.removeExpired();
+        streamCapacity_.removeExpired();
         log_.flush();
     });
     loop_.onTermination([this] { startShutdown(); });
@@ -282,6 +285,7 @@
 void GatewayProcess::handleCatalogChange(const Catalog& catalog)
 {
     log_.write(LogLine("catalogInForce").add("catalog", catalog.version()).add("routes", static_cast<std::int64_t>(catalog.routes().size())));
+    streamCapacity_.applyCatalog(catalog);
     // The first catalog can arrive before the HTTP server for callers is created.
     if (callerServer_)
         callerServer_->setLimits(callerServerLimits(catalog.limits()));
@@ -302,6 +306,11 @@
         sendStateSoon();
 }
 
+void GatewayProcess::handleStreamCapacity(const std::string& service, bool isActive)
+{
+    log_.write(LogLine(isActive ? "streamCapacityStarted" : "streamCapacityEnded").add("service", service).add("catalog", catalog_.version()));
+}
+
 // Selects a random server, so that a server which is down as well is not selected each time.
 std::optional<ServerRecord> GatewayProcess::selectWitness(const std::set<std::string>& excludedIds) const
 {
@@ -371,6 +380,13 @@
     for (const auto& [zone, since] : evacuations_.zones())
         longestEvacuation = std::max(longestEvacuation, clock_.now() - since);
     page.addGauge("damaskgrade_evacuation_seconds", "Time since the first of the evacuations in force became known.", std::chrono::duration<double>(longestEvacuation).count());
+    std::map<std::string, double> requestMilliseconds = streamCapacity_.requestMilliseconds();
+    double highestCost = 0;
+    for (const auto& [service, cost] : requestMilliseconds)
+        highestCost = std::max(highestCost, cost);
+    page.addGauge("damaskgrade_stream_capacity_services", "Services whose requests in flight are bounded so that streams are on time.", static_cast<double>(requestMilliseconds.size()));
+    page.addGauge("damaskgrade_stream_request_cost_seconds", "Highest estimate among these services of the time by which a request extends a pass.", highestCost / 1000);
+    page.addCounter("damaskgrade_stream_pauses_measured_total", "Pauses between events from which the bound was estimated.", static_cast<double>(streamCapacity_.recordedPauses()));
     page.addGauge("damaskgrade_peers_alive", "Other entries that are alive.", static_cast<double>(peers_->aliveCount()));
     return page.text();
 }
@@ -380,6 +396,7 @@
     std::size_t entries = std::max(peers_->knownCount(), peers_->addressCount()) + 1;
     retryBudget_.setEntryCount(entries);
     serverSelector_.setEntryCount(entries, peers_->knownCountIn(settings_.availabilityZone) + 1);
+    streamCapacity_.setEntryCount(peers_->knownCount() + 1);
     quarantine_.setIsolated(2 * peers_->aliveCount() < peers_->knownCount());
     catalogFollower_->tick();
     forwarder_.tick();
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -12,6 +12,7 @@
 #include "Gateway/QuarantineRows.h"
 #include "Peers/PeerGroup.h"
 #include "Platform/Table.h"
+#include "StreamCapacity/StreamCapacity.h"
 #include "Transport/HttpServer.h"
 
 #include <functional>
@@ -67,6 +68,7 @@
     bool isCatalogWatchedByPeer() const;
     void handleCatalogChange(const Catalog& catalog);
     void handleEvacuation(const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer);
+    void handleStreamCapacity(const std::string& service, bool isActive);
     std::optional<ServerRecord> selectWitness(const std::set<std::string>& excludedIds) const;
     void handleServerLeft(const ServerRecord& server);
     bool isReady() const;
@@ -89,6 +91,7 @@
     ZoneEvacuations evacuations_;
     FleetView fleet_;
     InFlightTracker loads_;
+    StreamCapacity streamCapacity_;
     OutlierDetector outliers_;
     ServerRateLimits rateLimits_;
     ServerSelector serverSelector_;
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Endpoint.h"
+#include "StreamCapacity/StreamCapacitySettings.h"
 #include "Transport/LinkKeys.h"
 
 #include <chrono>
@@ -34,6 +35,8 @@
     std::chrono::milliseconds catalogApplyBound { 2000 };
     // Nothing is sent to backend servers before it is known which availability zones are evacuated.
     bool mustKnowEvacuations { false };
+    // For which services the requests in flight are bounded so that streams are on time. Not changed at run time.
+    StreamCapacityMode streamCapacity { StreamCapacityMode::Auto };
     // Maximum duration of a shutdown.
     std::chrono::milliseconds shutdownGrace { 8000 };
     // Retry budget: ratio of retries to requests, additional retries of all entries together, and the time window in
--- a/Source/Gateway/SelectionRules.cpp
+++ b/Source/Gateway/SelectionRules.cpp
@@ -16,4 +16,16 @@
     return rule;
 }
 
+SelectionRule makeStreamCapacityRule(const StreamCapacity& capacity)
+{
+    SelectionRule rule;
+    rule.name = "streamCapacity";
+    rule.assess = [&capacity](const ServerRecord& server, const SelectionRequest&) {
+        ServerAssessment assessment;
+        assessment.capacity = capacity.capacity(server);
+        return assessment;
+    };
+    return rule;
+}
+
 }
--- a/Source/Gateway/SelectionRules.h
+++ b/Source/Gateway/SelectionRules.h
@@ -2,6 +2,7 @@
 
 #include "Evacuation/ZoneEvacuations.h"
 #include "Forwarding/SelectionRule.h"
+#include "StreamCapacity/StreamCapacity.h"
 
 namespace Damaskgrade {
 
@@ -9,4 +10,7 @@
 // evacuations are known. The evacuations must outlive the rule.
 SelectionRule makeEvacuationRule(const ZoneEvacuations& evacuations, bool mustBeKnown);
 
+// Returns a rule that bounds the requests in flight at a server. The capacity must outlive the rule.
+SelectionRule makeStreamCapacityRule(const StreamCapacity& capacity);
+
 }
--- /dev/null
+++ b/Source/StreamCapacity/StreamCapacity.cpp
@@ -0,0 +1,164 @@
+#include "StreamCapacity/StreamCapacity.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace Damaskgrade {
+
+namespace {
+
+// What the routes of a service state about its streams.
+struct StreamTargets {
+    std::set<std::int32_t> priorities;
+    std::optional<Duration> gap;
+};
+
+std::map<std::string, StreamTargets> streamTargets(const Catalog& catalog)
+{
+    std::map<std::string, StreamTargets> result;
+    for (const Route& route : catalog.routes()) {
+        if (route.kind != RequestKind::Streaming)
+            continue;
+        for (const WeightedService& service : route.services) {
+            StreamTargets& targets = result[service.service];
+            targets.priorities.insert(route.priority);
+            if (route.targetGap > std::chrono::milliseconds::zero())
+                targets.gap = std::min<Duration>(route.targetGap, targets.gap.value_or(route.targetGap));
+        }
+    }
+    return result;
+}
+
+bool areEqual(const EngineModel& left, const EngineModel& right)
+{
+    auto figures = [](const EngineModel& engine) {
+        return std::tie(engine.slots, engine.stepsPerPass, engine.stepMilliseconds, engine.requestMillisecondsPerStep, engine.contextMillisecondsPerStep, engine.promptTokensPerSecond,
+            engine.millisecondsPerMillionPairs, engine.expertShare, engine.usualPromptTokens, engine.usualAnswerTokens);
+    };
+    return figures(left) == figures(right);
+}
+
+}
+
+StreamCapacity::StreamCapacity(const Clock& clock, const FleetView& fleet, const InFlightTracker& loads, StreamCapacitySettings settings, Observer observer)
+    : clock_(clock)
+    , fleet_(fleet)
+    , loads_(loads)
+    , settings_(settings)
+    , observer_(std::move(observer))
+{
+}
+
+void StreamCapacity::applyCatalog(const Catalog& catalog)
+{
+    std::map<std::string, Service, std::less<>> services;
+    if (settings_.mode != StreamCapacityMode::Off) {
+        for (const auto& [name, targets] : streamTargets(catalog)) {
+            const ServiceSpecification* specification = catalog.findService(name);
+            bool isWanted = settings_.mode == StreamCapacityMode::On || targets.priorities.size() > 1;
+            // Without the cost of a request there is nothing to compute a bound from.
+            if (!isWanted || !targets.gap || !specification || !specification->engine || specification->engine->requestMillisecondsPerStep <= 0)
+                continue;
+            const EngineModel& engine = *specification->engine;
+            auto known = services_.find(name);
+            if (known != services_.end() && areEqual(known->second.engine, engine)) {
+                known->second.targetGap = *targets.gap;
+                services.insert(services_.extract(known));
+            } else {
+                services.emplace(name, Service { engine, *targets.gap, PassTimeModel(clock_, engine, settings_.passTime), clock_.now() });
+                if (known == services_.end())
+                    observer_(name, true);
+                else
+                    services_.erase(known);
+            }
+        }
+    }
+    services_.swap(services);
+    for (const auto& [name, service] : services)
+        observer_(name, false);
+}
+
+void StreamCapacity::setEntryCount(std::size_t count)
+{
+    entryCount_ = std::max<std::size_t>(1, count);
+}
+
+std::optional<double> StreamCapacity::capacity(const ServerRecord& server) const
+{
+    auto found = services_.find(server.service);
+    if (found == services_.end())
+        return std::nullopt;
+    return hasShareLeft(found->first, found->second) ? std::ceil(serverBound(server, found->second)) : 0;
+}
+
+double StreamCapacity::slotsOf(const ServerRecord& server, const Service& service) const
+{
+    return server.slots > 0 ? server.slots : std::max(1U, service.engine.slots);
+}
+
+double StreamCapacity::serverBound(const ServerRecord& server, const Service& service) const
+{
+    double slots = slotsOf(server, service);
+    double requests = std::min(slots, service.passTime.maxRequests(server.id, service.targetGap));
+    return std::max({ 1.0, std::ceil(slots * settings_.minSlotShare), requests });
+}
+
+StreamCapacity::ServiceLoad StreamCapacity::loadOf(std::string_view name, const Service& service) const
+{
+    ServiceLoad load;
+    const InFlightCounts& local = loads_.localCounts();
+    for (const ServerRecord* server : fleet_.ready(name)) {
+        load.bound += serverBound(*server, service);
+        load.inFlight += loads_.inFlight(server->id);
+        auto count = local.find(server->id);
+        load.local += count == local.end() ? 0 : count->second;
+    }
+    return load;
+}
+
+// The counts of the other entries are old. If all entries sent as soon as they see room, they would all fill the same room at
+// once. So an entry sends beyond its equal share only if the room suffices for other entries too.
+bool StreamCapacity::hasShareLeft(std::string_view name, const Service& service) const
+{
+    ServiceLoad load = loadOf(name, service);
+    auto entries = static_cast<double>(entryCount_);
+    return load.local < std::max(1.0, load.bound / entries) || load.bound - load.inFlight >= settings_.minRoomPerEntry * entries;
+}
+
+void StreamCapacity::recordPause(const ServerRecord& server, Duration pause)
+{
+    auto found = services_.find(server.service);
+    if (found == services_.end())
+        return;
+    Service& service = found->second;
+    double slots = slotsOf(server, service);
+    // What exceeds the slots waits in the server and takes no part in its passes.
+    double running = std::clamp(loads_.inFlight(server.id), 1.0, slots);
+    // A pass takes as long as the requests of all ranks of a group require, so the mean of the servers determines it. Servers
+    // with more requests have more pauses; the weight corrects this.
+    double factor = std::exp(-std::chrono::duration<double>(clock_.now() - service.loadUpdatedAt) / std::chrono::duration<double>(settings_.loadMemory));
+    service.loadUpdatedAt = clock_.now();
+    service.servers = factor * service.servers + 1 / running;
+    service.requests = factor * service.requests + 1;
+    service.passTime.recordPause(server.id, service.requests / service.servers, pause);
+    ++recordedPauses_;
+}
+
+void StreamCapacity::removeExpired()
+{
+    for (auto& [name, service] : services_)
+        service.passTime.removeExpired();
+}
+
+std::map<std::string, double> StreamCapacity::requestMilliseconds() const
+{
+    std::map<std::string, double> result;
+    for (const auto& [name, service] : services_)
+        result.emplace(name, service.passTime.requestMilliseconds());
+    return result;
+}
+
+}
--- /dev/null
+++ b/Source/StreamCapacity/StreamCapacitySettings.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Core/Clock.h"
+
+namespace Damaskgrade {
+
+// For which services the capacity for streams on time is applied.
+enum class StreamCapacityMode {
+    // Services whose streaming routes differ in priority.
+    Auto,
+    // All services that have streaming routes and publish the figures of their engines.
+    On,
+    Off,
+};
+
+struct PassTimeSettings {
+    // Time constant after which a measured pause has lost most of its weight.
+    std::chrono::milliseconds memory { 20000 };
+    // Weight of the published figures in the estimate for a service, in measured pauses.
+    double publishedWeight { 100 };
+    // Weight of the published cost of a request, in measured pauses whose number of requests differs from the mean by one.
+    double costWeight { 1000 };
+    // The cost of a request is not estimated below this share of the published one.
+    double minCostRatio { 0.5 };
+    // Weight of the estimate for the service in the estimate for a server, in measured pauses.
+    double serviceWeight { 40 };
+    // Load of the most loaded rank for experts, relative to the mean, until pauses have been measured.
+    double assumedSkew { 1.65 };
+    // Share of the streams of usual length that have no pause above the target.
+    double punctualShare { 0.95 };
+    // Number of pauses that count as independent of each other, as a share of all: successive passes run mostly the same
+    // requests. With all of them, no stream had a long pause in the simulation, but a tenth fewer were served.
+    double independentShare { 0.33 };
+    // Number of pauses in a usual stream if the service does not publish its usual length.
+    double assumedPauses { 20 };
+    // Longer pauses are not learned from, relative to the published pass time with all slots in use: a group that stands still
+    // for a change of its map says nothing about the cost of a request.
+    double maxPauseRatio { 4 };
+};
+
+struct StreamCapacitySettings {
+    StreamCapacityMode mode { StreamCapacityMode::Auto };
+    PassTimeSettings passTime {};
+    // Time constant of the mean number of requests in flight. A group passes in about 0.1 s and the counts of peers are up to
+    // 0.2 s old.
+    std::chrono::milliseconds loadMemory { 300 };
+    // The bound is not below this share of the slots, so that a wrong estimate cannot stop a service.
+    double minSlotShare { 0.25 };
+    // Free room in the service, in requests for each entry, from which on an entry may use more than its equal share.
+    double minRoomPerEntry { 0.25 };
+};
+
+}
