--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -305,8 +305,13 @@
     TimePoint until = executions_ > 0 ? expiresAt_ : waitUntil_;
     if (executions_ == 0 && (isProbe_ || context_.selector.isUnavailable(options_.service)))
         until = std::max(until, std::min(arrivedAt_ + context_.settings.maxOutageWait, expiresAt_ - context_.settings.deadlineMargin));
-    bool isOverdue = options_.route->kind == RequestKind::Streaming && executions_ == 0 && willBeLate()
-        && context_.clock.now() >= arrivedAt_ + context_.settings.maxLateWait;
+    bool isNewStream = options_.route->kind == RequestKind::Streaming && executions_ == 0;
+    std::optional<StreamWait> wait = isNewStream && context_.streamWait ? context_.streamWait(selectionRequest(tried_, false), context_.clock.now() - arrivedAt_, number_) : std::nullopt;
+    if (wait && !context_.selector.hadRecentOutage(options_.service))
+        retryAfter_ = wait->retryAfter;
+    if (wait && wait->mayWait)
+        return;
+    bool isOverdue = isNewStream && willBeLate() && context_.clock.now() >= arrivedAt_ + context_.settings.maxLateWait;
     if (context_.clock.now() >= until || (isOverdue && !isProbe_ && !context_.selector.hadRecentOutage(options_.service)))
         giveUp("no server is free");
 }
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -11,6 +11,7 @@
 #include "Forwarding/ServerRateLimits.h"
 #include "Forwarding/ServerSelector.h"
 #include "Forwarding/ServiceRetryBudget.h"
+#include "Forwarding/StreamWait.h"
 #include "Forwarding/UpstreamPool.h"
 #include "Logging/DecisionLog.h"
 #include "Quarantine/PromptPart.h"
@@ -19,6 +20,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -122,6 +124,9 @@
     ForwardingSettings settings;
     // Called for each pause between two events that a server sent in one attempt. May be empty.
     std::function<void(const ServerRecord&, Duration)> onEventPause {};
+    // Determines whether a stream that no server has begun waits on after this time. May be empty, or return std::nullopt for the
+    // waits that the settings state.
+    std::function<std::optional<StreamWait>(const SelectionRequest&, Duration waited, std::uint64_t number)> streamWait {};
 };
 
 }
--- a/Source/StreamCapacity/AdmissionReserve.h
+++ b/Source/StreamCapacity/AdmissionReserve.h
@@ -16,7 +16,8 @@
     std::chrono::milliseconds waitingTime { 60 };
 };
 
-// The urgency of a request: more urgent routes first, and requests that can be on time before late ones.
+// The urgency of a request: requests that can be on time before late ones, and among them more urgent routes first. Where late
+// requests of urgent routes came before others that can be on time, 10 to 16 in 100 fewer were on time in the simulation.
 struct RequestUrgency {
     std::int32_t priority { 0 };
     bool isLate { false };
@@ -37,8 +38,12 @@
     // with one standard deviation.
     double reservedFor(RequestUrgency urgency, Duration time) const;
 
+    // Returns the expected time until there is room for a request, from the rate of the sends that were not more urgent. Empty if
+    // there were none recently.
+    std::optional<Duration> expectedRoom(RequestUrgency urgency) const;
+
 private:
-    using Key = std::pair<std::int32_t, bool>;
+    using Key = std::pair<bool, std::int32_t>;
 
     struct Demand {
         TimePoint updatedAt;
--- a/Source/StreamCapacity/StreamCapacity.cpp
+++ b/Source/StreamCapacity/StreamCapacity.cpp
@@ -50,6 +50,7 @@
     , loads_(loads)
     , settings_(settings)
     , observer_(std::move(observer))
+    , waitPolicy_(settings.wait)
 {
 }
 
@@ -158,6 +159,14 @@
     return share.localInFlight + reserved < equalShare || room >= (settings_.minRoomPerEntry + reserved) * entries;
 }
 
+std::optional<StreamWait> StreamCapacity::streamWait(std::string_view service, RequestUrgency urgency, Duration waited, std::uint64_t number) const
+{
+    auto found = services_.find(service);
+    if (found == services_.end())
+        return std::nullopt;
+    return waitPolicy_.decide(urgency.isLate, waited, found->second.reserve.expectedRoom(urgency), number);
+}
+
 void StreamCapacity::recordPause(const ServerRecord& server, Duration pause)
 {
     auto found = services_.find(server.service);
--- a/Source/StreamCapacity/StreamCapacity.h
+++ b/Source/StreamCapacity/StreamCapacity.h
@@ -7,6 +7,7 @@
 #include "StreamCapacity/AdmissionReserve.h"
 #include "StreamCapacity/PassTimeModel.h"
 #include "StreamCapacity/StreamCapacitySettings.h"
+#include "StreamCapacity/StreamWaitPolicy.h"
 
 #include <cstdint>
 #include <functional>
@@ -38,6 +39,9 @@
 
     void recordSend(const ServerRecord& server, RequestUrgency urgency);
 
+    // Determines whether a stream for which no server has room waits on. Returns std::nullopt if the service is not bounded.
+    std::optional<StreamWait> streamWait(std::string_view service, RequestUrgency urgency, Duration waited, std::uint64_t number) const;
+
     // Records a pause between two events that a server sent to one stream.
     void recordPause(const ServerRecord& server, Duration pause);
 
@@ -81,6 +85,7 @@
     const InFlightTracker& loads_;
     StreamCapacitySettings settings_;
     Observer observer_;
+    StreamWaitPolicy waitPolicy_;
     std::map<std::string, Service, std::less<>> services_;
     std::size_t entryCount_ { 1 };
     std::uint64_t recordedPauses_ { 0 };
--- a/Source/StreamCapacity/StreamCapacitySettings.h
+++ b/Source/StreamCapacity/StreamCapacitySettings.h
@@ -2,6 +2,7 @@
 
 #include "Core/Clock.h"
 #include "StreamCapacity/AdmissionReserve.h"
+#include "StreamCapacity/StreamWaitPolicy.h"
 
 namespace Damaskgrade {
 
@@ -43,6 +44,7 @@
     StreamCapacityMode mode { StreamCapacityMode::Auto };
     PassTimeSettings passTime {};
     AdmissionReserveSettings reserve {};
+    StreamWaitSettings wait {};
     // Upper bound of what an entry leaves free for more urgent requests, as a share of its own share.
     double maxReservedShare { 0.4 };
     // Time constant of the mean number of requests in flight. A group passes in about 0.1 s and the counts of peers are up to
--- a/Tests/StreamCapacity/StreamSimulation.cpp
+++ b/Tests/StreamCapacity/StreamSimulation.cpp
@@ -13,7 +13,7 @@
 constexpr std::chrono::milliseconds tickPeriod { 50 };
 constexpr std::chrono::milliseconds maxStreamWait { 240 };
 constexpr std::chrono::milliseconds maxLateWait { 50 };
-constexpr std::chrono::milliseconds retryAfter { 700 };
+constexpr std::chrono::milliseconds usualRetryAfter { 700 };
 constexpr std::chrono::milliseconds abandonTime { 2000 };
 constexpr std::chrono::milliseconds deadline { 8000 };
 constexpr double maxExpectedShare { 0.75 };
@@ -177,11 +177,14 @@
         return true;
     }
     Duration waited = clock_.now() - stream.arrivedAt;
-    if (waited < maxStreamWait && (waited < maxLateWait || !willBeLate(stream)))
+    bool isLate = willBeLate(stream);
+    std::optional<StreamWait> wait = gateway.capacity.streamWait(serviceName, { stream.priority, isLate }, waited, stream.id);
+    bool isOverdue = isLate && waited >= maxLateWait && !(wait && wait->mayWait);
+    if (!isOverdue && (waited < maxStreamWait || (wait && wait->mayWait)))
         return false;
     Stream refused = stream;
     streams_.erase(stream.id);
-    refuse(refused);
+    refuse(refused, wait ? wait->retryAfter : usualRetryAfter);
     return true;
 }
 
@@ -201,7 +204,7 @@
 }
 
 // The caller comes back once if the time that it is told is at most a third of the time that it has left.
-void StreamSimulation::refuse(Stream stream)
+void StreamSimulation::refuse(Stream stream, Duration retryAfter)
 {
     Duration left = stream.firstArrivedAt + deadline - clock_.now();
     if (!stream.isRetry && retryAfter <= left / 3) {
--- a/Tests/StreamCapacity/StreamSimulation.h
+++ b/Tests/StreamCapacity/StreamSimulation.h
@@ -112,7 +112,7 @@
     // Returns whether the stream no longer waits.
     bool trySend(Stream& stream);
     bool willBeLate(const Stream& stream) const;
-    void refuse(Stream stream);
+    void refuse(Stream stream, Duration retryAfter);
     void handleEvent(std::uint64_t id);
     void handleEnd(std::uint64_t id);
     void sendCounts(std::size_t from);
