--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -126,7 +126,7 @@
         return;
     std::vector<std::string> excluded = tried_;
     excluded.push_back(server_->id);
-    ServerSelection selection = context_.selector.select(selectionRequest(excluded, false));
+    ServerSelection selection = context_.selector.select(serverSelectionRequest(excluded, false));
     if (selection.kind != SelectionKind::Server || selection.server->id == server_->id || !context_.retryBudget.trySpend(options_.service))
         return;
     holdAttempt();
@@ -254,7 +254,7 @@
     if (isCrashCheckPending_ || !isAdmittedByQuarantine())
         return;
     // Only a request that can still meet its target latency is queued at a server without a free slot.
-    ServerSelection selection = context_.selector.select(selectionRequest(tried_, !willBeLate()));
+    ServerSelection selection = context_.selector.select(serverSelectionRequest(tried_, !willBeLate()));
     if (selection.kind == SelectionKind::RateLimited && executions_ == 0 && context_.clock.now() + *selection.retryAfter > waitUntil_) {
         // Callers that are refused during a pause are told different times after its end, so that they do not return at once.
         Duration spread = selection.isPause ? *selection.retryAfter * static_cast<int>(number_ % retryAfterSteps) / (4 * retryAfterSteps) : Duration::zero();
@@ -306,7 +306,7 @@
     if (executions_ == 0 && (isProbe_ || context_.selector.isUnavailable(options_.service)))
         until = std::max(until, std::min(arrivedAt_ + context_.settings.maxOutageWait, expiresAt_ - context_.settings.deadlineMargin));
     bool isNewStream = options_.route->kind == RequestKind::Streaming && executions_ == 0;
-    std::optional<StreamWait> wait = isNewStream && context_.streamWait ? context_.streamWait(selectionRequest(tried_, false), context_.clock.now() - arrivedAt_, number_) : std::nullopt;
+    std::optional<StreamWait> wait = isNewStream && context_.streamWait ? context_.streamWait(serverSelectionRequest(tried_, false), context_.clock.now() - arrivedAt_, number_) : std::nullopt;
     if (wait && !context_.selector.hadRecentOutage(options_.service))
         retryAfter_ = wait->retryAfter;
     if (wait && wait->mayWait)
@@ -324,7 +324,7 @@
     attempt_ = attempt;
     context_.loads.started(server.id);
     context_.rateLimits.recordSend(server.id);
-    context_.selector.recordSend(server, selectionRequest(tried_, true));
+    context_.selector.recordSend(server, serverSelectionRequest(tried_, true));
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
     bool mayReuse = staleConnections_ == 0;
     context_.pool.acquire(server.id, server.address, requestId_, mayReuse, [weak, attempt, serverId = server.id, &pool = context_.pool](std::shared_ptr<UpstreamConnection> connection, bool isReused) {
@@ -339,7 +339,7 @@
 void ForwardedRequest::connected(std::uint32_t attempt, std::shared_ptr<UpstreamConnection> connection, bool isReused)
 {
     // The server may have asked for a pause, or a rule may exclude it, since the connection was opened.
-    bool isStillAllowed = connection && !context_.selector.isPaused(*server_) && !context_.selector.isExcludedByNow(*server_, selectionRequest(tried_, true));
+    bool isStillAllowed = connection && !context_.selector.isPaused(*server_) && !context_.selector.isExcludedByNow(*server_, serverSelectionRequest(tried_, true));
     if (connection && !isStillAllowed) {
         connection_ = std::move(connection);
         releaseServer();
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -75,7 +75,7 @@
         ServerFailure,
     };
 
-    SelectionRequest selectionRequest(gsl::span<const std::string> tried, bool mayQueue) const { return { options_.service, tried, mayQueue, options_.priority, willBeLate() }; }
+    ServerSelectionRequest serverSelectionRequest(gsl::span<const std::string> tried, bool mayQueue) const { return { options_.service, tried, mayQueue, options_.priority, willBeLate() }; }
     void send();
     bool isAdmittedByQuarantine();
     void sendTo(const ServerRecord& server);
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -126,7 +126,7 @@
     std::function<void(const ServerRecord&, Duration)> onEventPause {};
     // Determines whether a stream that no server has begun waits on after this time. May be empty, or return std::nullopt for the
     // waits that the settings state.
-    std::function<std::optional<StreamWait>(const SelectionRequest&, Duration waited, std::uint64_t number)> streamWait {};
+    std::function<std::optional<StreamWait>(const ServerSelectionRequest&, Duration waited, std::uint64_t number)> streamWait {};
 };
 
 }
--- a/Source/Forwarding/SelectionRule.h
+++ b/Source/Forwarding/SelectionRule.h
@@ -14,7 +14,7 @@
 namespace Damaskgrade {
 
 // A request for which a backend server is selected.
-struct SelectionRequest {
+struct ServerSelectionRequest {
     std::string_view service;
     // Servers that are selected only after all servers of the service have been tried.
     gsl::span<const std::string> tried;
@@ -43,12 +43,12 @@
 struct SelectionRule {
     // Appears in refusals and logs.
     std::string name;
-    std::function<ServerAssessment(const ServerRecord&, const SelectionRequest&)> assess;
+    std::function<ServerAssessment(const ServerRecord&, const ServerSelectionRequest&)> assess;
     // The rule is applied again when the connection for a request has been opened. Not for rules that limit a rate, because
     // the request itself is counted by then.
     bool isAppliedToOpenConnections { false };
     // Called for each request that is sent to a server, also if no connection can be opened. May be empty.
-    std::function<void(const ServerRecord&, const SelectionRequest&)> onSend;
+    std::function<void(const ServerRecord&, const ServerSelectionRequest&)> onSend;
 };
 
 }
--- a/Source/Forwarding/ServerSelector.cpp
+++ b/Source/Forwarding/ServerSelector.cpp
@@ -20,7 +20,7 @@
 {
 }
 
-ServerSelection ServerSelector::select(const SelectionRequest& request)
+ServerSelection ServerSelector::select(const ServerSelectionRequest& request)
 {
     std::vector<const ServerRecord*> ready = fleet_.ready(request.service);
     if (ready.empty())
@@ -98,7 +98,7 @@
     return best;
 }
 
-ServerSelector::CombinedAssessment ServerSelector::assess(const ServerRecord& server, const SelectionRequest& request) const
+ServerSelector::CombinedAssessment ServerSelector::assess(const ServerRecord& server, const ServerSelectionRequest& request) const
 {
     CombinedAssessment combined;
     for (const SelectionRule& rule : rules_) {
@@ -115,7 +115,7 @@
     return combined;
 }
 
-void ServerSelector::recordSend(const ServerRecord& server, const SelectionRequest& request)
+void ServerSelector::recordSend(const ServerRecord& server, const ServerSelectionRequest& request)
 {
     for (const SelectionRule& rule : rules_) {
         if (rule.onSend)
@@ -123,7 +123,7 @@
     }
 }
 
-bool ServerSelector::isExcludedByNow(const ServerRecord& server, const SelectionRequest& request) const
+bool ServerSelector::isExcludedByNow(const ServerRecord& server, const ServerSelectionRequest& request) const
 {
     return std::any_of(rules_.begin(), rules_.end(), [&](const SelectionRule& rule) { return rule.isAppliedToOpenConnections && rule.assess(server, request).isExcluded; });
 }
--- a/Source/Forwarding/ServerSelector.h
+++ b/Source/Forwarding/ServerSelector.h
@@ -82,14 +82,14 @@
     // Adds a rule. Rules are applied in the order in which they were added.
     void addRule(SelectionRule rule) { rules_.push_back(std::move(rule)); }
 
-    ServerSelection select(const SelectionRequest& request);
+    ServerSelection select(const ServerSelectionRequest& request);
     ServerSelection select(std::string_view service, gsl::span<const std::string> tried, bool mayQueue) { return select({ service, tried, mayQueue }); }
 
     // Records that the request is sent to the server.
-    void recordSend(const ServerRecord& server, const SelectionRequest& request);
+    void recordSend(const ServerRecord& server, const ServerSelectionRequest& request);
 
     // Returns whether a rule that is also applied to open connections excludes the server for the request.
-    bool isExcludedByNow(const ServerRecord& server, const SelectionRequest& request) const;
+    bool isExcludedByNow(const ServerRecord& server, const ServerSelectionRequest& request) const;
 
     // Sets the numbers of entries that select among the same servers: of all zones, and of the local zone.
     void setEntryCount(std::size_t count, std::size_t localCount);
@@ -160,7 +160,7 @@
 
     bool isRefusing(const Outage& outage) const { return outage.refusalsInRow >= settings_.refusalsUntilOutage; }
 
-    CombinedAssessment assess(const ServerRecord& server, const SelectionRequest& request) const;
+    CombinedAssessment assess(const ServerRecord& server, const ServerSelectionRequest& request) const;
     const ServerRecord* selectBest(gsl::span<const Candidate> candidates);
     void reduceToSample(std::vector<Candidate>& candidates, std::size_t entryCount);
     void endOutage(std::string_view service, Outage& outage);
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -107,7 +107,7 @@
     , crashDetector_(
           clock, quarantine_, [this] { return makeUpstreamConnection(loop_, platform_.names.requestId); }, {}, [this](const std::set<std::string>& excludedIds) { return selectWitness(excludedIds); })
     , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, fleet_, {}, [this](const ServerRecord& server, Duration pause) { streamCapacity_.recordPause(server, pause); },
-        [this](const SelectionRequest& request, Duration waited, std::uint64_t number) { return streamCapacity_.streamWait(request.service, { request.priority, request.isLate }, waited, number); } }
+        [this](const ServerSelectionRequest& request, Duration waited, std::uint64_t number) { return streamCapacity_.streamWait(request.service, { request.priority, request.isLate }, waited, number); } }
     , forwarder_(loop, context_, catalog_, random)
 {
     serverSelector_.addRule(makeEvacuationRule(evacuations_, settings_.mustKnowEvacuations));
--- a/Tests/Forwarding/SelectionRuleTest.cpp
+++ b/Tests/Forwarding/SelectionRuleTest.cpp
@@ -15,7 +15,7 @@
 {
     SelectionRule rule;
     rule.name = "test";
-    rule.assess = [&excluded, retryAfter](const ServerRecord& server, const SelectionRequest&) {
+    rule.assess = [&excluded, retryAfter](const ServerRecord& server, const ServerSelectionRequest&) {
         ServerAssessment assessment;
         assessment.isExcluded = excluded.count(server.id) != 0;
         assessment.retryAfter = retryAfter;
@@ -58,7 +58,7 @@
     std::set<std::string> excluded;
     SelectionRule rule = excludingRule(excluded, std::nullopt);
     rule.isAppliedToOpenConnections = true;
-    rule.onSend = [&excluded](const ServerRecord& server, const SelectionRequest&) { excluded.insert(server.id); };
+    rule.onSend = [&excluded](const ServerRecord& server, const ServerSelectionRequest&) { excluded.insert(server.id); };
     simulation.addRule(std::move(rule));
     CHECK(simulation.start("1")->status() == 503);
     CHECK(simulation.sentRequests() == 0);
@@ -71,13 +71,13 @@
     SelectionRule rule;
     rule.name = "test";
     std::vector<std::string> sent;
-    rule.assess = [](const ServerRecord& server, const SelectionRequest&) {
+    rule.assess = [](const ServerRecord& server, const ServerSelectionRequest&) {
         ServerAssessment assessment;
         assessment.capacity = 2;
         assessment.cost = server.id == "s2" ? -10 : 0;
         return assessment;
     };
-    rule.onSend = [&sent](const ServerRecord& server, const SelectionRequest&) { sent.push_back(server.id); };
+    rule.onSend = [&sent](const ServerRecord& server, const ServerSelectionRequest&) { sent.push_back(server.id); };
     simulation.addRule(std::move(rule));
     for (int i = 0; i < 8; ++i)
         simulation.start(std::to_string(i));
--- a/Tests/StreamCapacity/StreamSimulation.cpp
+++ b/Tests/StreamCapacity/StreamSimulation.cpp
@@ -55,12 +55,12 @@
     , responseTimes({})
 {
     SelectionRule rule;
-    rule.assess = [this](const ServerRecord& server, const SelectionRequest& request) {
+    rule.assess = [this](const ServerRecord& server, const ServerSelectionRequest& request) {
         ServerAssessment assessment;
         assessment.capacity = capacity.capacity(server, { request.priority, request.isLate });
         return assessment;
     };
-    rule.onSend = [this](const ServerRecord& server, const SelectionRequest& request) { capacity.recordSend(server, { request.priority, request.isLate }); };
+    rule.onSend = [this](const ServerRecord& server, const ServerSelectionRequest& request) { capacity.recordSend(server, { request.priority, request.isLate }); };
     selector.addRule(std::move(rule));
 }
 
@@ -163,7 +163,7 @@
 bool StreamSimulation::trySend(Stream& stream)
 {
     Gateway& gateway = *gateways_[stream.gateway];
-    SelectionRequest request { serviceName, {}, !willBeLate(stream), stream.priority, willBeLate(stream) };
+    ServerSelectionRequest request { serviceName, {}, !willBeLate(stream), stream.priority, willBeLate(stream) };
     ServerSelection selection = gateway.selector.select(request);
     if (selection.kind == SelectionKind::Server) {
         stream.isSent = true;
