--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -12,6 +12,7 @@
 #include "Forwarding/ServerRateLimits.h"
 #include "Forwarding/ServerSelector.h"
 #include "Forwarding/ServiceRetryBudget.h"
+#include "Forwarding/StreamWait.h"
 #include "Forwarding/UpstreamPool.h"
 #include "Logging/DecisionLog.h"
 #include "Quarantine/PromptPart.h"
@@ -20,6 +21,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -125,6 +127,11 @@
     std::function<void(const ServerRecord&, const HttpResponse&, TimePoint)> onResponse {};
     // Empty unless parts of prompts that a server holds are considered.
     PromptSegmentsDecoder decodePromptSegments {};
+    // Called for each pause between two events that a server sent in one attempt. May be empty.
+    std::function<void(const ServerRecord&, Duration)> onEventPause {};
+    // Determines whether a stream that no server has begun waits on after this time. May be empty, or return std::nullopt for the
+    // waits that the settings state.
+    std::function<std::optional<StreamWait>(const ServerSelectionRequest&, Duration waited, std::uint64_t number)> streamWait {};
 };
 
 }
--- a/Source/Forwarding/SelectionRule.h
+++ b/Source/Forwarding/SelectionRule.h
@@ -6,6 +6,7 @@
 
 #include <gsl/span>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -20,6 +21,10 @@
     gsl::span<const std::string> tried;
     // Servers without a free slot may be selected.
     bool mayQueue { false };
+    // 0 is the highest priority.
+    std::int32_t priority { 0 };
+    // The response can no longer begin within the target latency of the route.
+    bool isLate { false };
     // The parts of the prompt, in order. Empty unless parts that a server holds are considered.
     gsl::span<const PromptSegment> prompt {};
 };
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -118,6 +118,7 @@
           })
     , coldShares_(clock, settings_.name, coldSharesSettings(settings_))
     , loads_(clock, maxPeerReportAge)
+    , streamCapacity_(clock, fleet_, loads_, { settings_.streamCapacity }, [this](const std::string& service, bool isActive) { handleStreamCapacity(service, isActive); })
     , outliers_(clock, gatewayOutlierSettings())
     , rateLimits_(clock, settings_.name, {}, [this](const std::string& serverId, double perSecond, bool isLocal) { handleRateLimit(serverId, perSecond, isLocal); })
     , serverSelector_(clock, fleet_, loads_, outliers_, rateLimits_, random, { settings_.availabilityZone })
@@ -128,12 +129,18 @@
     , quarantine_(clock, settings_.name, {}, [this](PromptPart part, QuarantineEvent event, std::uint32_t crashes, bool isLocal) { handleQuarantineEvent(part, event, crashes, isLocal); })
     , crashDetector_(
           clock, quarantine_, [this] { return makeUpstreamConnection(loop_, platform_.names.requestId); }, {}, [this](const std::set<std::string>& excludedIds) { return selectWitness(excludedIds); })
-    , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, fleet_, {}, [this](const ServerRecord& server, const HttpResponse& head, TimePoint sentAt) { handleColdStatement(server, head, sentAt); } }
+    , context_ { clock, platform_.names, loads_, serverSelector_, rateLimits_, pool_, responseBuffers_, outliers_, retryBudget_, log, counters_, responseTimes_, callerAges_, platform_.decodePromptParts, quarantine_, crashDetector_, fleet_, {} }
     , forwarder_(loop, context_, catalog_, random)
 {
+    context_.onResponse = [this](const ServerRecord& server, const HttpResponse& head, TimePoint sentAt) { handleColdStatement(server, head, sentAt); };
+    context_.onEventPause = [this](const ServerRecord& server, Duration pause) { streamCapacity_.recordPause(server, pause); };
+    context_.streamWait = [this](const ServerSelectionRequest& request, Duration waited, std::uint64_t number) {
+        return streamCapacity_.streamWait(request.service, { request.priority, request.isLate }, waited, number);
+    };
     serverSelector_.addRule(makeEvacuationRule(evacuations_, settings_.mustKnowEvacuations));
     serverSelector_.addRule(makeColdServerRule(coldServers_, coldShares_, coldCounters_));
     serverSelector_.addRule(makeColdConnectionRule(coldServers_, coldShares_));
+    serverSelector_.addRule(makeStreamCapacityRule(streamCapacity_));
     if (settings_.hasPrefixAffinity && platform_.decodePromptSegments)
         enablePrefixAffinity();
     PeerGroupSettings peerSettings;
@@ -190,6 +197,7 @@
         outliers_.evaluate();
         pool_.closeExpired();
         crashDetector_.removeExpired();
+        streamCapacity_.removeExpired();
         log_.flush();
     });
     loop_.onTermination([this] { startShutdown(); });
@@ -315,6 +323,7 @@
         if (service.coldRequestsPerSecond > 0)
             coldLimits_[service.name] = { service.coldRequestsPerSecond, service.coldStartTime };
     }
+    streamCapacity_.applyCatalog(catalog);
     // The first catalog can arrive before the HTTP server for callers is created.
     if (callerServer_)
         callerServer_->setLimits(callerServerLimits(catalog.limits()));
@@ -363,6 +372,11 @@
         coldServers_.recordResponse(server, *remaining, sentAt);
 }
 
+void GatewayProcess::handleStreamCapacity(const std::string& service, bool isActive)
+{
+    log_.write(LogLine(isActive ? "streamCapacityStarted" : "streamCapacityEnded").add("service", service).add("catalog", catalog_.version()));
+}
+
 // Selects a random server, so that a server which is down as well is not selected each time.
 std::optional<ServerRecord> GatewayProcess::selectWitness(const std::set<std::string>& excludedIds) const
 {
@@ -468,6 +482,13 @@
     page.addGauge("damaskgrade_cold_share_suspended", "1 if this entry may not send to any cold server.", !coldLimits_.empty() && coldShares_.isAbstaining() ? 1 : 0);
     if (prefixAffinity_)
         addPrefixMetrics(page);
+    std::map<std::string, double> requestMilliseconds = streamCapacity_.requestMilliseconds();
+    double highestCost = 0;
+    for (const auto& [service, cost] : requestMilliseconds)
+        highestCost = std::max(highestCost, cost);
+    page.addGauge("damaskgrade_stream_capacity_services", "Services whose requests in flight are bounded so that streams are on time.", static_cast<double>(requestMilliseconds.size()));
+    page.addGauge("damaskgrade_stream_request_cost_seconds", "Highest estimate among these services of the time by which a request extends a pass.", highestCost / 1000);
+    page.addCounter("damaskgrade_stream_pauses_measured_total", "Pauses between events from which the bound was estimated.", static_cast<double>(streamCapacity_.recordedPauses()));
     page.addGauge("damaskgrade_peers_alive", "Other entries that are alive.", static_cast<double>(peers_->aliveCount()));
     return page.text();
 }
@@ -489,6 +510,7 @@
     std::size_t entries = std::max(peers_->knownCount(), peers_->addressCount()) + 1;
     retryBudget_.setEntryCount(entries);
     serverSelector_.setEntryCount(entries, peers_->knownCountIn(settings_.availabilityZone) + 1);
+    streamCapacity_.setEntryCount(peers_->knownCount() + 1);
     quarantine_.setIsolated(2 * peers_->aliveCount() < peers_->knownCount());
     catalogFollower_->tick();
     updateColdServers();
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -17,6 +17,7 @@
 #include "Peers/PeerGroup.h"
 #include "Platform/Table.h"
 #include "PrefixAffinity/PrefixAffinity.h"
+#include "StreamCapacity/StreamCapacity.h"
 #include "Transport/HttpServer.h"
 
 #include <functional>
@@ -78,6 +79,7 @@
     void updateColdServers();
     void handleColdStatement(const ServerRecord& server, const HttpResponse& head, TimePoint sentAt);
     void handleEvacuation(const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer);
+    void handleStreamCapacity(const std::string& service, bool isActive);
     std::optional<ServerRecord> selectWitness(const std::set<std::string>& excludedIds) const;
     void handleServerLeft(const ServerRecord& server);
     void enablePrefixAffinity();
@@ -108,6 +110,7 @@
     ColdShares coldShares_;
     ColdServerCounters coldCounters_;
     InFlightTracker loads_;
+    StreamCapacity streamCapacity_;
     OutlierDetector outliers_;
     ServerRateLimits rateLimits_;
     // Null unless the setting is on. Requests use it until they are destroyed.
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Endpoint.h"
+#include "StreamCapacity/StreamCapacitySettings.h"
 #include "Transport/LinkKeys.h"
 
 #include <chrono>
@@ -41,6 +42,8 @@
     bool hasPrefixAffinity { false };
     // Longest time that servers retain a prompt after its last request. Not changed at run time.
     std::chrono::milliseconds promptRetention { 0 };
+    // For which services the requests in flight are bounded so that streams are on time. Not changed at run time.
+    StreamCapacityMode streamCapacity { StreamCapacityMode::Auto };
     // Maximum duration of a shutdown.
     std::chrono::milliseconds shutdownGrace { 8000 };
     // Retry budget: ratio of retries to requests, additional retries of all entries together, and the time window in
--- a/Source/Gateway/SelectionRules.cpp
+++ b/Source/Gateway/SelectionRules.cpp
@@ -67,4 +67,17 @@
     return rule;
 }
 
+SelectionRule makeStreamCapacityRule(StreamCapacity& capacity)
+{
+    SelectionRule rule;
+    rule.name = "streamCapacity";
+    rule.assess = [&capacity](const ServerRecord& server, const ServerSelectionRequest& request) {
+        ServerAssessment assessment;
+        assessment.capacity = capacity.capacity(server, { request.priority, request.isLate });
+        return assessment;
+    };
+    rule.onSend = [&capacity](const ServerRecord& server, const ServerSelectionRequest& request) { capacity.recordSend(server, { request.priority, request.isLate }); };
+    return rule;
+}
+
 }
--- a/Source/Gateway/SelectionRules.h
+++ b/Source/Gateway/SelectionRules.h
@@ -4,6 +4,7 @@
 #include "ColdServers/ColdShares.h"
 #include "Evacuation/ZoneEvacuations.h"
 #include "Forwarding/SelectionRule.h"
+#include "StreamCapacity/StreamCapacity.h"
 
 #include <cstdint>
 
@@ -27,4 +28,7 @@
 // taken for warm when it was selected or this entry has been frozen since. The arguments must outlive the rule.
 SelectionRule makeColdConnectionRule(const ColdServers& servers, const ColdShares& shares);
 
+// Returns a rule that bounds the requests in flight at a server. The capacity must outlive the rule.
+SelectionRule makeStreamCapacityRule(StreamCapacity& capacity);
+
 }
--- a/Source/PrefixAffinity/PrefixAffinity.cpp
+++ b/Source/PrefixAffinity/PrefixAffinity.cpp
@@ -38,7 +38,7 @@
     holder.ownInFlight = ownInFlight(server.id);
     holder.slots = server.slots > 0 ? server.slots : engine->slots;
     // A server that is cold has restarted or was idle.
-    holder.isSound = server.remainingWarmUp == std::chrono::milliseconds::zero() && hooks_.isSound(server);
+    holder.isSound = server.remainingWarmUp.value_or(std::chrono::milliseconds::zero()) <= std::chrono::milliseconds::zero() && hooks_.isSound(server);
     assessment.cost = prefixCost(*engine, heldParts(server, request, memoryPressure(*engine, holder.inFlight)), holder);
     return assessment;
 }
--- a/Tests/Gateway/PrefixAffinityTest.cpp
+++ b/Tests/Gateway/PrefixAffinityTest.cpp
@@ -118,7 +118,7 @@
     };
     applyFleet();
     std::vector<PromptSegment> prompt { { 7, 20000 }, { 1, 10 } };
-    ServerSelectionRequest request { "model", {}, true, prompt };
+    ServerSelectionRequest request { "model", {}, true, 0, false, prompt };
     const std::string holder = "s33";
     selector.recordSend(*fleet.find(holder), request);
     selector.recordFirstEvent(*fleet.find(holder), request);
@@ -173,7 +173,7 @@
         SelectionRule rule = affinity.makeRule();
         std::string ids;
         for (const auto& [id, server] : fleet.servers())
-            ids += rule.assess(server, { "model", {}, true, prompt }).cost < 0 ? id : "";
+            ids += rule.assess(server, { "model", {}, true, 0, false, prompt }).cost < 0 ? id : "";
         return ids;
     };
     std::vector<PromptSegment> prompt { { 7, 20000 }, { 1, 10 } };
--- a/Tests/PrefixAffinity/AffinitySimulation.cpp
+++ b/Tests/PrefixAffinity/AffinitySimulation.cpp
@@ -352,7 +352,7 @@
     bool trySend(const RequestPointer& request)
     {
         SimulatedGateway& gateway = *gateways_[request->gateway];
-        ServerSelectionRequest selection { service, {}, true, request->prompt };
+        ServerSelectionRequest selection { service, {}, true, 0, false, request->prompt };
         ServerSelection selected = gateway.selector.select(selection);
         if (selected.kind != SelectionKind::Server) {
             request->retryAt = clock_.now() + retryPeriod;
@@ -371,7 +371,7 @@
 
     void begun(SimulatedRequest& request)
     {
-        gateways_[request.gateway]->selector.recordFirstEvent(request.sentTo, { service, {}, true, request.prompt });
+        gateways_[request.gateway]->selector.recordFirstEvent(request.sentTo, { service, {}, true, 0, false, request.prompt });
         if (!request.isCounted || request.hasBegun)
             return;
         request.hasBegun = true;
@@ -383,7 +383,7 @@
     {
         SimulatedGateway& gateway = *gateways_[request.gateway];
         gateway.loads.finished(request.sentTo.id);
-        gateway.selector.recordEnd(request.sentTo, { service, {}, true, request.prompt });
+        gateway.selector.recordEnd(request.sentTo, { service, {}, true, 0, false, request.prompt });
     }
 
     void ended(const SimulatedRequest& request)
