--- a/Source/Gateway/SelectionRules.cpp
+++ b/Source/Gateway/SelectionRules.cpp
@@ -11,7 +11,7 @@
     rule.name = "evacuation";
     // The evacuation may begin while a connection is being opened.
     rule.isAppliedToOpenConnections = true;
-    rule.assess = [&evacuations, mustBeKnown](const ServerRecord& server, const SelectionRequest&) {
+    rule.assess = [&evacuations, mustBeKnown](const ServerRecord& server, const ServerSelectionRequest&) {
         ServerAssessment assessment;
         assessment.isExcluded = evacuations.isEvacuated(server.availabilityZone) || (mustBeKnown && !evacuations.isKnown());
         return assessment;
@@ -25,7 +25,7 @@
     constexpr double coldCost = 1.5;
     SelectionRule rule;
     rule.name = "coldServers";
-    rule.assess = [&servers, &shares, &counters](const ServerRecord& server, const SelectionRequest&) {
+    rule.assess = [&servers, &shares, &counters](const ServerRecord& server, const ServerSelectionRequest&) {
         ServerAssessment assessment;
         Duration remaining = servers.remaining(server);
         if (remaining <= Duration::zero())
@@ -40,7 +40,7 @@
         assessment.retryAfter = std::min(remaining, wait.value_or(remaining));
         return assessment;
     };
-    rule.onSend = [&servers, &shares, &counters](const ServerRecord& server, const SelectionRequest&) {
+    rule.onSend = [&servers, &shares, &counters](const ServerRecord& server, const ServerSelectionRequest&) {
         if (servers.limitOf(server).requestsPerSecond <= 0)
             return;
         bool isCold = servers.remaining(server) > Duration::zero();
@@ -55,7 +55,7 @@
     SelectionRule rule;
     rule.name = "coldConnections";
     rule.isAppliedToOpenConnections = true;
-    rule.assess = [&servers, &shares](const ServerRecord& server, const SelectionRequest&) {
+    rule.assess = [&servers, &shares](const ServerRecord& server, const ServerSelectionRequest&) {
         ServerAssessment assessment;
         Duration remaining = servers.remaining(server);
         if (remaining <= Duration::zero() || shares.mayFinishSend(server.id))
--- a/Tests/Gateway/ColdServerRuleTest.cpp
+++ b/Tests/Gateway/ColdServerRuleTest.cpp
@@ -114,7 +114,7 @@
 {
     Fixture fixture;
     const ServerRecord& warm = *fixture.fleet.find("s2");
-    SelectionRequest request { "model", {}, true };
+    ServerSelectionRequest request { "model", {}, true };
     fixture.send("s2");
     CHECK(!fixture.selector.isExcludedByNow(warm, request));
     fixture.servers.recordResponse(warm, Milliseconds(2000), fixture.clock.now());
