--- a/Tests/PrefixAffinity/PrefixIndexTest.cpp
+++ b/Tests/PrefixAffinity/PrefixIndexTest.cpp
@@ -125,7 +125,8 @@
     CHECK(failed.likelihood(prompt) == 0);
 }
 
-// Guards against memory that grows with the number of different prompts, and against a popular prefix that rare ones evict.
+// Guards against memory that grows with the number of different prompts, against a popular prefix that rare ones evict, and against new
+// ones that replace each other.
 TEST_CASE("a million parts stay within the memory of the table, and what is used stays in it")
 {
     constexpr std::size_t entries = 1U << 16U;
@@ -141,6 +142,12 @@
     CHECK(fixture.index.entryCount() <= entries);
     CHECK(fixture.index.evictionCount() >= 1000000 - 2 - entries);
     CHECK(fixture.likelihood(popular) == 1);
+    // Of the last eighth of a table of new parts, next to none has been replaced.
+    constexpr PromptPart recent = entries / 8;
+    std::size_t heldCount = 0;
+    for (PromptPart part = 1000000 - recent; part < 1000000; ++part)
+        heldCount += fixture.likelihood({ { part, 10 } }) > 0 ? 1 : 0;
+    CHECK(heldCount >= recent - recent / 100);
 }
 
 }
