--- a/Tests/StreamCapacity/StreamCapacityTest.cpp
+++ b/Tests/StreamCapacity/StreamCapacityTest.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-Catalog catalogWith(const std::vector<std::int32_t>& priorities, std::optional<EngineModel> engine = publishedEngine(), RequestKind kind = RequestKind::Streaming)
+Catalog catalogWith(const std::vector<std::int32_t>& priorities, const std::optional<EngineModel>& engine = publishedEngine(), RequestKind kind = RequestKind::Streaming)
 {
     std::vector<Route> routes;
     for (std::int32_t priority : priorities) {
@@ -28,7 +28,7 @@
     }
     ServiceSpecification service;
     service.name = "model";
-    service.engine = std::move(engine);
+    service.engine = engine;
     return Catalog(1, routes, { service }, {}, {});
 }
 
