--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -43,7 +43,7 @@
     // Longest time that servers retain a prompt after its last request. Not changed at run time.
     std::chrono::milliseconds promptRetention { 0 };
     // For which services the requests in flight are bounded so that streams are on time. Not changed at run time.
-    StreamCapacityMode streamCapacity { StreamCapacityMode::Auto };
+    StreamCapacityMode streamCapacity { StreamCapacityMode::Off };
     // Maximum duration of a shutdown.
     std::chrono::milliseconds shutdownGrace { 8000 };
     // Retry budget: ratio of retries to requests, additional retries of all entries together, and the time window in
--- a/Source/StreamCapacity/StreamCapacitySettings.h
+++ b/Source/StreamCapacity/StreamCapacitySettings.h
@@ -6,7 +6,8 @@
 
 namespace Damaskgrade {
 
-// For which services the capacity for streams on time is applied.
+// For which services the capacity for streams on time is applied. Off by default in entries, because whole deployments served
+// fewer callers in time with it (docs/design/stream-capacity.md).
 enum class StreamCapacityMode {
     // Services whose streaming routes differ in priority.
     Auto,
