--- a/Tests/UsersPlatform/CodecsTest.cpp
+++ b/Tests/UsersPlatform/CodecsTest.cpp
@@ -104,8 +104,11 @@
     };
     CHECK(read("") == std::make_pair(1.0, 0.0));
     CHECK(read("Bounds.ColdOverage=1.5\nBounds.ColdSlack=5\n") == std::make_pair(1.5, 5.0));
-    for (std::string invalid : { "-1", "many", "nan", "inf", "1e999" })
-        CHECK(read("Bounds.ColdOverage=" + invalid + "\nBounds.ColdSlack=" + invalid + "\n") == std::make_pair(1.0, 0.0));
+    for (std::string invalid : { "-1", "many", "nan", "inf", "1e999" }) {
+        std::string lines = "Bounds.ColdOverage=";
+        lines.append(invalid).append("\nBounds.ColdSlack=").append(invalid).append("\n");
+        CHECK(read(lines) == std::make_pair(1.0, 0.0));
+    }
 }
 
 // Guards against settings that are read from the wrong field, and against invalid settings without an error message.
