ColdServers: Let an entry that was listed before its restart send to cold servers

Cause: an entry that starts sends nothing to cold servers for 4 s. Change: an entry that the list had before its start is counted by the others all the while, so it sends as soon as its earlier requests are out of the window. An entry that shuts down, and is not listed from then on, sends no more to cold servers.

--- a/Source/ColdServers/ColdShares.cpp
+++ b/Source/ColdServers/ColdShares.cpp
@@ -48,11 +48,12 @@
     dismissed_.erase(name);
 }
 
-void ColdShares::tick(const std::map<std::string, Endpoint>& addresses, bool isListRead)
+void ColdShares::tick(const std::map<std::string, Endpoint>& addresses, bool isListRead, bool wasListed)
 {
     TimePoint now = clock_.now();
     if (now - lastTick_ > settings_.maxTickGap) {
         resumedAt_ = now;
+        hasBeenFrozen_ = true;
         contactSince_ = now;
         lastContact_ = now;
         isIntroduced_ = false;
@@ -64,7 +65,7 @@
     else
         contactSince_ = now;
     removeOldPeers();
-    isIntroduced_ = isIntroduced_ || (isListRead && isIntroduced());
+    isIntroduced_ = isIntroduced_ || (isListRead && isIntroduced(wasListed));
     isAbstaining_ = !isIntroduced_ || now - lastContact_ > settings_.maxIsolation;
 }
 
@@ -81,9 +82,13 @@
     }
 }
 
-bool ColdShares::isIntroduced() const
+bool ColdShares::isIntroduced(bool wasListed) const
 {
     Duration elapsed = clock_.now() - resumedAt_;
+    // The others have counted this entry since before it restarted, and the list has all that it must count itself. What it sent
+    // before its restart must be out of the window. Otherwise the restart of many entries would leave cold servers unused.
+    if (wasListed && !hasBeenFrozen_ && elapsed >= std::max(window + settings_.arrivalSpread, settings_.introductionTimePerEntry * static_cast<int>(peers_.size())))
+        return true;
     if (elapsed < introductionTime())
         return false;
     return heardSince(resumedAt_) == peers_.size() || (elapsed >= introductionTime() + settings_.silentEntryWait && isMajority(resumedAt_));
--- a/Source/ColdServers/ColdShares.h
+++ b/Source/ColdServers/ColdShares.h
@@ -52,9 +52,13 @@
     // Records a state of a peer. An entry with another name at the same address is gone.
     void recordPeer(const std::string& name, const Endpoint& link, bool isDraining);
 
-    // Updates what is known of the other entries. Called several times per second, with the addresses of other entries by name
-    // and whether the list of entries has been read since the start.
-    void tick(const std::map<std::string, Endpoint>& addresses, bool isListRead);
+    // Updates what is known of the other entries. Called several times per second, with the addresses of other entries by name,
+    // whether the list of entries has been read since the start, and whether it had this entry then.
+    void tick(const std::map<std::string, Endpoint>& addresses, bool isListRead, bool wasListed);
+
+    // Ends this entry's share for good. Called when its shutdown starts: it is no longer listed from then on, so that an entry that
+    // starts does not count it.
+    void end() { hasEnded_ = true; }
 
     // Returns how long this entry has to wait before it sends to a cold server that tolerates this rate. Returns std::nullopt if
     // others send to it, or if this entry may not send to any cold server now.
@@ -71,7 +75,7 @@
     void removeOldSends();
 
     // Returns whether this entry may not send to any cold server now.
-    bool isAbstaining() const { return isAbstaining_ || clock_.now() - lastTick_ > settings_.maxTickGap; }
+    bool isAbstaining() const { return isAbstaining_ || hasEnded_ || clock_.now() - lastTick_ > settings_.maxTickGap; }
 
     std::size_t knownCount() const { return peers_.size() + 1; }
 
@@ -111,7 +115,7 @@
     bool isMajority(TimePoint since) const;
     void removeOldPeers();
     void addListedPeers(const std::map<std::string, Endpoint>& addresses);
-    bool isIntroduced() const;
+    bool isIntroduced(bool wasListed) const;
 
     const Clock& clock_;
     std::string entryName_;
@@ -129,6 +133,8 @@
     // Since when this entry has heard the majority without interruption, and when it did last.
     TimePoint contactSince_;
     TimePoint lastContact_;
+    bool hasBeenFrozen_ { false };
+    bool hasEnded_ { false };
     bool isIntroduced_ { false };
     bool isAbstaining_ { true };
 };
--- a/Source/Gateway/EntryRegistration.cpp
+++ b/Source/Gateway/EntryRegistration.cpp
@@ -52,7 +52,6 @@
 void EntryRegistration::handleRows(const TableReadResult& result)
 {
     bool hasLocalRow = false;
-    hasReadRows_ = true;
     std::string localAddress = formatEndpoint(settings_.link);
     for (const TableRow& row : result.rows) {
         std::string name = row.key.substr(rowPrefix.size());
@@ -67,6 +66,9 @@
             LOG(WARNING) << "ignored the table row of entry " << name << ": " << error.what();
         }
     }
+    if (!hasReadRows_)
+        wasListed_ = hasLocalRow;
+    hasReadRows_ = true;
     if (!hasLocalRow)
         write();
 }
--- a/Source/Gateway/EntryRegistration.h
+++ b/Source/Gateway/EntryRegistration.h
@@ -31,6 +31,9 @@
     // Returns whether the rows have been read since the start.
     bool hasReadRows() const { return hasReadRows_; }
 
+    // Returns whether the first rows that were read had the row of this entry, which an earlier start of it has left.
+    bool wasListed() const { return wasListed_; }
+
     // Deletes the row of this entry. Call before a planned shutdown.
     void unregister();
 
@@ -46,6 +49,7 @@
     EntryRegistrationSettings settings_;
     bool isUnregistered_ { false };
     bool hasReadRows_ { false };
+    bool wasListed_ { false };
     std::unique_ptr<Timer> timer_;
 };
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -351,7 +351,7 @@
 {
     if (coldLimits_.empty())
         return;
-    coldShares_.tick(peers_->addresses(), entryRegistration_->hasReadRows());
+    coldShares_.tick(peers_->addresses(), entryRegistration_->hasReadRows(), entryRegistration_->wasListed());
     if (fleet_.asOf() - coldEvidenceAsOf_ >= coldEvidencePeriod) {
         coldEvidenceAsOf_ = fleet_.asOf();
         coldServers_.update(fleet_.servers(), fleet_.asOf());
@@ -549,6 +549,7 @@
     drainStartedAt_ = clock_.now();
     log_.write(LogLine("shutdownStarted").add("inFlight", static_cast<std::int64_t>(forwarder_.activeCount())));
     callerServer_->closeAfterResponses();
+    coldShares_.end();
     entryRegistration_->unregister();
     peers_->sendState();
     shutdownTimer_ = loop_.every(shutdownCheckPeriod, [this] { continueShutdown(); });
--- a/Tests/ColdServers/ColdSharesTest.cpp
+++ b/Tests/ColdServers/ColdSharesTest.cpp
@@ -122,6 +122,7 @@
         TimePoint frozenUntil;
         TimePoint sentAt;
         bool isDraining { false };
+        bool wasListed { false };
         TimePoint goneAt { TimePoint::max() };
         bool isGone { false };
         std::map<std::size_t, TimePoint> heardAt;
@@ -133,8 +134,9 @@
         bool isDraining { false };
     };
 
-    void start(Entry& entry)
+    void start(Entry& entry, bool isRestart = false)
     {
+        entry.wasListed = isRestart && !entry.isDraining;
         entry.clock = std::make_unique<ManualClock>();
         entry.shares = std::make_unique<ColdShares>(*entry.clock, entry.name, settings_);
         entry.clockRate = 0.98 + random_.fraction() * 0.04;
@@ -152,7 +154,7 @@
             freeze(index, Milliseconds(random_.index(6000)));
             break;
         case 1:
-            start(entry);
+            start(entry, true);
             break;
         case 2:
             if (entries_.size() < 60)
@@ -165,6 +167,7 @@
         case 4:
             if (!entry.isDraining) {
                 entry.isDraining = true;
+                entry.shares->end();
                 entry.goneAt = now_ + std::chrono::seconds(4);
             }
             break;
@@ -207,7 +210,7 @@
                 if (other != index && !entries_[other].isDraining)
                     addresses[entries_[other].name] = linkOf(other);
             }
-            entry.shares->tick(addresses, true);
+            entry.shares->tick(addresses, true, entry.wasListed);
             entry.nextTick = now_ + Milliseconds(50);
         }
         if (now_ >= entry.nextState) {
@@ -288,6 +291,42 @@
     CHECK(exceedsBound(decideByShare, true) == 0);
 }
 
+// Guards against callers that are refused for seconds because many entries have restarted while servers are cold, and against an
+// entry that takes the earlier start for its own after it was frozen.
+TEST_CASE("an entry that was listed before its restart sends as soon as its earlier requests are out of the window")
+{
+    ManualClock clock;
+    ColdShares shares(clock, "a", testSettings());
+    std::map<std::string, Endpoint> addresses { { "b", linkOf('b') } };
+    auto pass = [&](Milliseconds time) {
+        for (Milliseconds passed { 0 }; passed < time; passed += Milliseconds(50)) {
+            clock.advance(Milliseconds(50));
+            shares.tick(addresses, true, true);
+        }
+    };
+    pass(Milliseconds(1100));
+    CHECK(shares.isAbstaining());
+    pass(Milliseconds(100));
+    CHECK(!shares.isAbstaining());
+    clock.advance(std::chrono::seconds(2));
+    pass(Milliseconds(2000));
+    CHECK(shares.isAbstaining());
+}
+
+// Guards against an entry that is no longer listed but still sends to cold servers, uncounted by an entry that starts.
+TEST_CASE("an entry whose shutdown has started abstains")
+{
+    ManualClock clock;
+    ColdShares shares(clock, "a", testSettings());
+    for (Milliseconds passed { 0 }; passed < std::chrono::seconds(5); passed += Milliseconds(50)) {
+        clock.advance(Milliseconds(50));
+        shares.tick({}, true, false);
+    }
+    CHECK(!shares.isAbstaining());
+    shares.end();
+    CHECK(shares.isAbstaining());
+}
+
 // Guards against shares that are safe but leave a cold server idle.
 TEST_CASE("the shares of healthy entries use most of the rate")
 {
@@ -314,7 +353,7 @@
             clock.advance(Milliseconds(50));
             for (const std::string& name : heard)
                 shares.recordPeer(name, linkOf(name[0]), false);
-            shares.tick(addresses, isListRead);
+            shares.tick(addresses, isListRead, false);
         }
     };
     const std::vector<std::string> both { "b", "c" };
@@ -361,7 +400,7 @@
             clock.advance(Milliseconds(50));
             for (std::string name : { "d", "f" })
                 shares.recordPeer(name, linkOf(name == "f" ? 'b' : name[0]), false);
-            shares.tick({ { "e", linkOf('e') } }, true);
+            shares.tick({ { "e", linkOf('e') } }, true, false);
         }
     };
     run(std::chrono::seconds(7));
@@ -382,7 +421,7 @@
     ColdShares shares(clock, "a", testSettings());
     for (int i = 0; i < 100; ++i) {
         clock.advance(Milliseconds(50));
-        shares.tick({}, true);
+        shares.tick({}, true, false);
     }
     CHECK(shares.timeUntilSend(server, 17) == Duration::zero());
     shares.recordSend(server, false);
@@ -403,7 +442,7 @@
     ColdShares shares(clock, "a", settings);
     for (int i = 0; i < 100; ++i) {
         clock.advance(Milliseconds(50));
-        shares.tick({}, true);
+        shares.tick({}, true, false);
     }
     shares.recordSend(server, true);
     CHECK(shares.timeUntilSend(server, 1).value() > std::chrono::seconds(1));
--- a/Tests/Gateway/ColdServerRuleTest.cpp
+++ b/Tests/Gateway/ColdServerRuleTest.cpp
@@ -47,7 +47,7 @@
     {
         for (Duration passed { 0 }; passed < duration; passed += Milliseconds(50)) {
             clock.advance(Milliseconds(50));
-            shares.tick({}, true);
+            shares.tick({}, true, false);
         }
     }
 
