--- a/Source/Catalog/Catalog.cpp
+++ b/Source/Catalog/Catalog.cpp
@@ -19,6 +19,13 @@
 
 }
 
+// Callers wait for two seconds, four times the target latency or eight times the target for pauses, whichever is longest.
+std::chrono::milliseconds Route::eventPatience() const
+{
+    constexpr std::chrono::milliseconds shortest { 2000 };
+    return std::max({ shortest, 4 * targetLatency, 8 * targetGap });
+}
+
 Catalog::Catalog(std::uint64_t version, std::vector<Route> routes, std::vector<ServiceSpecification> services,
     std::vector<CustomerKeys> customers, CallerLimits limits)
     : version_(version)
--- a/Source/Catalog/Catalog.h
+++ b/Source/Catalog/Catalog.h
@@ -51,6 +51,9 @@
     // Requests of the route state the parts of their prompts.
     bool hasStickySessions { false };
 
+    // Returns how long a caller waits for the first or the next event of a stream before it cancels the stream.
+    std::chrono::milliseconds eventPatience() const;
+
     // Returns whether a request may be executed more than once.
     bool isRetryable() const { return kind == RequestKind::Idempotent || (kind == RequestKind::Streaming && isResumable); }
 };
@@ -82,6 +85,8 @@
     // Mean numbers of tokens.
     double usualPromptTokens { 0 };
     double usualAnswerTokens { 0 };
+    // Longest one-way delay between two availability zones of the service.
+    double zoneDelayMilliseconds { 0 };
 };
 
 struct ServiceSpecification {
--- a/Source/ColdServers/ColdServers.h
+++ b/Source/ColdServers/ColdServers.h
@@ -14,7 +14,7 @@
 namespace Damaskgrade {
 
 struct ColdServersSettings {
-    // A registry record, and so its statement, is at most this old when it is read.
+    // A registry record, and so its statement, is at most this old when it is read: servers write it once in this time.
     Duration recordAge { std::chrono::milliseconds(1200) };
     // How long a server of a service with a limit is cold where the catalog does not state it.
     Duration defaultColdTime { std::chrono::seconds(3) };
--- a/Source/ColdServers/ColdShares.cpp
+++ b/Source/ColdServers/ColdShares.cpp
@@ -87,16 +87,36 @@
     Duration elapsed = clock_.now() - resumedAt_;
     // The others have counted this entry since before it restarted, and the list has all that it must count itself. What it sent
     // before its restart must be out of the window. Otherwise the restart of many entries would leave cold servers unused.
-    if (wasListed && !hasBeenFrozen_ && elapsed >= std::max(window + settings_.arrivalSpread, settings_.introductionTimePerEntry * static_cast<int>(peers_.size())))
+    if (wasListed && !hasBeenFrozen_ && elapsed >= std::max(window + arrivalSpread(), reachTime()))
         return true;
     if (elapsed < introductionTime())
         return false;
-    return heardSince(resumedAt_) == peers_.size() || (elapsed >= introductionTime() + settings_.silentEntryWait && isMajority(resumedAt_));
+    return heardSince(resumedAt_) == peers_.size() || (elapsed >= introductionTime() + std::chrono::duration_cast<Duration>(settings_.silentEntryWait * std::chrono::duration<double>(settings_.maxIsolation)) && isMajority(resumedAt_));
+}
+
+// Requests sent within this much more than a second may arrive within a second. A request waits for its connection, which takes
+// two delays, and for its own way; another one does so on an open connection. Processes are late by some ticks, and clocks do not
+// run at the same rate.
+Duration ColdShares::arrivalSpread() const
+{
+    constexpr int delays = 4;
+    constexpr int ticks = 3;
+    return delays * zoneDelay_ + ticks * settings_.tickPeriod;
+}
+
+// Returns the time after which all others probably have a state of this entry. Each state goes to a random part of them, so that
+// the number of states grows with their logarithm, too.
+Duration ColdShares::reachTime() const
+{
+    constexpr double safety = 3;
+    double parts = std::max(1.0, static_cast<double>(peers_.size()) / static_cast<double>(settings_.peersPerState));
+    double states = parts * (std::log(static_cast<double>(peers_.size() + 1)) + safety);
+    return std::chrono::duration_cast<Duration>(states * std::chrono::duration<double>(settings_.statePeriod)) + zoneDelay_;
 }
 
 Duration ColdShares::introductionTime() const
 {
-    return settings_.introductionTime + settings_.introductionTimePerEntry * static_cast<int>(peers_.size());
+    return settings_.lostStates * settings_.statePeriod + reachTime();
 }
 
 std::size_t ColdShares::heardSince(TimePoint time) const
@@ -136,7 +156,7 @@
     double bound = requestsPerSecond * settings_.overage + settings_.slack;
     if (bound < 1)
         return {};
-    double seconds = std::chrono::duration<double>(window + settings_.arrivalSpread).count();
+    double seconds = std::chrono::duration<double>(window + arrivalSpread()).count();
     double pace = std::min(requestsPerSecond, std::max((bound - 1) / seconds, maxSinglePace / seconds));
     double senders = std::floor(bound - pace * seconds);
     return { static_cast<std::size_t>(std::clamp(senders, 1.0, mostSenders)), pace };
@@ -170,7 +190,7 @@
     auto interval = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(senders) / division.pace));
     // Requests that were sent while the server was thought to be warm have kept no distance, so they must be out of the window.
     if (!found->second.wasCold)
-        interval = std::max(interval, window + settings_.arrivalSpread);
+        interval = std::max(interval, window + arrivalSpread());
     return std::max(Duration::zero(), found->second.at + interval - clock_.now());
 }
 
@@ -182,7 +202,7 @@
 bool ColdShares::mayFinishSend(std::string_view serverId) const
 {
     auto found = sends_.find(serverId);
-    bool wasTakenForWarm = found != sends_.end() && !found->second.wasCold && clock_.now() - found->second.at < window + settings_.arrivalSpread;
+    bool wasTakenForWarm = found != sends_.end() && !found->second.wasCold && clock_.now() - found->second.at < window + arrivalSpread();
     return !isAbstaining() && !wasTakenForWarm;
 }
 
--- a/Source/ColdServers/ColdShares.h
+++ b/Source/ColdServers/ColdShares.h
@@ -18,16 +18,17 @@
     // In any second, a cold server may get this many times the rate that it tolerates, plus the slack.
     double overage { 1 };
     double slack { 0 };
-    // Requests sent within this much more than a second may arrive within a second, because of delays and of clocks that do not
-    // run at the same rate.
-    Duration arrivalSpread { std::chrono::milliseconds(150) };
-    // An entry that has started or was frozen sends nothing to cold servers for this time, and for a time for each known entry,
-    // since states are sent to some of the entries at a time where there are many. By then the others know of it.
-    Duration introductionTime { std::chrono::seconds(3) };
-    Duration introductionTimePerEntry { std::chrono::milliseconds(80) };
-    // How much longer an introduction waits for the states of listed entries that are silent. Longer than maxIsolation, so that
-    // entries that this one can't reach have stopped by then.
-    Duration silentEntryWait { std::chrono::seconds(15) };
+    // Time between two ticks, within which a process may handle what is due.
+    Duration tickPeriod { std::chrono::milliseconds(50) };
+    // Time between two states of an entry, and the number of other entries that get one of them.
+    Duration statePeriod { std::chrono::milliseconds(200) };
+    std::size_t peersPerState { 24 };
+    // An entry that has started or was frozen sends nothing to cold servers until its state has reached the others. Before, this
+    // number of states may be lost, for example because links are not open yet.
+    int lostStates { 15 };
+    // How much longer an introduction waits for the states of listed entries that are silent, relative to maxIsolation. Above 1,
+    // so that entries that this one can't reach have stopped by then.
+    double silentEntryWait { 1.5 };
     // A longer time between two ticks means that the process was frozen, and that what it knows may be outdated.
     Duration maxTickGap { std::chrono::seconds(1) };
     // A silent entry keeps its share for this time. Longer than an isolated entry uses it.
@@ -49,6 +50,9 @@
 public:
     ColdShares(const Clock& clock, std::string entryName, ColdSharesSettings settings);
 
+    // Sets the longest one-way delay between availability zones.
+    void setZoneDelay(Duration delay) { zoneDelay_ = delay; }
+
     // Records a state of a peer. An entry with another name at the same address is gone.
     void recordPeer(const std::string& name, const Endpoint& link, bool isDraining);
 
@@ -108,6 +112,8 @@
 
     std::size_t heavierPeers(std::string_view serverId) const;
     Division divide(double requestsPerSecond) const;
+    Duration arrivalSpread() const;
+    Duration reachTime() const;
     Duration introductionTime() const;
     std::size_t heardSince(TimePoint time) const;
     // Returns whether this entry and those heard since the time are the majority. Of two halves, it is the one that has the
@@ -120,6 +126,7 @@
     const Clock& clock_;
     std::string entryName_;
     ColdSharesSettings settings_;
+    Duration zoneDelay_ { 0 };
     std::map<std::string, Peer> peers_;
     // Listed entries that have been silent for so long that they are gone.
     std::set<std::string> dismissed_;
--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -1,7 +1,9 @@
 #include "Forwarding/ForwardedRequest.h"
 
+#include "Forwarding/FailureResponse.h"
 #include "Forwarding/HeaderValues.h"
 #include "Forwarding/MessageHeaders.h"
+#include "Forwarding/ServerStatements.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,12 +14,9 @@
 
 constexpr int statusBadGateway = 502;
 constexpr int statusTimeout = 504;
-constexpr int firstFailureStatus = 300;
 constexpr int firstServerFailureStatus = 500;
 // The urgency for the engine ranges from 0, the most urgent, to this value.
 constexpr int lowestUrgency = 9;
-// Bounds what is logged of a value that a server states.
-constexpr std::size_t maxLoggedValue = 32;
 // Number of different times that callers are told who are refused at the same time.
 constexpr int retryAfterSteps = 16;
 constexpr std::string_view brokenConnection = "connection broke";
@@ -37,7 +36,6 @@
     , exchange_(std::move(exchange))
     , options_(std::move(options))
     , onDone_(std::move(onDone))
-    , arrivedAt_(context.clock.now())
 {
     const std::vector<HttpHeader>& headers = exchange_->request().headers;
     requestId_ = findHeader(headers, context_.names.requestId).value_or("");
@@ -48,19 +46,9 @@
     }
     promptParts_.resize(std::min(promptParts_.size(), context_.settings.maxPromptParts));
     prompt_.resize(std::min(prompt_.size(), context_.settings.maxPromptParts));
-    expiresAt_ = arrivedAt_ + options_.route->timeout;
-    expiresAtRouteTimeout_ = true;
     std::optional<std::chrono::milliseconds> deadline = parseMilliseconds(findHeader(headers, context_.names.deadline));
-    if (deadline && *deadline <= options_.route->timeout) {
-        expiresAt_ = arrivedAt_ + *deadline;
-        expiresAtRouteTimeout_ = false;
-    }
-    if (deadline)
-        callerAge_ = context_.callerAgeEstimator.observe(options_.route->name, *deadline);
-    targetAt_ = arrivedAt_ + options_.route->targetLatency - callerAge_;
-    bool isStream = options_.route->kind == RequestKind::Streaming;
-    Duration maxWait = std::chrono::duration_cast<Duration>((expiresAt_ - arrivedAt_) * context_.settings.maxWait);
-    waitUntil_ = arrivedAt_ + (isStream ? std::min<Duration>(context_.settings.maxStreamWait, expiresAt_ - arrivedAt_) : maxWait);
+    std::chrono::milliseconds callerAge = deadline ? context_.callerAgeEstimator.observe(options_.route->name, *deadline) : std::chrono::milliseconds::zero();
+    timing_.emplace(context_.clock.now(), *options_.route, deadline, callerAge, context_.settings);
 }
 
 ForwardedRequest::~ForwardedRequest()
@@ -90,10 +78,9 @@
     std::shared_ptr<ForwardedRequest> self = shared_from_this();
     if (state_ == State::Done)
         return;
-    TimePoint respondAt = expiresAtRouteTimeout_ ? expiresAt_ : expiresAt_ - context_.settings.deadlineMargin;
-    if (now >= respondAt) {
+    if (now >= timing_->respondAt()) {
         ++context_.counters.timedOut;
-        giveUp(expiresAtRouteTimeout_ ? "route timeout" : "deadline");
+        giveUp(timing_->expiresAtRouteTimeout() ? "route timeout" : "deadline");
         return;
     }
     if (state_ == State::Waiting) {
@@ -172,7 +159,7 @@
 
 void ForwardedRequest::holdAttempt()
 {
-    context_.log.write(LogLine("attemptHeld").add("request", requestId_).add("server", server_->id).add("attempt", attempt_).add("events", events_).add("silentMs", milliseconds(context_.clock.now() - progressAt_)));
+    context_.log.write(LogLine("attemptHeld").add("request", requestId_).add("server", server_->id).add("attempt", attempt_).add("events", events_.count()).add("silentMs", milliseconds(context_.clock.now() - progressAt_)));
     ++executions_;
     context_.outliers.callFailed(server_->id);
     held_ = takeCurrentAttempt();
@@ -246,7 +233,7 @@
 
 void ForwardedRequest::handleHeldEnd()
 {
-    if (!held_->splitter || held_->splitter->isInsideEvent() || events_ == 0) {
+    if (!held_->splitter || held_->splitter->isInsideEvent() || events_.count() == 0) {
         closeHeldAttempt();
         return;
     }
@@ -260,14 +247,14 @@
         return;
     // Only a request that can still meet its target latency is queued at a server without a free slot.
     ServerSelection selection = context_.selector.select(serverSelectionRequest(tried_, !willBeLate()));
-    if (selection.kind == SelectionKind::RateLimited && executions_ == 0 && context_.clock.now() + *selection.retryAfter > waitUntil_) {
+    if (selection.kind == SelectionKind::RateLimited && executions_ == 0 && !timing_->mayWaitFor(context_.clock.now(), *selection.retryAfter)) {
         // Callers that are refused during a pause are told different times after its end, so that they do not return at once.
         Duration spread = selection.isPause ? *selection.retryAfter * static_cast<int>(number_ % retryAfterSteps) / (4 * retryAfterSteps) : Duration::zero();
         retryAfter_ = std::max(context_.settings.retryAfter, std::chrono::duration_cast<std::chrono::milliseconds>(*selection.retryAfter + spread));
         giveUp(selection.isPause ? "servers have asked for a pause" : "servers have reached their rate limits");
         return;
     }
-    if (selection.kind == SelectionKind::Excluded && executions_ == 0 && (!selection.retryAfter || context_.clock.now() + *selection.retryAfter > waitUntil_)) {
+    if (selection.kind == SelectionKind::Excluded && executions_ == 0 && (!selection.retryAfter || !timing_->mayWaitFor(context_.clock.now(), *selection.retryAfter))) {
         if (selection.retryAfter)
             retryAfter_ = std::max(context_.settings.retryAfter, std::chrono::duration_cast<std::chrono::milliseconds>(*selection.retryAfter));
         giveUp("rule " + std::string(selection.excludingRule) + " excludes all servers");
@@ -307,17 +294,17 @@
 void ForwardedRequest::waitOrRefuse()
 {
     state_ = State::Waiting;
-    TimePoint until = executions_ > 0 ? expiresAt_ : waitUntil_;
-    if (executions_ == 0 && (isProbe_ || context_.selector.isUnavailable(options_.service)))
-        until = std::max(until, std::min(arrivedAt_ + context_.settings.maxOutageWait, expiresAt_ - context_.settings.deadlineMargin));
     bool isNewStream = options_.route->kind == RequestKind::Streaming && executions_ == 0;
-    std::optional<StreamWait> wait = isNewStream && context_.streamWait ? context_.streamWait(serverSelectionRequest(tried_, false), context_.clock.now() - arrivedAt_, number_) : std::nullopt;
-    if (wait && !context_.selector.hadRecentOutage(options_.service))
+    std::optional<StreamWait> wait;
+    if (isNewStream && context_.streamWait)
+        wait = context_.streamWait(serverSelectionRequest(tried_, false), timing_->streamWaitLimits(context_.clock.now()), number_);
+    bool hadRecentOutage = context_.selector.hadRecentOutage(options_.service);
+    if (wait && !hadRecentOutage)
         retryAfter_ = wait->retryAfter;
     if (wait && wait->mayWait)
         return;
-    bool isOverdue = isNewStream && willBeLate() && context_.clock.now() >= arrivedAt_ + context_.settings.maxLateWait;
-    if (context_.clock.now() >= until || (isOverdue && !isProbe_ && !context_.selector.hadRecentOutage(options_.service)))
+    WaitingState waiting { executions_ > 0, isProbe_, context_.selector.isUnavailable(options_.service), hadRecentOutage, willBeLate() };
+    if (!timing_->mayWait(context_.clock.now(), waiting))
         giveUp("no server is free");
 }
 
@@ -413,7 +400,7 @@
     UpstreamHeaderValues values;
     values.serverId = server_->id;
     values.customer = options_.customer;
-    values.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(expiresAt_ - context_.clock.now());
+    values.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(timing_->expiresAt() - context_.clock.now());
     if (options_.route->kind == RequestKind::Streaming)
         values.urgency = isStreamStarted() ? 0 : std::clamp(static_cast<int>(options_.priority), 0, lowestUrgency);
     if (isStreamStarted())
@@ -426,19 +413,14 @@
     progressAt_ = context_.clock.now();
     head_ = head;
     isRefusal_ = isMarkedNotExecuted(head, context_.names);
-    if (findHeader(head.headers, context_.names.leaving) == "1" && context_.fleet.recordLeaving({ server_->id, server_->startedAt }))
-        context_.log.write(LogLine("serverStatedLeaving").add("server", server_->id).add("request", requestId_).add("status", head.status));
-    bool isSuccess = head.status < firstFailureStatus;
-    if (context_.onResponse)
-        context_.onResponse(*server_, head, sentAt_);
-    recordPause(head);
-    recordRateLimit(head, isSuccess && !isRefusal_);
-    if (!isRefusal_ && isSuccess && !isResponseAuthentic(head)) {
+    recordServerStatements(context_, { *server_, head, requestId_, sentAt_, isRefusal_ });
+    bool isSuccessful = isSuccess(head.status) && !isRefusal_;
+    if (isSuccessful && !isAuthentic(head, context_.names)) {
         ++context_.counters.rejectedResponses;
         endAttempt(AttemptFailure::Unknown, "response lacks its signature");
         return;
     }
-    if (options_.route->kind == RequestKind::Streaming && isSuccess && !isRefusal_) {
+    if (options_.route->kind == RequestKind::Streaming && isSuccessful) {
         state_ = State::Streaming;
         splitter_ = std::make_shared<EventSplitter>([this, attempt = attempt_](const RawEvent& event) { handleEvent(attempt, event); });
         return;
@@ -446,42 +428,6 @@
     state_ = State::Buffering;
 }
 
-// A server that refuses requests may state how long it wants none.
-void ForwardedRequest::recordPause(const HttpResponse& head)
-{
-    std::optional<std::string> text = findHeader(head.headers, context_.names.retryAfter);
-    if (head.status != statusUnavailable || !text)
-        return;
-    std::optional<double> seconds = parseNonNegative(*text);
-    LogLine line("serverPaused");
-    line.add("server", server_->id).add("request", requestId_).add("stated", text->substr(0, maxLoggedValue));
-    if (seconds) {
-        Duration duration = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(*seconds, std::chrono::duration<double>(context_.settings.maxServerPause).count())));
-        context_.selector.pause(*server_, duration);
-        ++context_.counters.serverPauses;
-        line.add("pauseMs", milliseconds(duration));
-    }
-    context_.log.write(line);
-}
-
-// Any response may state a limit. That a server has none is taken only from a response of the server itself, which a
-// refusal may not be.
-void ForwardedRequest::recordRateLimit(const HttpResponse& head, bool isSuccess)
-{
-    std::optional<std::string> text = findHeader(head.headers, context_.names.rateLimit);
-    std::optional<double> perSecond = text ? parseNonNegative(*text) : std::nullopt;
-    if (perSecond || (!text && isSuccess && isResponseAuthentic(head)))
-        context_.rateLimits.recordResponse(server_->id, perSecond, sentAt_);
-}
-
-// Returns whether a successful response has the signature of a backend server and its body was not re-encoded
-// on the way.
-bool ForwardedRequest::isResponseAuthentic(const HttpResponse& head) const
-{
-    std::optional<std::string> signature = findHeader(head.headers, context_.names.signature);
-    return signature && !signature->empty() && !findHeader(head.headers, "Content-Encoding");
-}
-
 void ForwardedRequest::handleBody(std::string_view body)
 {
     if (state_ == State::Streaming) {
@@ -540,8 +486,7 @@
     }
     if (event.id)
         lastEventId_ = event.id;
-    recordEventGap();
-    ++events_;
+    recordEvent();
     ++context_.counters.events;
     exchange_->write(event.bytes);
     if (exchange_->pendingBytes() > context_.settings.maxPendingBytes)
@@ -555,25 +500,18 @@
     hasSurvivedStart_ = true;
 }
 
-void ForwardedRequest::recordEventGap()
+void ForwardedRequest::recordEvent()
 {
-    if (events_ == 0) {
-        firstEventAt_ = progressAt_;
-    } else if (progressAt_ - lastEventAt_ > longestGap_) {
-        longestGap_ = progressAt_ - lastEventAt_;
-        longestGapEndedAt_ = progressAt_;
-    }
-    bool isSameAttempt = events_ > 0 && attemptBegunAt_ && lastEventAt_ >= *attemptBegunAt_;
+    bool isSameAttempt = events_.count() > 0 && attemptBegunAt_ && events_.lastAt() >= *attemptBegunAt_;
+    Duration pause = events_.record(progressAt_);
     if (isSameAttempt && context_.onEventPause)
-        context_.onEventPause(*server_, progressAt_ - lastEventAt_);
-    lastEventAt_ = progressAt_;
+        context_.onEventPause(*server_, pause);
 }
 
 // Returns whether the response would probably begin after its target latency if the request were sent now.
 bool ForwardedRequest::willBeLate() const
 {
-    Duration maxExpected = std::chrono::duration_cast<Duration>(options_.route->targetLatency * context_.settings.maxExpectedShare);
-    return context_.clock.now() + std::min(maxExpected, context_.responseTimes.expected(options_.service)) > targetAt_;
+    return timing_->willBeLate(context_.clock.now(), context_.responseTimes.expected(options_.service));
 }
 
 // Returns whether the part of the response that has arrived missed a target of the route.
@@ -581,9 +519,9 @@
 {
     const Route& route = *options_.route;
     if (route.kind != RequestKind::Streaming)
-        return context_.clock.now() - arrivedAt_ > route.targetLatency;
-    bool hasLongGap = route.targetGap > std::chrono::milliseconds::zero() && longestGap_ > route.targetGap;
-    return events_ == 0 || firstEventAt_ - arrivedAt_ > route.targetLatency || hasLongGap;
+        return context_.clock.now() - timing_->arrivedAt() > route.targetLatency;
+    bool hasLongPause = route.targetGap > std::chrono::milliseconds::zero() && events_.longestPause() > route.targetGap;
+    return events_.count() == 0 || events_.firstAt() - timing_->arrivedAt() > route.targetLatency || hasLongPause;
 }
 
 void ForwardedRequest::handleEnd()
@@ -593,7 +531,7 @@
         return;
     }
     if (state_ == State::Streaming) {
-        if (splitter_->isInsideEvent() || events_ == 0)
+        if (splitter_->isInsideEvent() || events_.count() == 0)
             endAttempt(AttemptFailure::Unknown, incompleteStream);
         else
             finishStream();
@@ -616,8 +554,8 @@
     LogLine line("attemptEnded");
     line.add("request", requestId_).add("server", serverId).add("reason", reason).add("attempt", attempt_);
     line.add("executed", failure == AttemptFailure::NotConnected || failure == AttemptFailure::Refused ? "no" : "unknown");
-    line.add("status", head_ ? head_->status : 0).add("events", events_).add("reusedConnection", isReusedConnection_);
-    line.add("elapsedMs", milliseconds(context_.clock.now() - arrivedAt_));
+    line.add("status", head_ ? head_->status : 0).add("events", events_.count()).add("reusedConnection", isReusedConnection_);
+    line.add("elapsedMs", milliseconds(context_.clock.now() - timing_->arrivedAt()));
     if (!promptParts_.empty())
         line.add("begun", attemptBegunAt_.has_value()).add("promptParts", formatPromptParts(promptParts_));
     context_.log.write(line);
@@ -763,13 +701,13 @@
 void ForwardedRequest::deliverResponse()
 {
     // A server may reject a request without having begun to answer its prompt.
-    if (head_->status < firstFailureStatus)
+    if (isSuccess(head_->status))
         recordSurvival();
     context_.responseTimes.record(options_.service, context_.clock.now() - sentAt_);
     context_.outliers.callSucceeded(server_->id, context_.clock.now() - sentAt_);
     context_.selector.recordSuccess(server_->id);
     context_.selector.recordProgress(options_.service, server_->id);
-    if (head_->status < firstFailureStatus)
+    if (isSuccess(head_->status))
         context_.selector.recordFirstEvent(*server_, serverSelectionRequest(tried_, true));
     ++context_.counters.succeeded;
     HttpResponse response;
@@ -825,31 +763,21 @@
         finish("serverFailure", ResultCode::BackendServerFailed, reason);
         return;
     }
-    bool hasTimedOut = context_.clock.now() >= expiresAt_ - context_.settings.deadlineMargin;
-    respondFailure(hasTimedOut ? statusTimeout : statusBadGateway, hasTimedOut ? ResultCode::Timeout : ResultCode::OutcomeUnknown, Executed::Unknown, reason);
-    finish("failed", hasTimedOut ? ResultCode::Timeout : ResultCode::OutcomeUnknown, reason);
+    bool hasTimedOut = timing_->hasTimedOut(context_.clock.now());
+    ResultCode code = hasTimedOut ? ResultCode::Timeout : ResultCode::OutcomeUnknown;
+    exchange_->respond(makeFailureResponse(context_.names, requestId_, { hasTimedOut ? statusTimeout : statusBadGateway, code, Executed::Unknown, reason, std::nullopt }));
+    finish("failed", code, reason);
 }
 
 void ForwardedRequest::respondRefusal(std::string_view reason)
 {
     ++context_.counters.refused;
     ResultCode code = reason == quarantinedPrompt ? ResultCode::PromptQuarantined : ResultCode::Overloaded;
-    respondFailure(statusUnavailable, code, Executed::No, reason);
+    std::chrono::milliseconds retryAfter = retryAfter_.value_or(context_.settings.retryAfter);
+    exchange_->respond(makeFailureResponse(context_.names, requestId_, { statusUnavailable, code, Executed::No, reason, retryAfter }));
     finish("refused", code, reason);
 }
 
-void ForwardedRequest::respondFailure(int status, ResultCode code, Executed executed, std::string_view reason)
-{
-    HttpResponse response;
-    response.status = status;
-    response.headers.push_back({ context_.names.requestId, requestId_ });
-    if (executed == Executed::No)
-        response.headers.push_back({ context_.names.retryAfter, formatSeconds(retryAfter_.value_or(context_.settings.retryAfter)) });
-    response.headers.push_back({ "Content-Type", "application/problem+json" });
-    response.body = "{\"code\":" + std::to_string(resultNumber(code)) + ",\"executed\":\"" + std::string(executedName(executed)) + "\",\"detail\":\"" + std::string(reason) + "\"}";
-    exchange_->respond(std::move(response));
-}
-
 void ForwardedRequest::handleCallerDisconnect()
 {
     if (state_ == State::Done)
@@ -890,15 +818,16 @@
         LogLine line("requestEnded");
         line.add("request", requestId_).add("outcome", outcome).add("code", resultNumber(code)).add("reason", reason);
         line.add("route", options_.route->name).add("customer", options_.customer).add("service", options_.service);
-        line.add("callerAgeMs", milliseconds(callerAge_)).add("catalog", options_.catalog->version()).add("sends", sends_).add("executions", executions_).add("events", events_);
+        line.add("callerAgeMs", timing_->callerAge().count()).add("catalog", options_.catalog->version()).add("sends", sends_).add("executions", executions_).add("events", events_.count());
         line.add("server", server_ ? server_->id : (tried_.empty() ? "" : tried_.back()));
+        TimePoint arrivedAt = timing_->arrivedAt();
         if (!isFirstSend_)
-            line.add("waitedMs", milliseconds(firstSentAt_ - arrivedAt_));
-        if (events_ > 0) {
-            line.add("firstEventMs", milliseconds(firstEventAt_ - arrivedAt_)).add("longestPauseMs", milliseconds(longestGap_));
-            line.add("pauseEndedMs", longestGap_ > Duration::zero() ? milliseconds(longestGapEndedAt_ - arrivedAt_) : 0);
+            line.add("waitedMs", milliseconds(firstSentAt_ - arrivedAt));
+        if (events_.count() > 0) {
+            line.add("firstEventMs", milliseconds(events_.firstAt() - arrivedAt)).add("longestPauseMs", milliseconds(events_.longestPause()));
+            line.add("pauseEndedMs", events_.longestPause() > Duration::zero() ? milliseconds(events_.longestPauseEndedAt() - arrivedAt) : 0);
         }
-        line.add("elapsedMs", milliseconds(context_.clock.now() - arrivedAt_));
+        line.add("elapsedMs", milliseconds(context_.clock.now() - arrivedAt));
         context_.log.write(line);
     }
     releaseServer();
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -3,8 +3,10 @@
 #include "Catalog/Catalog.h"
 #include "Core/ResultCode.h"
 #include "Forwarding/EventSplitter.h"
+#include "Forwarding/EventTimes.h"
 #include "Forwarding/ForwardingContext.h"
 #include "Forwarding/HeldAttempt.h"
+#include "Forwarding/RequestTiming.h"
 #include "Forwarding/WaitQueueKey.h"
 #include "Transport/HttpServer.h"
 
@@ -48,7 +50,7 @@
     void tick();
 
     bool isWaiting() const { return state_ == State::Waiting; }
-    WaitQueueKey waitQueueKey() const { return { options_.priority, willBeLate(), sends_, arrivedAt_ }; }
+    WaitQueueKey waitQueueKey() const { return { options_.priority, willBeLate(), sends_, timing_->arrivedAt() }; }
 
 private:
     enum class State {
@@ -100,7 +102,7 @@
     void handleHead(const HttpResponse& head);
     void handleBody(std::string_view body);
     void handleEvent(std::uint32_t attempt, const RawEvent& event);
-    void recordEventGap();
+    void recordEvent();
     void recordSurvival();
     bool isLate() const;
     bool willBeLate() const;
@@ -118,14 +120,10 @@
     bool canRetry(AttemptFailure failure);
 
     bool isStreamStarted() const { return streamStarted_; }
-    void recordPause(const HttpResponse& head);
-    void recordRateLimit(const HttpResponse& head, bool isSuccess);
-    bool isResponseAuthentic(const HttpResponse& head) const;
     void deliverResponse();
     void finishStream();
     void giveUp(std::string_view reason);
     void respondRefusal(std::string_view reason);
-    void respondFailure(int status, ResultCode code, Executed executed, std::string_view reason);
     void handleCallerDisconnect();
     void finish(std::string_view outcome, ResultCode code, std::string_view reason);
 
@@ -139,16 +137,8 @@
     std::vector<PromptPart> promptParts_;
     // Empty unless the server selection considers which parts a server holds.
     std::vector<PromptSegment> prompt_;
-    TimePoint arrivedAt_;
-    // The caller's deadline or the end of the route's timeout, whichever is earlier.
-    TimePoint expiresAt_;
-    // Whether expiresAt_ is the end of the route's timeout, and not the caller's deadline.
-    bool expiresAtRouteTimeout_ { false };
-    TimePoint waitUntil_;
-    // Time since the caller's first attempt; this request may be a retry of it.
-    std::chrono::milliseconds callerAge_ { 0 };
-    // A response that begins after this time misses the target latency, which counts from the caller's first attempt.
-    TimePoint targetAt_;
+    // Set in the constructor.
+    std::optional<RequestTiming> timing_;
 
     State state_ { State::Waiting };
     // Number of the current attempt, and of the last one that was started.
@@ -189,11 +179,7 @@
     std::shared_ptr<EventSplitter> splitter_;
     bool streamStarted_ { false };
     std::optional<std::uint64_t> lastEventId_;
-    std::uint32_t events_ { 0 };
-    TimePoint firstEventAt_;
-    TimePoint lastEventAt_;
-    Duration longestGap_ { 0 };
-    TimePoint longestGapEndedAt_;
+    EventTimes events_;
     bool isCallerDisconnected_ { false };
     std::string lastReason_;
 };
--- a/Source/Forwarding/HeaderValues.cpp
+++ b/Source/Forwarding/HeaderValues.cpp
@@ -16,6 +16,18 @@
     return findHeader(head.headers, names.notExecuted).has_value() || head.status == statusMisdirected;
 }
 
+bool isSuccess(int status)
+{
+    constexpr int firstFailureStatus = 300;
+    return status < firstFailureStatus;
+}
+
+bool isAuthentic(const HttpResponse& head, const HeaderNames& names)
+{
+    std::optional<std::string> signature = findHeader(head.headers, names.signature);
+    return signature && !signature->empty() && !findHeader(head.headers, "Content-Encoding");
+}
+
 std::optional<std::chrono::milliseconds> parseMilliseconds(const std::optional<std::string>& text)
 {
     if (!text)
--- a/Source/Forwarding/HeaderValues.h
+++ b/Source/Forwarding/HeaderValues.h
@@ -20,6 +20,12 @@
 // Returns whether the response proves that the server did not execute the request.
 bool isMarkedNotExecuted(const HttpResponse& head, const HeaderNames& names);
 
+// Returns whether the status is that of a successful response.
+bool isSuccess(int status);
+
+// Returns whether a successful response has the signature of a backend server and its body was not re-encoded on the way.
+bool isAuthentic(const HttpResponse& head, const HeaderNames& names);
+
 // Returns std::nullopt unless the text begins with a whole number of milliseconds that is not negative.
 std::optional<std::chrono::milliseconds> parseMilliseconds(const std::optional<std::string>& text);
 
--- a/Source/Gateway/Forwarder.cpp
+++ b/Source/Gateway/Forwarder.cpp
@@ -1,5 +1,8 @@
 #include "Gateway/Forwarder.h"
 
+#include "Forwarding/FailureResponse.h"
+#include "Forwarding/HeaderValues.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -11,7 +14,8 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
+// An entry that starts or shuts down; the caller finds another one in the directory at once.
+constexpr std::chrono::milliseconds notReadyRetryAfter { 300 };
 
 bool startsWith(std::string_view text, std::string_view prefix)
 {
@@ -116,20 +120,15 @@
 
 void Forwarder::respondWithError(HttpExchange& exchange, int status, ResultCode code, std::string_view detail)
 {
-    HttpResponse response;
-    response.status = status;
     std::string id = findHeader(exchange.request().headers, context_.names.requestId).value_or("");
-    if (!id.empty())
-        response.headers.push_back({ context_.names.requestId, id });
+    std::optional<std::chrono::milliseconds> retryAfter;
     if (status == statusUnavailable)
-        response.headers.push_back({ context_.names.retryAfter, "0.3" });
-    response.headers.push_back({ "Content-Type", "application/problem+json" });
-    response.body = "{\"code\":" + std::to_string(resultNumber(code)) + ",\"executed\":\"no\",\"detail\":\"" + std::string(detail) + "\"}";
+        retryAfter = notReadyRetryAfter;
     LogLine line("requestRejected");
     line.add("request", id).add("status", status).add("code", resultNumber(code)).add("reason", detail).add("catalog", catalog_.version());
     line.add("host", findHeader(exchange.request().headers, "Host").value_or("")).add("path", pathOf(exchange.request().target));
     context_.log.write(line);
-    exchange.respond(std::move(response));
+    exchange.respond(makeFailureResponse(context_.names, id, { status, code, Executed::No, detail, retryAfter }));
 }
 
 std::string Forwarder::selectService(const Route& route)
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -24,8 +24,6 @@
 constexpr std::chrono::milliseconds exitMargin { 400 };
 constexpr std::chrono::milliseconds catalogResendPeriod { 500 };
 constexpr std::chrono::milliseconds maxPeerReportAge { 1500 };
-// The age of what is known of the servers changes with many states of peers, so not each of these changes is worth an update.
-constexpr std::chrono::milliseconds coldEvidencePeriod { 200 };
 // Far below the memory of a small instance, and several times the responses that are in flight at its usual load.
 constexpr std::size_t maxBufferedResponseBytes = 64U << 20U;
 // A caller may state an invalid prompt in each of its requests.
@@ -45,14 +43,42 @@
     return settings;
 }
 
+ColdServersSettings coldServersSettings(const GatewaySettings& settings)
+{
+    ColdServersSettings result;
+    result.recordAge = settings.registryHeartbeat;
+    return result;
+}
+
 ColdSharesSettings coldSharesSettings(const GatewaySettings& settings)
 {
+    PeerGroupSettings peers;
     ColdSharesSettings result;
     result.overage = settings.coldOverage;
     result.slack = settings.coldSlack;
+    result.tickPeriod = tickPeriod;
+    result.statePeriod = peers.statePeriod;
+    result.peersPerState = peers.maxPeersPerPeriod;
+    // An entry that shuts down sends on until its grace period ends.
+    result.drainingPeerMemory = std::max<Duration>(result.drainingPeerMemory, 2 * settings.shutdownGrace);
     return result;
 }
 
+StreamCapacitySettings streamCapacitySettings(const GatewaySettings& settings)
+{
+    StreamCapacitySettings result;
+    result.mode = settings.streamCapacity;
+    result.statePeriod = PeerGroupSettings().statePeriod;
+    result.retryPeriod = tickPeriod;
+    return result;
+}
+
+// A copy of the registry lasts as long as a copy of the operator's rows, since both are in one store.
+ZoneEvacuationsSettings zoneEvacuationsSettings()
+{
+    return { FleetViewSettings().copyLifetime };
+}
+
 std::uint64_t startTime(const Clock& clock)
 {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
@@ -105,10 +131,10 @@
     , log_(log)
     , incarnation_(startTime(clock))
     , catalog_([this](const Catalog& catalog) { handleCatalogChange(catalog); })
-    , evacuations_(clock, {}, [this](const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer) { handleEvacuation(zone, isEvacuated, position, isFromPeer); })
+    , evacuations_(clock, zoneEvacuationsSettings(), [this](const std::string& zone, bool isEvacuated, const EvacuationPosition& position, bool isFromPeer) { handleEvacuation(zone, isEvacuated, position, isFromPeer); })
     , fleet_(clock, {}, [this](const ServerRecord& server) { handleServerLeft(server); })
     , coldServers_(
-          clock, {},
+          clock, coldServersSettings(settings_),
           [this](std::string_view service) {
               auto limit = coldLimits_.find(service);
               return limit == coldLimits_.end() ? ColdLimit {} : limit->second;
@@ -118,7 +144,7 @@
           })
     , coldShares_(clock, settings_.name, coldSharesSettings(settings_))
     , loads_(clock, maxPeerReportAge)
-    , streamCapacity_(clock, fleet_, loads_, { settings_.streamCapacity }, [this](const std::string& service, bool isActive) { handleStreamCapacity(service, isActive); })
+    , streamCapacity_(clock, fleet_, loads_, streamCapacitySettings(settings_), [this](const std::string& service, bool isActive) { handleStreamCapacity(service, isActive); })
     , outliers_(clock, gatewayOutlierSettings())
     , rateLimits_(clock, settings_.name, {}, [this](const std::string& serverId, double perSecond, bool isLocal) { handleRateLimit(serverId, perSecond, isLocal); })
     , serverSelector_(clock, fleet_, loads_, outliers_, rateLimits_, random, { settings_.availabilityZone })
@@ -134,8 +160,8 @@
 {
     context_.onResponse = [this](const ServerRecord& server, const HttpResponse& head, TimePoint sentAt) { handleColdStatement(server, head, sentAt); };
     context_.onEventPause = [this](const ServerRecord& server, Duration pause) { streamCapacity_.recordPause(server, pause); };
-    context_.streamWait = [this](const ServerSelectionRequest& request, Duration waited, std::uint64_t number) {
-        return streamCapacity_.streamWait(request.service, { request.priority, request.isLate }, waited, number);
+    context_.streamWait = [this](const ServerSelectionRequest& request, const StreamWaitLimits& limits, std::uint64_t number) {
+        return streamCapacity_.streamWait(request.service, { request.priority, request.isLate }, limits, number);
     };
     serverSelector_.addRule(makeEvacuationRule(evacuations_, settings_.mustKnowEvacuations));
     serverSelector_.addRule(makeColdServerRule(coldServers_, coldShares_, coldCounters_));
@@ -319,10 +345,14 @@
 {
     log_.write(LogLine("catalogInForce").add("catalog", catalog.version()).add("routes", static_cast<std::int64_t>(catalog.routes().size())));
     coldLimits_.clear();
+    double zoneDelayMilliseconds = 0;
     for (const ServiceSpecification& service : catalog.services()) {
+        if (service.engine)
+            zoneDelayMilliseconds = std::max(zoneDelayMilliseconds, service.engine->zoneDelayMilliseconds);
         if (service.coldRequestsPerSecond > 0)
             coldLimits_[service.name] = { service.coldRequestsPerSecond, service.coldStartTime };
     }
+    coldShares_.setZoneDelay(std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(zoneDelayMilliseconds)));
     streamCapacity_.applyCatalog(catalog);
     // The first catalog can arrive before the HTTP server for callers is created.
     if (callerServer_)
@@ -352,7 +382,8 @@
     if (coldLimits_.empty())
         return;
     coldShares_.tick(peers_->addresses(), entryRegistration_->hasReadRows(), entryRegistration_->wasListed());
-    if (fleet_.asOf() - coldEvidenceAsOf_ >= coldEvidencePeriod) {
+    // The age of what is known of the servers changes with many states of peers, so not each of these changes is worth an update.
+    if (fleet_.asOf() - coldEvidenceAsOf_ >= PeerGroupSettings().statePeriod) {
         coldEvidenceAsOf_ = fleet_.asOf();
         coldServers_.update(fleet_.servers(), fleet_.asOf());
     }
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds catalogApplyBound { 2000 };
     // Nothing is sent to backend servers before it is known which availability zones are evacuated.
     bool mustKnowEvacuations { false };
+    // How often servers write their registry records.
+    std::chrono::milliseconds registryHeartbeat { 1200 };
     // In any second, a cold server may get this many times the rate that it tolerates, plus the slack. Not changed at run time.
     double coldOverage { 1 };
     double coldSlack { 0 };
--- a/Source/StreamCapacity/AdmissionReserve.h
+++ b/Source/StreamCapacity/AdmissionReserve.h
@@ -11,9 +11,10 @@
 
 struct AdmissionReserveSettings {
     // Time constant of the rates of sends.
-    std::chrono::milliseconds memory { 2000 };
-    // A request that found no room is taken to wait still for this time. Waiting requests are tried every 50 ms.
-    std::chrono::milliseconds waitingTime { 60 };
+    Duration memory { 0 };
+    // A request that found no room is taken to wait still for this time, which is longer than the time after which it is tried
+    // again.
+    Duration waitingTime { 0 };
 };
 
 // The urgency of a request: requests that can be on time before late ones, and among them more urgent routes first. Where late
--- a/Source/StreamCapacity/PassTimeModel.cpp
+++ b/Source/StreamCapacity/PassTimeModel.cpp
@@ -103,6 +103,11 @@
     return fromMilliseconds(fixedMilliseconds_ + estimate.offset + estimate.cost * requests);
 }
 
+Duration PassTimeModel::usualResponseTime() const
+{
+    return fromMilliseconds(passes_ * (fixedMilliseconds_ + published_.cost * slots_ / 2));
+}
+
 void PassTimeModel::removeExpired()
 {
     for (auto entry = servers_.begin(); entry != servers_.end();)
@@ -111,7 +116,7 @@
 
 double PassTimeModel::decay(TimePoint since) const
 {
-    return std::exp(-std::chrono::duration<double>(clock_.now() - since) / std::chrono::duration<double>(settings_.memory));
+    return std::exp(-std::chrono::duration<double>(clock_.now() - since) / (settings_.memoryResponses * std::chrono::duration<double>(usualResponseTime())));
 }
 
 // A linear regression in which the published figures count like pauses with half of the slots in use. The published cost has a
--- a/Source/StreamCapacity/PassTimeModel.h
+++ b/Source/StreamCapacity/PassTimeModel.h
@@ -35,6 +35,10 @@
     // Number of passes in which a response of usual length is generated.
     double passesPerResponse() const { return passes_; }
 
+    // Returns the time in which a response of usual length is generated if half of the slots are in use, by the published
+    // figures.
+    Duration usualResponseTime() const;
+
     // Forgets servers without recent pauses.
     void removeExpired();
 
--- a/Source/StreamCapacity/StreamCapacity.cpp
+++ b/Source/StreamCapacity/StreamCapacity.cpp
@@ -70,7 +70,10 @@
                 known->second.targetGap = *targets.gap;
                 services.insert(services_.extract(known));
             } else {
-                services.emplace(name, Service { engine, *targets.gap, PassTimeModel(clock_, engine, settings_.passTime), AdmissionReserve(clock_, settings_.reserve), clock_.now() });
+                PassTimeModel passTime(clock_, engine, settings_.passTime);
+                // The requests in flight were sent within about the time of a response, and waiting ones are tried again in each period.
+                AdmissionReserveSettings reserve { passTime.usualResponseTime(), settings_.retryPeriod * 6 / 5 };
+                services.emplace(name, Service { engine, *targets.gap, std::move(passTime), AdmissionReserve(clock_, reserve), clock_.now() });
                 if (known == services_.end())
                     observer_(name, true);
                 else
@@ -107,6 +110,11 @@
         found->second.reserve.recordSend(urgency);
 }
 
+double StreamCapacity::meanInFlight(const Service& service)
+{
+    return service.requests / std::max(1.0, service.servers);
+}
+
 double StreamCapacity::slotsOf(const ServerRecord& server, const Service& service) const
 {
     return server.slots > 0 ? server.slots : std::max(1U, service.engine.slots);
@@ -122,7 +130,7 @@
 void StreamCapacity::updateShare(std::string_view name, Service& service)
 {
     Share& share = service.share;
-    bool isBoundOld = !share.boundAt || clock_.now() - *share.boundAt >= settings_.shareLifetime;
+    bool isBoundOld = !share.boundAt || clock_.now() - *share.boundAt >= settings_.statePeriod * settings_.shareLifetimePeriods;
     if (!isBoundOld && share.localChanges == loads_.localChanges())
         return;
     std::vector<const ServerRecord*> ready = fleet_.ready(name);
@@ -155,16 +163,19 @@
     double room = share.bound - share.peersInFlight - share.localInFlight;
     double equalShare = std::max(1.0, share.bound / entries);
     // Never so much that less urgent requests get nothing.
-    double reserved = std::min(equalShare * settings_.maxReservedShare, service.reserve.reservedFor(urgency, service.passTime.expectedPass("", service.requests / std::max(1.0, service.servers))));
+    double reserved = std::min(equalShare * settings_.maxReservedShare, service.reserve.reservedFor(urgency, service.passTime.expectedPass("", meanInFlight(service))));
     return share.localInFlight + reserved < equalShare || room >= (settings_.minRoomPerEntry + reserved) * entries;
 }
 
-std::optional<StreamWait> StreamCapacity::streamWait(std::string_view service, RequestUrgency urgency, Duration waited, std::uint64_t number) const
+std::optional<StreamWait> StreamCapacity::streamWait(std::string_view service, RequestUrgency urgency, const StreamWaitLimits& limits, std::uint64_t number) const
 {
     auto found = services_.find(service);
     if (found == services_.end())
         return std::nullopt;
-    return waitPolicy_.decide(urgency.isLate, waited, found->second.reserve.expectedRoom(urgency), number);
+    // A request waits for the end of the pass that runs, is read in the next one, and has its first event after one more.
+    constexpr int passesUntilFirstEvent = 3;
+    Duration firstEvent = passesUntilFirstEvent * found->second.passTime.expectedPass("", meanInFlight(found->second));
+    return waitPolicy_.decide(urgency.isLate, limits, found->second.reserve.expectedRoom(urgency), firstEvent, number);
 }
 
 void StreamCapacity::recordPause(const ServerRecord& server, Duration pause)
@@ -178,7 +189,7 @@
     double running = std::clamp(loads_.inFlight(server.id), 1.0, slots);
     // A pass takes as long as the requests of all ranks of a group require, so the mean of the servers determines it. Servers
     // with more requests have more pauses; the weight corrects this.
-    double factor = std::exp(-std::chrono::duration<double>(clock_.now() - service.loadUpdatedAt) / std::chrono::duration<double>(settings_.loadMemory));
+    double factor = std::exp(-std::chrono::duration<double>(clock_.now() - service.loadUpdatedAt) / (settings_.loadMemoryPeriods * std::chrono::duration<double>(settings_.statePeriod)));
     service.loadUpdatedAt = clock_.now();
     service.servers = factor * service.servers + 1 / running;
     service.requests = factor * service.requests + 1;
--- a/Source/StreamCapacity/StreamCapacity.h
+++ b/Source/StreamCapacity/StreamCapacity.h
@@ -40,7 +40,7 @@
     void recordSend(const ServerRecord& server, RequestUrgency urgency);
 
     // Determines whether a stream for which no server has room waits on. Returns std::nullopt if the service is not bounded.
-    std::optional<StreamWait> streamWait(std::string_view service, RequestUrgency urgency, Duration waited, std::uint64_t number) const;
+    std::optional<StreamWait> streamWait(std::string_view service, RequestUrgency urgency, const StreamWaitLimits& limits, std::uint64_t number) const;
 
     // Records a pause between two events that a server sent to one stream.
     void recordPause(const ServerRecord& server, Duration pause);
@@ -75,6 +75,7 @@
         Share share {};
     };
 
+    static double meanInFlight(const Service& service);
     double slotsOf(const ServerRecord& server, const Service& service) const;
     double serverBound(const ServerRecord& server, const Service& service) const;
     void updateShare(std::string_view name, Service& service);
--- a/Source/StreamCapacity/StreamCapacitySettings.h
+++ b/Source/StreamCapacity/StreamCapacitySettings.h
@@ -17,8 +17,8 @@
 };
 
 struct PassTimeSettings {
-    // Time constant after which a measured pause has lost most of its weight.
-    std::chrono::milliseconds memory { 20000 };
+    // Number of successive responses of usual length after which a measured pause has lost most of its weight.
+    double memoryResponses { 14 };
     // Weight of the published figures in the estimate for a service, in measured pauses.
     double publishedWeight { 100 };
     // Weight of the published cost of a request, in measured pauses whose number of requests differs from the mean by one.
@@ -44,19 +44,20 @@
 struct StreamCapacitySettings {
     StreamCapacityMode mode { StreamCapacityMode::Auto };
     PassTimeSettings passTime {};
-    AdmissionReserveSettings reserve {};
+    // How often an entry states its counts to its peers, and how often it tries waiting requests again. Set by the process.
+    Duration statePeriod { std::chrono::milliseconds(200) };
+    Duration retryPeriod { std::chrono::milliseconds(50) };
     StreamWaitSettings wait {};
     // Upper bound of what an entry leaves free for more urgent requests, as a share of its own share.
     double maxReservedShare { 0.4 };
-    // Time constant of the mean number of requests in flight. A group passes in about 0.1 s and the counts of peers are up to
-    // 0.2 s old.
-    std::chrono::milliseconds loadMemory { 300 };
+    // Time constant of the mean number of requests in flight, in state periods: the counts of peers are up to one period old.
+    double loadMemoryPeriods { 1.5 };
     // The bound is not below this share of the slots, so that a wrong estimate cannot stop a service.
     double minSlotShare { 0.25 };
     // Free room in the service, in requests for each entry, from which on an entry may use more than its equal share.
     double minRoomPerEntry { 0.25 };
-    // How long the bound of a service and the counts of peers, which are old anyway, are not summed up again.
-    std::chrono::milliseconds shareLifetime { 20 };
+    // How long the bound of a service and the counts of peers, which are old anyway, are not summed up again, in state periods.
+    double shareLifetimePeriods { 0.1 };
 };
 
 }
--- a/Source/StreamCapacity/StreamWaitPolicy.h
+++ b/Source/StreamCapacity/StreamWaitPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
+#include "Forwarding/ForwardingSettings.h"
 #include "Forwarding/StreamWait.h"
 
 #include <cstdint>
@@ -9,12 +10,9 @@
 namespace Damaskgrade {
 
 struct StreamWaitSettings {
-    // Callers cancel a stream that has no first event after two seconds; a stream that is sent later than this has no time left
-    // for its first pass.
-    std::chrono::milliseconds maxWait { 1700 };
-    std::chrono::milliseconds minRetryAfter { 700 };
-    // Callers come back only if they have three times as long left.
-    std::chrono::milliseconds maxRetryAfter { 2000 };
+    std::chrono::milliseconds minRetryAfter { ForwardingSettings().retryAfter };
+    // Callers keep to a time up to this share of what they have left.
+    double maxRetryShare { 1.0 / 3 };
     // Number of different times that callers are told, and by how much the last one exceeds the first one.
     std::uint64_t retryAfterSteps { 16 };
     double retryAfterSpread { 0.25 };
@@ -30,8 +28,8 @@
     }
 
     // The number of the request distinguishes the callers that are refused at the same time. The expected room is the time until
-    // a server will have room for the request, if it is known.
-    StreamWait decide(bool isLate, Duration waited, std::optional<Duration> expectedRoom, std::uint64_t number) const;
+    // a server will have room for the request, if it is known, and the first event comes this much later.
+    StreamWait decide(bool isLate, const StreamWaitLimits& limits, std::optional<Duration> expectedRoom, Duration firstEvent, std::uint64_t number) const;
 
 private:
     StreamWaitSettings settings_;
--- a/Tests/ColdServers/ColdSharesTest.cpp
+++ b/Tests/ColdServers/ColdSharesTest.cpp
@@ -36,7 +36,6 @@
     ColdSharesSettings settings;
     settings.overage = 1.5;
     settings.slack = 5;
-    settings.silentEntryWait = std::chrono::seconds(6);
     settings.peerMemory = std::chrono::seconds(24);
     settings.drainingPeerMemory = std::chrono::seconds(6);
     settings.maxIsolation = std::chrono::seconds(4);
@@ -63,11 +62,12 @@
 // entry's clock runs at its own rate.
 class Simulation {
 public:
-    Simulation(std::uint64_t seed, std::size_t entries, double requestsPerSecond, ColdSharesSettings settings, SendDecision decide)
+    Simulation(std::uint64_t seed, std::size_t entries, double requestsPerSecond, ColdSharesSettings settings, SendDecision decide, Milliseconds zoneDelay = Milliseconds(0))
         : random_(seed)
         , requestsPerSecond_(requestsPerSecond)
         , settings_(settings)
         , decide_(std::move(decide))
+        , zoneDelay_(zoneDelay)
         , bound_(requestsPerSecond * settings.overage + settings.slack)
     {
         for (std::size_t i = 0; i < entries; ++i)
@@ -139,6 +139,7 @@
         entry.wasListed = isRestart && !entry.isDraining;
         entry.clock = std::make_unique<ManualClock>();
         entry.shares = std::make_unique<ColdShares>(*entry.clock, entry.name, settings_);
+        entry.shares->setZoneDelay(zoneDelay_);
         entry.clockRate = 0.98 + random_.fraction() * 0.04;
         entry.nextTick = now_;
         entry.nextState = now_ + Milliseconds(random_.index(200));
@@ -226,7 +227,8 @@
             return;
         entry.shares->recordSend(server, true);
         entry.sentAt = now_;
-        pending_.insert(now_ + Milliseconds(random_.index(80)));
+        // On an open connection, or on a new one to another zone.
+        pending_.insert(now_ + Milliseconds(random_.index(80 + 3 * static_cast<std::size_t>(zoneDelay_.count()))));
     }
 
     bool isWithinBound()
@@ -245,6 +247,7 @@
     double requestsPerSecond_;
     ColdSharesSettings settings_;
     SendDecision decide_;
+    Milliseconds zoneDelay_;
     double bound_;
     TimePoint now_ { std::chrono::hours(1) };
     std::vector<Entry> entries_;
@@ -269,7 +272,8 @@
         auto rate = *rc::gen::element(0.5, 3.0, 17.0, 40.0);
         ColdSharesSettings settings = testSettings();
         settings.slack = *rc::gen::element(0.0, 2.0, 5.0);
-        Simulation simulation(seed, entries, rate, settings, decideByShare);
+        auto zoneDelay = *rc::gen::element(0, 2, 40);
+        Simulation simulation(seed, entries, rate, settings, decideByShare, Milliseconds(zoneDelay));
         RC_ASSERT(simulation.run(std::chrono::seconds(50), true));
     });
     CHECK(holds);
@@ -313,6 +317,35 @@
     CHECK(shares.isAbstaining());
 }
 
+// Guards against times that hold for one size of a deployment only: requests between distant zones arrive closer together than
+// they were sent, and in a large deployment a state reaches the last entry late.
+TEST_CASE("the times of an introduction grow with the delay between zones and with the number of entries")
+{
+    auto introduced = [](std::size_t entries, Milliseconds zoneDelay, bool wasListed) {
+        ManualClock clock;
+        ColdShares shares(clock, "a", testSettings());
+        shares.setZoneDelay(zoneDelay);
+        std::map<std::string, Endpoint> addresses;
+        for (std::size_t i = 1; i < entries; ++i)
+            addresses["entry" + std::to_string(i)] = linkOf(i);
+        Duration passed { 0 };
+        while (shares.isAbstaining() && passed < std::chrono::minutes(2)) {
+            passed += Milliseconds(50);
+            clock.advance(Milliseconds(50));
+            for (const auto& [name, link] : addresses)
+                shares.recordPeer(name, link, false);
+            shares.tick(addresses, true, wasListed);
+        }
+        return passed;
+    };
+    CHECK(introduced(4, Milliseconds(0), true) < Milliseconds(1300));
+    CHECK(introduced(4, Milliseconds(50), true) >= Milliseconds(1350));
+    CHECK(introduced(15, Milliseconds(0), false) > std::chrono::seconds(4));
+    CHECK(introduced(15, Milliseconds(0), false) < std::chrono::seconds(5));
+    CHECK(introduced(340, Milliseconds(0), false) > std::chrono::seconds(25));
+    CHECK(introduced(340, Milliseconds(0), true) > std::chrono::seconds(20));
+}
+
 // Guards against an entry that is no longer listed but still sends to cold servers, uncounted by an entry that starts.
 TEST_CASE("an entry whose shutdown has started abstains")
 {
--- a/Tests/Gateway/StreamCapacityRuleTest.cpp
+++ b/Tests/Gateway/StreamCapacityRuleTest.cpp
@@ -101,9 +101,9 @@
     for (int i = 0; i < 2; ++i)
         fixture.loads.started("s1");
     Duration longest { 0 };
-    fixture.context.streamWait = [&longest](const ServerSelectionRequest&, Duration waited, std::uint64_t) {
-        longest = waited;
-        return std::optional(StreamWait { waited < std::chrono::milliseconds(500), std::chrono::milliseconds(1300) });
+    fixture.context.streamWait = [&longest](const ServerSelectionRequest&, const StreamWaitLimits& limits, std::uint64_t) {
+        longest = limits.waited;
+        return std::optional(StreamWait { limits.waited < std::chrono::milliseconds(500), std::chrono::milliseconds(1300) });
     };
     CallerResult result = fixture.call(fixture.request("a"));
     CHECK(result.status == 503);
--- a/Tests/StreamCapacity/AdmissionReserveTest.cpp
+++ b/Tests/StreamCapacity/AdmissionReserveTest.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds pass { 100 };
+const AdmissionReserveSettings settings { std::chrono::milliseconds(2000), std::chrono::milliseconds(60) };
 
 }
 
@@ -16,7 +17,7 @@
 TEST_CASE("room is left for more urgent requests that have come recently")
 {
     ManualClock clock;
-    AdmissionReserve reserve(clock, {});
+    AdmissionReserve reserve(clock, settings);
     CHECK(reserve.reservedFor({ 2, false }, pass) == 0);
     for (int i = 0; i < 1000; ++i) {
         clock.advance(std::chrono::milliseconds(25));
@@ -37,7 +38,7 @@
 TEST_CASE("room is left for more urgent requests that wait")
 {
     ManualClock clock;
-    AdmissionReserve reserve(clock, {});
+    AdmissionReserve reserve(clock, settings);
     reserve.recordWaiting({ 0, false });
     reserve.recordWaiting({ 0, true });
     CHECK(reserve.reservedFor({ 1, false }, pass) == 1);
@@ -55,7 +56,7 @@
 TEST_CASE("room is expected from the sends that were not more urgent")
 {
     ManualClock clock;
-    AdmissionReserve reserve(clock, {});
+    AdmissionReserve reserve(clock, settings);
     CHECK(!reserve.expectedRoom({ 0, false }));
     for (int i = 0; i < 1000; ++i) {
         clock.advance(std::chrono::milliseconds(25));
--- a/Tests/StreamCapacity/StreamSimulation.cpp
+++ b/Tests/StreamCapacity/StreamSimulation.cpp
@@ -14,7 +14,6 @@
 constexpr std::chrono::milliseconds maxStreamWait { 240 };
 constexpr std::chrono::milliseconds maxLateWait { 50 };
 constexpr std::chrono::milliseconds usualRetryAfter { 700 };
-constexpr std::chrono::milliseconds abandonTime { 2000 };
 constexpr std::chrono::milliseconds deadline { 8000 };
 constexpr double maxExpectedShare { 0.75 };
 // The estimates and the group need some seconds to reach a steady state.
@@ -94,6 +93,7 @@
         route.targetGap = scenario_.targetGap;
         routes.push_back(route);
     }
+    patience_ = routes.front().eventPatience();
     ServiceSpecification specification;
     specification.name = serviceName;
     specification.engine = engine_;
@@ -178,7 +178,7 @@
     }
     Duration waited = clock_.now() - stream.arrivedAt;
     bool isLate = willBeLate(stream);
-    std::optional<StreamWait> wait = gateway.capacity.streamWait(serviceName, { stream.priority, isLate }, waited, stream.id);
+    std::optional<StreamWait> wait = gateway.capacity.streamWait(serviceName, { stream.priority, isLate }, { waited, patience_, stream.firstArrivedAt + deadline - clock_.now() }, stream.id);
     bool isOverdue = isLate && waited >= maxLateWait && !(wait && wait->mayWait);
     if (!isOverdue && (waited < maxStreamWait || (wait && wait->mayWait)))
         return false;
@@ -229,7 +229,7 @@
 {
     std::vector<std::uint64_t> silent;
     for (const auto& [id, stream] : streams_) {
-        if (stream.events == 0 && clock_.now() - stream.arrivedAt >= abandonTime)
+        if (stream.events == 0 && clock_.now() - stream.arrivedAt >= patience_)
             silent.push_back(id);
     }
     for (std::uint64_t id : silent) {
--- a/Tests/StreamCapacity/StreamSimulation.h
+++ b/Tests/StreamCapacity/StreamSimulation.h
@@ -122,6 +122,7 @@
     void count(const Stream& stream, Function function);
 
     StreamScenario scenario_;
+    std::chrono::milliseconds patience_ { 0 };
     ManualClock clock_;
     TimePoint startedAt_ { clock_.now() };
     Random random_;
--- a/Tests/UsersPlatform/CodecsTest.cpp
+++ b/Tests/UsersPlatform/CodecsTest.cpp
@@ -40,7 +40,8 @@
 {
     Catalog catalog = decodeCatalog(R"({"Version":7,"Routes":[{"Host":"h","Prefix":"/a/","Kind":"streaming","Service":"s1","StickySessions":true}],
         "Services":[{"Name":"s1","ColdStartS":3.0,"ColdPerS":17.0,"Engine":{"Slots":10,"KvCapacity":411666,"Stride":7,"step_ms":4.84,"per_seq_ms":0.435,
-            "context_per_k":0.0132,"read_per_s":74800.0,"pairs_per_m":0.232,"usual":{"prompt":868,"answer":158},"ExpertShare":0.85}},
+            "context_per_k":0.0132,"read_per_s":74800.0,"pairs_per_m":0.232,"usual":{"prompt":868,"answer":158},"ExpertShare":0.85,
+            "delays":[{"From":"a","Target":"b","delay_ms":0.5},{"From":"a","Target":"c","delay_ms":40},{"delay_ms":"far"},7]}},
         {"Name":"s2","ColdStartS":"soon","ColdPerS":-1,"Engine":{"Stride":-3,"step_ms":"slow","usual":[]}}]})");
     CHECK(catalog.findRoute("h", "/a/x")->hasStickySessions);
     const ServiceSpecification* service = catalog.findService("s1");
@@ -56,6 +57,7 @@
     CHECK(service->engine->tokenCapacity == 411666);
     CHECK(service->engine->usualPromptTokens == 868);
     CHECK(service->engine->usualAnswerTokens == 158);
+    CHECK(service->engine->zoneDelayMilliseconds == 40);
     const ServiceSpecification* invalid = catalog.findService("s2");
     CHECK(invalid->coldStartTime == std::chrono::milliseconds(0));
     CHECK(invalid->coldRequestsPerSecond == 0);
