platform: Bound the numbers of the operator's catalog

Cause: a huge Stride or ColdStartS was converted to an integer type that can't hold it, which is undefined. Change: decoded numbers are at most a billion.

--- a/Tests/UsersPlatform/CodecsTest.cpp
+++ b/Tests/UsersPlatform/CodecsTest.cpp
@@ -42,7 +42,8 @@
         "Services":[{"Name":"s1","ColdStartS":3.0,"ColdPerS":17.0,"Engine":{"Slots":10,"KvCapacity":411666,"Stride":7,"step_ms":4.84,"per_seq_ms":0.435,
             "context_per_k":0.0132,"read_per_s":74800.0,"pairs_per_m":0.232,"usual":{"prompt":868,"answer":158},"ExpertShare":0.85,
             "delays":[{"From":"a","Target":"b","delay_ms":0.5},{"From":"a","Target":"c","delay_ms":40},{"delay_ms":"far"},7]}},
-        {"Name":"s2","ColdStartS":"soon","ColdPerS":-1,"Engine":{"Stride":-3,"step_ms":"slow","usual":[]}}]})");
+        {"Name":"s2","ColdStartS":"soon","ColdPerS":-1,"Engine":{"Stride":-3,"step_ms":"slow","usual":[]}},
+        {"Name":"s3","ColdStartS":1e300,"Engine":{"Stride":1e300}}]})");
     CHECK(catalog.findRoute("h", "/a/x")->hasStickySessions);
     const ServiceSpecification* service = catalog.findService("s1");
     CHECK(service->coldStartTime == std::chrono::milliseconds(3000));
@@ -64,6 +65,8 @@
     CHECK(invalid->engine->stepsPerPass == 1);
     CHECK(invalid->engine->stepMilliseconds == 0);
     CHECK(invalid->engine->usualPromptTokens == 0);
+    CHECK(catalog.findService("s3")->engine->stepsPerPass == 1000000000);
+    CHECK(catalog.findService("s3")->coldStartTime == std::chrono::seconds(1000000000));
 }
 
 // Guards against requests to servers from malformed rows that other writers left in the store.
