review: Move the shared stand-ins out of a folder of their own

review/ holds only case folders and files; the header stands beside build-2.sh. Nothing else changes.

--- a/review/6/driver.cpp
+++ b/review/6/driver.cpp
@@ -1,6 +1,6 @@
 // Case 6: a prompt part that crashes engines, behind the first 64 parts of the prompt.
 
-#include "../Kit2/Kit.h"
+#include "../Kit-2.h"
 
 using namespace Kit;
 
