Forwarding: Wait for the write of a request before a connection's end completes its response

Callers saw: a server responds to a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is written; the caller gets the part as a complete response.

Cause: when the reset arrives while a write of the request is pending, the reactor performs the write first, and its send() takes the error from the socket (ECONNRESET). The read after it returns the data that has arrived and then 0, a plain end of file. The result of the write was ignored, and the end of file completed the response.

Change: a response that ends with its connection is complete only when the request has been written. If the end comes first, the connection waits for the write; if that fails, the response is incomplete. Responses with a length or chunks are complete after their last byte, as before.

--- a/Source/Forwarding/ResponseReader.cpp
+++ b/Source/Forwarding/ResponseReader.cpp
@@ -120,14 +120,14 @@
     return result;
 }
 
+bool ResponseReader::endsWithConnection() const
+{
+    return isActive() && !isSkippingResponse_ && parser_->is_header_done() && parser_->need_eof() && !parser_->is_done();
+}
+
 ResponseReader::Result ResponseReader::receiveEnd()
 {
     isInStep_ = false;
-    if (!isActive())
-        return Result::Continue;
-    bool endsWithConnection = parser_->is_header_done() && parser_->need_eof();
-    if (!endsWithConnection || isSkippingResponse_)
-        return Result::Invalid;
     beast::error_code failure;
     parser_->put_eof(failure);
     if (failure)
--- a/Source/Forwarding/ResponseReader.h
+++ b/Source/Forwarding/ResponseReader.h
@@ -35,7 +35,11 @@
 
     Result receive(std::string_view bytes);
 
-    // Handles the end of the connection by the server. Returns Invalid if the response is incomplete.
+    // Returns whether the expected response has neither a length nor chunks, so that it ends with its connection.
+    bool endsWithConnection() const;
+
+    // Completes the expected response, which must end with its connection, after the server has ended the connection in
+    // order. Returns Invalid if it may be a second copy of an earlier one.
     Result receiveEnd();
 
     // Expects no response any more, and returns the handlers of the one that was expected. May be called by a handler,
--- a/Source/Forwarding/UpstreamConnection.cpp
+++ b/Source/Forwarding/UpstreamConnection.cpp
@@ -32,15 +32,24 @@
     void exchange(UpstreamRequest request, UpstreamHandlers handlers) override;
     void close() override;
     void watchIdle(std::function<void()> onLost) override;
-    bool isReusable() const override { return isActive_ && isRequestWritten_ && reader_.canContinue() && !reader_.isActive(); }
+    bool isReusable() const override { return isActive_ && writing_ == Writing::Done && reader_.canContinue() && !reader_.isActive(); }
     bool canIdentify(const std::optional<std::string>& requestId) const override { return reader_.canIdentify(requestId); }
     std::chrono::milliseconds keepAliveTime() const override { return reader_.keepAliveTime(); }
 
 private:
+    // State of the write of the current request.
+    enum class Writing {
+        Pending,
+        Done,
+        Failed,
+    };
+
     std::shared_ptr<TcpUpstreamConnection> self() { return std::static_pointer_cast<TcpUpstreamConnection>(shared_from_this()); }
 
     void read();
     void handleRead(const boost::system::error_code& failure, std::size_t count);
+    void handleWritten(const boost::system::error_code& failure);
+    void finishAtConnectionEnd();
     std::shared_ptr<UpstreamHandlers> shutDown();
     void fail();
 
@@ -52,8 +61,10 @@
     std::array<char, readBufferBytes> buffer_ {};
     // The connection is being established or is open.
     bool isActive_ { false };
-    bool isRequestWritten_ { true };
+    Writing writing_ { Writing::Done };
     bool isReading_ { false };
+    // The server has ended its direction of the connection.
+    bool hasServerEnded_ { false };
 };
 
 void TcpUpstreamConnection::connect(const Endpoint& server, std::chrono::milliseconds timeout, std::function<void(bool)> done)
@@ -87,14 +98,10 @@
 {
     request_ = std::move(request.bytes);
     onIdleLost_ = nullptr;
-    isRequestWritten_ = false;
+    writing_ = Writing::Pending;
     reader_.begin(std::move(request.id), std::move(handlers));
     auto connection = self();
-    asio::async_write(socket_, asio::buffer(request_), [connection](boost::system::error_code failure, std::size_t) {
-        if (!failure)
-            connection->isRequestWritten_ = true;
-        // A failed write is not handled here: the server may have responded before it closed, which the read shows.
-    });
+    asio::async_write(socket_, asio::buffer(request_), [connection](boost::system::error_code failure, std::size_t) { connection->handleWritten(failure); });
     read();
 }
 
@@ -148,14 +155,38 @@
         return;
     }
     ResponseReader::Result result = reader_.receive(std::string_view(buffer_.data(), count));
-    if (failure && result != ResponseReader::Result::Invalid && reader_.isActive())
-        result = failure == asio::error::eof ? reader_.receiveEnd() : ResponseReader::Result::Invalid;
+    if (failure && result != ResponseReader::Result::Invalid && reader_.isActive()) {
+        hasServerEnded_ = failure == asio::error::eof && reader_.endsWithConnection();
+        if (hasServerEnded_) {
+            finishAtConnectionEnd();
+            return;
+        }
+        result = ResponseReader::Result::Invalid;
+    }
     if (result == ResponseReader::Result::Invalid)
         fail();
     else if (reader_.isActive())
         read();
 }
 
+// A failed write alone is no failure of the exchange: the server may have sent a response with a length before it closed.
+void TcpUpstreamConnection::handleWritten(const boost::system::error_code& failure)
+{
+    writing_ = failure ? Writing::Failed : Writing::Done;
+    if (hasServerEnded_)
+        finishAtConnectionEnd();
+}
+
+// Decides whether a response that ends with its connection is complete. If the connection is reset, a pending write receives
+// the error and the next read only the end of the connection, so the end counts only after the whole request was written.
+void TcpUpstreamConnection::finishAtConnectionEnd()
+{
+    if (!isActive_ || writing_ == Writing::Pending)
+        return;
+    if (writing_ == Writing::Failed || reader_.receiveEnd() == ResponseReader::Result::Invalid)
+        fail();
+}
+
 void TcpUpstreamConnection::fail()
 {
     shutDown()->onFailure();
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -79,9 +79,9 @@
     {
     }
 
-    ScriptedServer& addServer(ScriptedServer::Script script, std::uint32_t slots = 8)
+    ScriptedServer& addServer(ScriptedServer::Script script, std::uint32_t slots = 8, ReadBeforeResponse reading = ReadBeforeResponse::WholeRequest)
     {
-        servers.push_back(std::make_unique<ScriptedServer>(loop, std::move(script)));
+        servers.push_back(std::make_unique<ScriptedServer>(loop, std::move(script), reading));
         ServerRecord record;
         record.id = "s" + std::to_string(servers.size());
         record.service = service;
