Forwarding: A response that ends with its connection needs a received request

Callers saw (own finding, same class as the reset during the write): a server sends a part of a response without a length, ends its direction of the connection, and resets it before it has received the upload, as the system of a killed server does when further bytes arrive. The caller gets the part as a complete response.

Cause: after the end of the server's direction a read returns the end of file and never the error of a reset. The gateway's write is no evidence either: it is done as soon as the send buffer holds the request.

Change: such a response is complete only when the server's system has acknowledged the whole request and the socket has no error. A server that ends its direction first and reads on is awaited (checked each 2 ms, until the time limits of the request). A server that has received the request has acknowledged it with its last bytes, so nothing waits in the usual case.

--- a/Source/Forwarding/UpstreamConnection.cpp
+++ b/Source/Forwarding/UpstreamConnection.cpp
@@ -6,6 +6,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <string_view>
 #include <utility>
@@ -18,6 +22,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 16384;
+// The system does not report when the other side acknowledges bytes.
+constexpr std::chrono::milliseconds deliveryCheckPeriod { 2 };
 
 class TcpUpstreamConnection : public UpstreamConnection {
 public:
@@ -44,11 +50,18 @@
         Failed,
     };
 
+    // Whether the server has received the current request.
+    enum class Delivery {
+        Pending,
+        Done,
+        Failed,
+    };
+
     std::shared_ptr<TcpUpstreamConnection> self() { return std::static_pointer_cast<TcpUpstreamConnection>(shared_from_this()); }
 
     void read();
     void handleRead(const boost::system::error_code& failure, std::size_t count);
-    void handleWritten(const boost::system::error_code& failure);
+    Delivery delivery();
     void finishAtConnectionEnd();
     std::shared_ptr<UpstreamHandlers> shutDown();
     void fail();
@@ -63,8 +76,6 @@
     bool isActive_ { false };
     Writing writing_ { Writing::Done };
     bool isReading_ { false };
-    // The server has ended its direction of the connection.
-    bool hasServerEnded_ { false };
 };
 
 void TcpUpstreamConnection::connect(const Endpoint& server, std::chrono::milliseconds timeout, std::function<void(bool)> done)
@@ -101,7 +112,10 @@
     writing_ = Writing::Pending;
     reader_.begin(std::move(request.id), std::move(handlers));
     auto connection = self();
-    asio::async_write(socket_, asio::buffer(request_), [connection](boost::system::error_code failure, std::size_t) { connection->handleWritten(failure); });
+    asio::async_write(socket_, asio::buffer(request_), [connection](boost::system::error_code failure, std::size_t) {
+        // A failed write alone is no failure of the exchange: the server may have sent a response with a length before it closed.
+        connection->writing_ = failure ? Writing::Failed : Writing::Done;
+    });
     read();
 }
 
@@ -156,8 +170,7 @@
     }
     ResponseReader::Result result = reader_.receive(std::string_view(buffer_.data(), count));
     if (failure && result != ResponseReader::Result::Invalid && reader_.isActive()) {
-        hasServerEnded_ = failure == asio::error::eof && reader_.endsWithConnection();
-        if (hasServerEnded_) {
+        if (failure == asio::error::eof && reader_.endsWithConnection()) {
             finishAtConnectionEnd();
             return;
         }
@@ -169,22 +182,45 @@
         read();
 }
 
-// A failed write alone is no failure of the exchange: the server may have sent a response with a length before it closed.
-void TcpUpstreamConnection::handleWritten(const boost::system::error_code& failure)
+// Returns whether the system of the server has acknowledged the whole request. It does not if the connection is reset, which
+// a read does not show if the server has ended its direction before, or if a pending write receives the error.
+TcpUpstreamConnection::Delivery TcpUpstreamConnection::delivery()
 {
-    writing_ = failure ? Writing::Failed : Writing::Done;
-    if (hasServerEnded_)
-        finishAtConnectionEnd();
+    int error = 0;
+    socklen_t errorSize = sizeof(error);
+    bool isReset = ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &error, &errorSize) == 0 && error != 0;
+    if (writing_ == Writing::Failed || isReset)
+        return Delivery::Failed;
+    int unacknowledgedBytes = 0;
+    bool isKnown = ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledgedBytes) == 0;
+    bool isPending = writing_ == Writing::Pending || (isKnown && unacknowledgedBytes > 0);
+    return isPending ? Delivery::Pending : Delivery::Done;
 }
 
-// Decides whether a response that ends with its connection is complete. If the connection is reset, a pending write receives
-// the error and the next read only the end of the connection, so the end counts only after the whole request was written.
+// Decides whether a response that ends with its connection is complete: only after its server has received the whole request,
+// as the server may otherwise have been broken off.
 void TcpUpstreamConnection::finishAtConnectionEnd()
 {
-    if (!isActive_ || writing_ == Writing::Pending)
+    if (!isActive_)
         return;
-    if (writing_ == Writing::Failed || reader_.receiveEnd() == ResponseReader::Result::Invalid)
+    switch (delivery()) {
+    case Delivery::Pending: {
+        timer_.expires_after(deliveryCheckPeriod);
+        auto connection = self();
+        timer_.async_wait([connection](boost::system::error_code failure) {
+            if (!failure)
+                connection->finishAtConnectionEnd();
+        });
+        break;
+    }
+    case Delivery::Done:
+        if (reader_.receiveEnd() == ResponseReader::Result::Invalid)
+            fail();
+        break;
+    case Delivery::Failed:
         fail();
+        break;
+    }
 }
 
 void TcpUpstreamConnection::fail()
--- a/Tests/Forwarding/ScriptedServer.cpp
+++ b/Tests/Forwarding/ScriptedServer.cpp
@@ -115,7 +115,7 @@
             if (response_.endless)
                 writeEndless();
             else
-                pauseAndFinish();
+                endResponse();
             return;
         }
         std::size_t count = response_.isSentBytewise ? 1 : response_.bytes.size();
@@ -146,8 +146,11 @@
         });
     }
 
-    void pauseAndFinish()
+    void endResponse()
     {
+        boost::system::error_code ignored;
+        if (response_.after == AfterResponse::ShutDownAndRead || response_.after == AfterResponse::ShutDownAndReset)
+            socket_.shutdown(Tcp::socket::shutdown_send, ignored);
         if (response_.pause == std::chrono::milliseconds::zero()) {
             finish();
             return;
@@ -173,16 +176,10 @@
             reset();
             break;
         case AfterResponse::Reset:
-            reset();
-            break;
         case AfterResponse::ShutDownAndReset:
-            socket_.shutdown(Tcp::socket::shutdown_send, ignored);
             reset();
             break;
         case AfterResponse::ShutDownAndRead:
-            socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-            readRest([self] { self->close(); });
-            break;
         case AfterResponse::ReadAndClose:
             readRest([self] { self->close(); });
             break;
--- a/Tests/Forwarding/ScriptedServer.h
+++ b/Tests/Forwarding/ScriptedServer.h
@@ -44,7 +44,7 @@
     bool isSentBytewise { false };
     // Sent again and again after the bytes, until the client closes the connection.
     std::optional<std::string> endless { std::nullopt };
-    // Time between the last byte and what is done with the connection.
+    // Time from the last byte, and the end of the server's direction, to what else is done with the connection.
     std::chrono::milliseconds pause { 0 };
 };
 
--- a/Tests/Gateway/EarlyResponseTest.cpp
+++ b/Tests/Gateway/EarlyResponseTest.cpp
@@ -13,6 +13,8 @@
 
 // More than the buffers of a connection hold, so that the gateway is still writing when the server responds.
 constexpr std::size_t largeUpload = 6U << 20U;
+// Fits into the send buffer, but not into the receive buffer of a server that does not read.
+constexpr std::size_t smallUpload = 1U << 20U;
 constexpr std::size_t maxUploadBytes = 8U << 20U;
 constexpr int repetitions = 8;
 // Lets the gateway fill the buffers of its connection, so that its write waits when the connection ends.
@@ -110,6 +112,24 @@
     }
 }
 
+// Guards against a reset that no read shows, since the server has ended its direction first: the reset may arrive when the
+// gateway has already passed the whole request to its system.
+TEST_CASE("a response without a length is incomplete if its connection is reset before the server has received the request")
+{
+    for (RequestKind kind : allKinds) {
+        for (std::size_t bytes : { smallUpload, largeUpload }) {
+            for (std::chrono::milliseconds pause : { std::chrono::milliseconds(0), bufferFillTime }) {
+                CAPTURE(bytes);
+                CAPTURE(pause.count());
+                EarlyResponseFixture fixture(kind);
+                ScriptedServer& server = fixture.addEarlyServer({ "", partOfBodyOf(kind), AfterResponse::ShutDownAndReset, pause });
+                CHECK(fixture.countCompleteSuccesses(bytes) == 0);
+                CHECK(server.requests().size() == repetitions);
+            }
+        }
+    }
+}
+
 // Guards against a caller that is told that its request did not run, or gets the signature of a broken response.
 TEST_CASE("the caller of a request that may not be repeated gets 502 for an incomplete early response")
 {
@@ -148,17 +168,17 @@
 {
     for (RequestKind kind : allKinds) {
         for (AfterResponse after : { AfterResponse::ReadAndClose, AfterResponse::ShutDownAndRead }) {
-            for (std::chrono::milliseconds pause : { std::chrono::milliseconds(0), bufferFillTime }) {
+            for (std::size_t bytes : { smallUpload, largeUpload }) {
                 EarlyResponseFixture fixture(kind);
-                ScriptedServer& server = fixture.addEarlyServer({ "", wholeBodyOf(kind), after, pause });
+                ScriptedServer& server = fixture.addEarlyServer({ "", wholeBodyOf(kind), after, bufferFillTime });
                 for (int i = 0; i < repetitions; ++i) {
-                    CallerResult result = fixture.upload(i, largeUpload);
+                    CallerResult result = fixture.upload(i, bytes);
                     CHECK(result.status == 200);
                     CHECK(result.isComplete);
                     CHECK(result.body == wholeBodyOf(kind));
                 }
                 CHECK(server.requests().size() == repetitions);
-                CHECK(fixture.runUntil([&] { return server.bodyBytesReadAfterResponse() == repetitions * largeUpload; }));
+                CHECK(fixture.runUntil([&] { return server.bodyBytesReadAfterResponse() == repetitions * bytes; }));
             }
         }
     }
