Forwarding: Reject a response whose status is none

Callers saw: a server in trouble sends an answer with status 000 and length 0, and then bytes that are a well-formed 200; the caller gets these as its response. Statuses 600 to 999 reached callers as answers.

Cause: any status under 200 was skipped as that of an informational response, also 000 to 099 and a 101 that nobody asked for, after which the bytes are not HTTP any more. Statuses over 599 were passed on as failures of the server.

Change: ResponseParser fails on a status outside 100 to 599 (RFC 9110, section 15) and on 101, before anything of the head is passed on or taken from it. The request fails as after a broken response: 502, or another server.

Evidence, before the change: 000, 099 and 101 followed by a 200 gave that 200 on each kind of route and on reused connections; 000 without a length gave 504 at the timeout on a kept connection; 600 and 999 were passed on with signature. 000 alone, 20 and 2000 were 502 before too.

--- a/Source/Forwarding/ResponseParser.cpp
+++ b/Source/Forwarding/ResponseParser.cpp
@@ -8,6 +8,20 @@
 
 namespace Damaskgrade {
 
+namespace {
+
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
+constexpr int switchingProtocols = 101;
+
+// Returns whether a response to a request that asks for no upgrade may have this status (RFC 9110, sections 7.8 and 15).
+bool isLegalStatus(int status)
+{
+    return status >= minStatus && status <= maxStatus && status != switchingProtocols;
+}
+
+}
+
 ResponseParser::ResponseParser(std::function<void(const HttpResponse&)> onHead, std::function<void(std::string_view)> onBody)
     : onHead_(std::move(onHead))
     , onBody_(std::move(onBody))
@@ -25,6 +39,8 @@
 void ResponseParser::on_response_impl(int code, Text, int, ErrorCode& failure)
 {
     failure = {};
+    if (!isLegalStatus(code))
+        failure = boost::beast::http::error::bad_status;
     head_.status = code;
 }
 
--- a/Source/Forwarding/ResponseParser.h
+++ b/Source/Forwarding/ResponseParser.h
@@ -9,7 +9,8 @@
 
 namespace Damaskgrade {
 
-// Parses one response. Passes the head and the parts of the body to the handlers and does not store the body.
+// Parses one response. Passes the head and the parts of the body to the handlers and does not store the body. Fails before it
+// passes on a head that is not well formed.
 class ResponseParser : public boost::beast::http::basic_parser<false> {
 public:
     ResponseParser(std::function<void(const HttpResponse&)> onHead, std::function<void(std::string_view)> onBody);
