Forwarding: Reject a response whose framing can't be followed

Callers saw (own finding): a response with "Transfer-Encoding: gzip", with or without chunked after it, reached the caller as a complete 200 with the coded bytes as its body; "chunked, gzip" with the lines of the chunks as its body; a 204 that announced five bytes as a success without them; a 102 that announced a body was skipped, so that the body counted as the next response.

Cause: Beast ignores every transfer coding but a final chunked, and the gateway removes the header, which concerns one connection only. A status that excludes a body wins over a length.

Change: ResponseParser fails on a head with any transfer coding but a single chunked, which requests never allow (RFC 9112, section 6.1), and on an informational response or a 204 that announces a body. Beast loses a failure of the head if bytes of the body follow in the same buffer, so the verdict is repeated where the body begins.

Conflicting, repeated and malformed lengths, and a length beside chunked, were 502 before.

--- a/Source/Forwarding/ResponseParser.cpp
+++ b/Source/Forwarding/ResponseParser.cpp
@@ -13,6 +13,8 @@
 constexpr int minStatus = 100;
 constexpr int maxStatus = 599;
 constexpr int switchingProtocols = 101;
+constexpr int firstFinalStatus = 200;
+constexpr int noContent = 204;
 
 // Returns whether a response to a request that asks for no upgrade may have this status (RFC 9110, sections 7.8 and 15).
 bool isLegalStatus(int status)
@@ -53,12 +55,37 @@
 void ResponseParser::on_header_impl(ErrorCode& failure)
 {
     failure = {};
-    onHead_(head_);
+    isHeadRejected_ = !hasLegalFraming();
+    if (isHeadRejected_)
+        failure = boost::beast::http::error::bad_transfer_encoding;
+    else
+        onHead_(head_);
+}
+
+// Returns whether the body is in the only transfer coding that requests allow, chunked, and is announced only if the status
+// allows one (RFC 9112, section 6). The base class ignores other codings.
+bool ResponseParser::hasLegalFraming() const
+{
+    std::size_t codings = 0;
+    bool isChunked = false;
+    for (const HttpHeader& header : head_.headers) {
+        if (!equalsIgnoringCase(header.name, "Transfer-Encoding"))
+            continue;
+        ++codings;
+        isChunked = chunked() && equalsIgnoringCase(header.value, "chunked");
+    }
+    bool isBodyless = head_.status < firstFinalStatus || head_.status == noContent;
+    if (isBodyless)
+        return codings == 0 && content_length().value_or(0) == 0;
+    return codings == 0 || (codings == 1 && isChunked);
 }
 
 void ResponseParser::on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode& failure)
 {
     failure = {};
+    // Beast 1.74 loses the failure of the head if bytes of the body follow it in the same buffer.
+    if (isHeadRejected_)
+        failure = boost::beast::http::error::bad_transfer_encoding;
 }
 
 std::size_t ResponseParser::on_body_impl(Text body, ErrorCode& failure)
--- a/Source/Forwarding/ResponseParser.h
+++ b/Source/Forwarding/ResponseParser.h
@@ -29,9 +29,12 @@
     std::size_t on_chunk_body_impl(std::uint64_t remaining, Text body, ErrorCode& failure) override;
     void on_finish_impl(ErrorCode& failure) override;
 
+    bool hasLegalFraming() const;
+
     std::function<void(const HttpResponse&)> onHead_;
     std::function<void(std::string_view)> onBody_;
     HttpResponse head_;
+    bool isHeadRejected_ { false };
 };
 
 }
