Transport: Move the connection to servers and the reading of responses here

Cause: HttpClient reads responses with a parser of its own, and Transport can't use the one of Forwarding. No line of the code changes otherwise.

--- a/Source/Forwarding/HeldAttempt.h
+++ b/Source/Forwarding/HeldAttempt.h
@@ -3,8 +3,8 @@
 #include "Core/Clock.h"
 #include "Fleet/ServerRecord.h"
 #include "Forwarding/EventSplitter.h"
-#include "Forwarding/UpstreamConnection.h"
 #include "Transport/HttpMessage.h"
+#include "Transport/UpstreamConnection.h"
 
 #include <cstdint>
 #include <memory>
--- a/Source/Forwarding/UpstreamPool.h
+++ b/Source/Forwarding/UpstreamPool.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Core/Clock.h"
-#include "Forwarding/UpstreamConnection.h"
+#include "Transport/UpstreamConnection.h"
 
 #include <deque>
 #include <functional>
--- a/Source/Forwarding/ContentHash.cpp
+++ b/Source/Transport/ContentHash.cpp
@@ -1,4 +1,4 @@
-#include "Forwarding/ContentHash.h"
+#include "Transport/ContentHash.h"
 
 #include <xxhash.h>
 
--- a/Source/Forwarding/ResponseMatcher.cpp
+++ b/Source/Transport/ResponseMatcher.cpp
@@ -1,4 +1,4 @@
-#include "Forwarding/ResponseMatcher.h"
+#include "Transport/ResponseMatcher.h"
 
 #include <gsl/span>
 #include <xxhash.h>
--- a/Source/Forwarding/ResponseParser.cpp
+++ b/Source/Transport/ResponseParser.cpp
@@ -1,4 +1,4 @@
-#include "Forwarding/ResponseParser.h"
+#include "Transport/ResponseParser.h"
 
 #include <boost/beast/http/error.hpp>
 
--- a/Source/Forwarding/ResponseReader.cpp
+++ b/Source/Transport/ResponseReader.cpp
@@ -1,4 +1,4 @@
-#include "Forwarding/ResponseReader.h"
+#include "Transport/ResponseReader.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
--- a/Source/Forwarding/ResponseReader.h
+++ b/Source/Transport/ResponseReader.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "Forwarding/ContentHash.h"
-#include "Forwarding/ResponseMatcher.h"
-#include "Forwarding/ResponseParser.h"
-#include "Forwarding/UpstreamHandlers.h"
+#include "Transport/ContentHash.h"
 #include "Transport/HttpMessage.h"
+#include "Transport/ResponseMatcher.h"
+#include "Transport/ResponseParser.h"
+#include "Transport/UpstreamHandlers.h"
 
 #include <chrono>
 #include <memory>
--- a/Source/Forwarding/UpstreamConnection.cpp
+++ b/Source/Transport/UpstreamConnection.cpp
@@ -1,6 +1,6 @@
-#include "Forwarding/UpstreamConnection.h"
+#include "Transport/UpstreamConnection.h"
 
-#include "Forwarding/ResponseReader.h"
+#include "Transport/ResponseReader.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Source/Forwarding/UpstreamConnection.h
+++ b/Source/Transport/UpstreamConnection.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Core/Endpoint.h"
-#include "Forwarding/UpstreamHandlers.h"
 #include "Transport/EventLoop.h"
+#include "Transport/UpstreamHandlers.h"
 
 #include <chrono>
 #include <functional>
--- a/Tests/Forwarding/SimulatedConnection.h
+++ b/Tests/Forwarding/SimulatedConnection.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Forwarding/ResponseReader.h"
-#include "Forwarding/UpstreamConnection.h"
+#include "Transport/ResponseReader.h"
+#include "Transport/UpstreamConnection.h"
 
 #include <chrono>
 #include <functional>
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "Core/SystemClock.h"
-#include "Forwarding/ScriptedServer.h"
 #include "FreeEndpoint.h"
 #include "Gateway/Forwarder.h"
 #include "LoopRunner.h"
 #include "Transport/HttpClient.h"
 #include "Transport/HttpServer.h"
+#include "Transport/ScriptedServer.h"
 
 #include <fcntl.h>
 #include <unistd.h>
--- a/Tests/Forwarding/ResponseReaderTest.cpp
+++ b/Tests/Transport/ResponseReaderTest.cpp
@@ -1,4 +1,4 @@
-#include "Forwarding/ResponseReader.h"
+#include "Transport/ResponseReader.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/Forwarding/ScriptedServer.cpp
+++ b/Tests/Transport/ScriptedServer.cpp
@@ -1,4 +1,4 @@
-#include "Forwarding/ScriptedServer.h"
+#include "Transport/ScriptedServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
