Transport: Read the responses of HttpClient as those of servers are read

Callers saw (own finding, same causes): the product's agents, the clients of the stores and the command line read responses with a parser of their own. A malformed answer of an engine or a store (status 000, 099, 101, 600, coded body) counted as an answer: an engine's completion then as not started, a store's write as refused, although it may have been done. An informational response, which is legal, counted as the response. A response without a length whose server ended its direction and then reset the connection was complete.

Cause: two places decided what a well-formed and whole response is.

Change: HttpClient sends its requests over an UpstreamConnection of its own, and so shares ResponseReader and its checks; serializeRequest() is shared with PooledClient. What its users see is unchanged: one connection for each request, the timeout from connecting to the end, the bound of the body, and whether a failed request may have been sent.

Evidence: HttpClientTest, three cases, all failed before: 8 of 14 malformed responses were no failure, a 100 was the response, 1 MiB uploads whose server shut down and reset got a complete body. Field names with blanks and control bytes, truncated bodies and bad trailers were failures before too.

Measured: all 28 test programs pass (93 s); the mutant of the bound of the body is detected.

--- a/Source/Forwarding/PooledClient.cpp
+++ b/Source/Forwarding/PooledClient.cpp
@@ -9,16 +9,6 @@
 // Far above the size of any report.
 constexpr std::size_t maxResponseBytes = 4U << 20U;
 
-std::string serializeRequest(const Endpoint& server, const HttpRequest& request)
-{
-    std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + formatEndpoint(server) + "\r\n";
-    for (const HttpHeader& header : request.headers)
-        text += header.name + ": " + header.value + "\r\n";
-    if (!request.body.empty() || request.method == "POST")
-        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-    return text + "\r\n" + request.body;
-}
-
 }
 
 // One pending request. It ends once: with a response, a failure or a timeout.
@@ -63,7 +53,7 @@
     auto call = std::make_shared<Call>();
     call->serverName = formatEndpoint(server);
     call->server = server;
-    call->bytes = serializeRequest(server, request);
+    call->bytes = serializeRequest(request, formatEndpoint(server), true);
     call->isRead = request.method == "GET";
     call->onResponse = std::move(onResponse);
     call->onFailure = std::move(onFailure);
--- a/Source/Transport/HttpClient.cpp
+++ b/Source/Transport/HttpClient.cpp
@@ -1,179 +1,133 @@
 #include "Transport/HttpClient.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include "Transport/UpstreamConnection.h"
 
-#include <array>
 #include <utility>
 
 namespace Damaskgrade {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-using Tcp = boost::asio::ip::tcp;
-
 namespace {
 
-constexpr std::size_t readBufferBytes = 16384;
-
-class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+// A request in progress. It ends once: with its response, a failure, the timeout, or because it was cancelled. Its connection
+// owns it while the connection has operations in progress.
+class ClientRequest : public std::enable_shared_from_this<ClientRequest> {
 public:
-    ClientConnection(EventLoop& loop, std::size_t maxResponseBytes, HttpResponseHandlers handlers)
-        : stream_(loop.context())
+    ClientRequest(EventLoop& loop, std::size_t maxResponseBytes, HttpResponseHandlers handlers)
+        : loop_(loop)
+        , maxResponseBytes_(maxResponseBytes)
         , handlers_(std::move(handlers))
     {
-        parser_.body_limit(maxResponseBytes);
     }
 
     void start(const Endpoint& server, const HttpRequest& request, std::chrono::milliseconds timeout);
     void cancel();
 
 private:
-    void write();
-    void readHead();
-    void readBody();
-    void handleBody(const beast::error_code& failure);
-    void fail(const beast::error_code& failure);
+    void send(std::string bytes);
+    void handleBody(std::string_view part);
+    void handleEnd();
+    void fail(ResultCode code);
     void close();
 
-    beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
-    http::request<http::string_body> request_;
-    http::response_parser<http::buffer_body> parser_;
-    std::array<char, readBufferBytes> chunk_ {};
+    EventLoop& loop_;
+    std::weak_ptr<UpstreamConnection> connection_;
+    std::unique_ptr<Timer> timer_;
+    std::size_t maxResponseBytes_;
+    std::size_t receivedBytes_ { 0 };
     HttpResponseHandlers handlers_;
     bool wasSent_ { false };
-    bool done_ { false };
+    bool isDone_ { false };
 };
 
-void ClientConnection::start(const Endpoint& server, const HttpRequest& request, std::chrono::milliseconds timeout)
+void ClientRequest::start(const Endpoint& server, const HttpRequest& request, std::chrono::milliseconds timeout)
 {
-    request_.method_string(request.method);
-    request_.target(request.target);
-    request_.set(http::field::host, formatEndpoint(server));
-    for (const HttpHeader& header : request.headers)
-        request_.set(header.name, header.value);
-    request_.body() = request.body;
-    request_.keep_alive(false);
-    request_.prepare_payload();
-    stream_.expires_after(timeout);
-    Tcp::endpoint endpoint(asio::ip::make_address(server.address), server.port);
+    std::weak_ptr<ClientRequest> weak = weak_from_this();
+    timer_ = loop_.after(timeout, [weak] {
+        if (std::shared_ptr<ClientRequest> expired = weak.lock())
+            expired->fail(ResultCode::Timeout);
+    });
+    std::shared_ptr<UpstreamConnection> connection = makeUpstreamConnection(loop_, {});
+    connection_ = connection;
     auto self = shared_from_this();
-    stream_.async_connect(endpoint, [self](beast::error_code failure) {
-        if (failure)
-            self->fail(failure);
+    connection->connect(server, timeout, [self, bytes = serializeRequest(request, formatEndpoint(server), false)](bool isOpen) mutable {
+        if (isOpen)
+            self->send(std::move(bytes));
         else
-            self->write();
+            self->fail(ResultCode::ConnectionFailed);
     });
 }
 
-void ClientConnection::write()
+void ClientRequest::send(std::string bytes)
 {
-    if (done_)
+    std::shared_ptr<UpstreamConnection> connection = connection_.lock();
+    if (isDone_ || !connection)
         return;
-    beast::error_code ignored;
-    stream_.socket().set_option(Tcp::no_delay(true), ignored);
     // From here on, the server may have received the request even if the connection fails.
     wasSent_ = true;
     auto self = shared_from_this();
-    http::async_write(stream_, request_, [self](beast::error_code failure, std::size_t) {
-        if (failure)
-            self->fail(failure);
-        else
-            self->readHead();
-    });
-}
-
-void ClientConnection::readHead()
-{
-    if (done_)
-        return;
-    auto self = shared_from_this();
-    http::async_read_header(stream_, buffer_, parser_, [self](beast::error_code failure, std::size_t) {
-        if (failure) {
-            self->fail(failure);
-            return;
-        }
-        if (self->done_)
-            return;
-        HttpResponse head;
-        head.status = static_cast<int>(self->parser_.get().result_int());
-        for (const auto& field : self->parser_.get())
-            head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    UpstreamHandlers handlers;
+    handlers.onHead = [self](const HttpResponse& head) {
         if (self->handlers_.onHead)
             self->handlers_.onHead(head);
-        self->readBody();
-    });
+    };
+    handlers.onBody = [self](std::string_view part) { self->handleBody(part); };
+    handlers.onEnd = [self] { self->handleEnd(); };
+    handlers.onFailure = [self] { self->fail(ResultCode::ConnectionFailed); };
+    connection->exchange({ std::nullopt, std::move(bytes) }, std::move(handlers));
 }
 
-void ClientConnection::readBody()
+void ClientRequest::handleBody(std::string_view part)
 {
-    if (done_)
-        return;
-    if (parser_.is_done()) {
-        close();
-        if (handlers_.onEnd)
-            handlers_.onEnd();
-        return;
-    }
-    parser_.get().body().data = chunk_.data();
-    parser_.get().body().size = chunk_.size();
-    auto self = shared_from_this();
-    http::async_read_some(stream_, buffer_, parser_, [self](beast::error_code failure, std::size_t) { self->handleBody(failure); });
+    receivedBytes_ += part.size();
+    if (receivedBytes_ > maxResponseBytes_)
+        fail(ResultCode::ConnectionFailed);
+    else if (handlers_.onBody)
+        handlers_.onBody(part);
 }
 
-void ClientConnection::handleBody(const beast::error_code& failure)
+void ClientRequest::handleEnd()
 {
-    if (failure && failure != http::error::need_buffer) {
-        fail(failure);
-        return;
-    }
-    if (done_)
+    if (isDone_)
         return;
-    std::size_t count = chunk_.size() - parser_.get().body().size;
-    if (count > 0 && handlers_.onBody)
-        handlers_.onBody(std::string_view(chunk_.data(), count));
-    readBody();
+    close();
+    if (handlers_.onEnd)
+        handlers_.onEnd();
 }
 
-void ClientConnection::fail(const beast::error_code& failure)
+void ClientRequest::fail(ResultCode code)
 {
-    if (done_)
+    if (isDone_)
         return;
     close();
-    HttpFailure result;
-    result.code = failure == beast::error::timeout ? ResultCode::Timeout : ResultCode::ConnectionFailed;
-    result.wasSent = wasSent_;
     if (handlers_.onFailure)
-        handlers_.onFailure(result);
+        handlers_.onFailure({ code, wasSent_ });
 }
 
-void ClientConnection::cancel()
+void ClientRequest::cancel()
 {
-    if (!done_)
+    if (!isDone_)
         close();
 }
 
-void ClientConnection::close()
+void ClientRequest::close()
 {
-    done_ = true;
-    beast::error_code ignored;
-    stream_.socket().close(ignored);
+    isDone_ = true;
+    timer_ = nullptr;
+    if (std::shared_ptr<UpstreamConnection> connection = connection_.lock())
+        connection->close();
 }
 
 class ClientCall : public HttpCall {
 public:
-    explicit ClientCall(std::shared_ptr<ClientConnection> connection)
-        : connection_(std::move(connection))
+    explicit ClientCall(std::shared_ptr<ClientRequest> request)
+        : request_(std::move(request))
     {
     }
 
-    ~ClientCall() override { connection_->cancel(); }
+    ~ClientCall() override { request_->cancel(); }
 
 private:
-    std::shared_ptr<ClientConnection> connection_;
+    std::shared_ptr<ClientRequest> request_;
 };
 
 }
@@ -187,9 +141,9 @@
 
 std::unique_ptr<HttpCall> HttpClient::stream(const Endpoint& server, const HttpRequest& request, HttpResponseHandlers handlers)
 {
-    auto connection = std::make_shared<ClientConnection>(loop_, maxResponseBytes_, std::move(handlers));
-    connection->start(server, request, timeout_);
-    return std::make_unique<ClientCall>(connection);
+    auto started = std::make_shared<ClientRequest>(loop_, maxResponseBytes_, std::move(handlers));
+    started->start(server, request, timeout_);
+    return std::make_unique<ClientCall>(started);
 }
 
 void HttpClient::send(const Endpoint& server, const HttpRequest& request,
@@ -201,7 +155,7 @@
     handlers.onBody = [response](std::string_view part) { response->body += part; };
     handlers.onEnd = [response, onResponse = std::move(onResponse)] { onResponse(std::move(*response)); };
     handlers.onFailure = std::move(onFailure);
-    std::make_shared<ClientConnection>(loop_, maxResponseBytes_, std::move(handlers))->start(server, request, timeout_);
+    std::make_shared<ClientRequest>(loop_, maxResponseBytes_, std::move(handlers))->start(server, request, timeout_);
 }
 
 }
--- a/Source/Transport/HttpMessage.cpp
+++ b/Source/Transport/HttpMessage.cpp
@@ -46,6 +46,22 @@
     return false;
 }
 
+std::string serializeRequest(const HttpRequest& request, std::string_view host, bool keepsConnection)
+{
+    std::string text;
+    auto appendHeader = [&text](std::string_view name, std::string_view value) { text.append(name).append(": ").append(value).append("\r\n"); };
+    text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    if (!findHeader(request.headers, "Host"))
+        appendHeader("Host", host);
+    for (const HttpHeader& header : request.headers)
+        appendHeader(header.name, header.value);
+    if (!keepsConnection)
+        appendHeader("Connection", "close");
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
+        appendHeader("Content-Length", std::to_string(request.body.size()));
+    return text.append("\r\n").append(request.body);
+}
+
 HttpRequest makeJsonPost(std::string_view target, std::string_view body)
 {
     HttpRequest request;
--- a/Source/Transport/HttpMessage.h
+++ b/Source/Transport/HttpMessage.h
@@ -32,6 +32,10 @@
 // Returns whether a comma-separated header value contains the token. The comparison ignores case.
 bool hasListToken(std::string_view list, std::string_view token);
 
+// Returns the bytes of an HTTP/1.1 request. The host is the default of the Host header. Without keepsConnection, the request
+// asks the server to close the connection after its response.
+std::string serializeRequest(const HttpRequest& request, std::string_view host, bool keepsConnection);
+
 // Returns a POST request with a JSON body.
 HttpRequest makeJsonPost(std::string_view target, std::string_view body);
 
