Tests: Malformed answers at each place that reads answers

Cause: of the reported forms only some were tried on the gateway's path, and none on reused connections, trailers, the store, engines' reports and orders, the product's agents and the links between processes.

Change: MalformedHeads.h lists heads and header lines that are not well formed, among them names with a blank, tab, NUL, control byte, DEL or byte over 127, and "Content-Length :".

--- a/Tests/Gateway/MalformedResponseTest.cpp
+++ b/Tests/Gateway/MalformedResponseTest.cpp
@@ -1,4 +1,5 @@
 #include "Gateway/GatewayFixture.h"
+#include "Transport/MalformedHeads.h"
 
 #include <doctest/doctest.h>
 
@@ -33,47 +34,10 @@
     return GatewayFixture::responseTo(request, GatewayFixture::event(1));
 }
 
-// Heads of servers in trouble. "ID" stands for the line with the request id and the signature.
-std::vector<std::string> malformedHeads()
+// Returns the head with the header lines that make it the response to the request.
+std::string headFor(const HttpRequest& request, const std::string& head)
 {
-    return {
-        "HTTP/1.1 000 X\r\nIDContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 000 X\r\nIDContent-Length: 5\r\n\r\nwrong",
-        "HTTP/1.1 000 X\r\nID\r\n",
-        "HTTP/1.1 000 X\r\n\r\n",
-        "HTTP/1.1 099 X\r\nIDContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 101 X\r\nIDUpgrade: x\r\nConnection: upgrade\r\n\r\n",
-        "HTTP/1.1 20 X\r\nIDContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 2000 X\r\nIDContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 600 X\r\nIDContent-Length: 5\r\n\r\nwrong",
-        "HTTP/1.1 999 X\r\nIDContent-Length: 5\r\n\r\nwrong",
-        // The body has another coding than the caller expects, or another end than the server meant.
-        "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: gzip\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: chunked, gzip\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: chunked, chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: xchunked\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nIDTransfer-Encoding:\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nIDContent-Length: 5\r\nTransfer-Encoding: identity\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nIDContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nIDContent-Length: 5\r\nContent-Length: 4\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nIDContent-Length: -5\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nIDContent-Length: 5 5\r\n\r\nwrong",
-        "HTTP/1.1 204 X\r\nIDContent-Length: 5\r\n\r\nwrong",
-        "HTTP/1.1 204 X\r\nIDTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-        "HTTP/1.1 102 X\r\nContent-Length: 5\r\n\r\n",
-        "HTTP/1.1 102 X\r\nTransfer-Encoding: chunked\r\n\r\n",
-    };
-}
-
-std::string insertId(std::string head, const HttpRequest& request)
-{
-    std::size_t position = head.find("ID");
-    if (position != std::string::npos)
-        head.replace(position, 2, idLineOf(request) + "Signature: sig\r\n");
-    return head;
+    return insertHeaderLines(head, idLineOf(request) + "Signature: sig\r\n");
 }
 
 }
@@ -89,7 +53,7 @@
                 GatewayFixture fixture;
                 fixture.setRoute(routeOf(kind, 1));
                 ScriptedServer& server = fixture.addServer([&](const HttpRequest& request) {
-                    ScriptedResponse response { insertId(head, request), AfterResponse::Close };
+                    ScriptedResponse response { headFor(request, head), AfterResponse::Close };
                     if (isFollowed)
                         response.bytes.append(response.bytes).append(soundResponseTo(request));
                     return response;
@@ -112,7 +76,7 @@
         fixture.setRoute(routeOf(RequestKind::NonIdempotent, 1));
         fixture.addServer([&](const HttpRequest& request) {
             bool isMalformed = findHeader(request.headers, "Request-Id") == "b";
-            return ScriptedResponse { (isMalformed ? insertId(head, request) : "") + soundResponseTo(request) };
+            return ScriptedResponse { (isMalformed ? headFor(request, head) : "") + soundResponseTo(request) };
         });
         CHECK(fixture.call(fixture.request("a")).body == GatewayFixture::event(1));
         CallerResult result = fixture.call(fixture.request("b"));
@@ -129,24 +93,24 @@
     std::string length = std::to_string(event.size());
     std::string chunked = GatewayFixture::chunk(event) + "0\r\n\r\n";
     std::vector<std::string> responses {
-        "HTTP/1.1 200 \r\nIDContent-Length: " + length + "\r\n\r\n" + event,
-        "HTTP/1.0 200 OK\r\nID\r\n" + event,
-        "HTTP/1.1 299 \xE9t\xE9\tx\r\nIDcontent-length:" + length + "\r\n\r\n" + event,
-        "HTTP/1.1 200 OK\r\nIDContent-Length: " + length + "\r\nContent-Length: " + length + "\r\n\r\n" + event,
-        "HTTP/1.1 200 OK\r\nIDContent-Length: " + length + ", " + length + "\r\n\r\n" + event,
-        "HTTP/1.1 200 OK\r\nIDTRANSFER-ENCODING: \tChunked \t\r\n\r\n" + chunked,
-        "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: chunked\r\n\r\n" + GatewayFixture::chunk(event) + "0;a=b;c=\"d\"\r\nTrailer-Field: x\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nID!#$%&'*+-.^_`|~09azAZ: x\r\nEmpty:\r\nValue: \xFF\t\"x\" (:;,\r\n\r\n" + event,
-        "HTTP/1.1 200 OK\r\nIDFolded: x\r\n y\r\n\r\n" + event,
-        "HTTP/1.1 200 OK\r\nIDLong: " + std::string(7000, 'x') + "\r\n\r\n" + event,
-        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nIDContent-Length: " + length + "\r\n\r\n" + event,
+        "HTTP/1.1 200 \r\nLINESContent-Length: " + length + "\r\n\r\n" + event,
+        "HTTP/1.0 200 OK\r\nLINES\r\n" + event,
+        "HTTP/1.1 299 \xE9t\xE9\tx\r\nLINEScontent-length:" + length + "\r\n\r\n" + event,
+        "HTTP/1.1 200 OK\r\nLINESContent-Length: " + length + "\r\nContent-Length: " + length + "\r\n\r\n" + event,
+        "HTTP/1.1 200 OK\r\nLINESContent-Length: " + length + ", " + length + "\r\n\r\n" + event,
+        "HTTP/1.1 200 OK\r\nLINESTRANSFER-ENCODING: \tChunked \t\r\n\r\n" + chunked,
+        "HTTP/1.1 200 OK\r\nLINESTransfer-Encoding: chunked\r\n\r\n" + GatewayFixture::chunk(event) + "0;a=b;c=\"d\"\r\nTrailer-Field: x\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nLINES!#$%&'*+-.^_`|~09azAZ: x\r\nEmpty:\r\nValue: \xFF\t\"x\" (:;,\r\n\r\n" + event,
+        "HTTP/1.1 200 OK\r\nLINESFolded: x\r\n y\r\n\r\n" + event,
+        "HTTP/1.1 200 OK\r\nLINESLong: " + std::string(7000, 'x') + "\r\n\r\n" + event,
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nLINESContent-Length: " + length + "\r\n\r\n" + event,
     };
     for (const std::string& response : responses) {
         for (RequestKind kind : allKinds) {
             CAPTURE(response);
             GatewayFixture fixture;
             fixture.setRoute(routeOf(kind, 1));
-            fixture.addServer([&](const HttpRequest& request) { return ScriptedResponse { insertId(response, request), AfterResponse::Close }; });
+            fixture.addServer([&](const HttpRequest& request) { return ScriptedResponse { headFor(request, response), AfterResponse::Close }; });
             CallerResult result = fixture.call(fixture.request("a"));
             CHECK(result.isComplete);
             CHECK(result.status / 100 == 2);
@@ -159,11 +123,11 @@
 // Guards against the same for responses without a body, which may state the length that one would have.
 TEST_CASE("a legal response without a body is passed on")
 {
-    for (const std::string head : { "HTTP/1.1 204 X\r\nID\r\n", "HTTP/1.1 204 X\r\nIDContent-Length: 0\r\n\r\n", "HTTP/1.1 304 X\r\nIDContent-Length: 5\r\n\r\n" }) {
+    for (const std::string head : { "HTTP/1.1 204 X\r\nLINES\r\n", "HTTP/1.1 204 X\r\nLINESContent-Length: 0\r\n\r\n", "HTTP/1.1 304 X\r\nLINESContent-Length: 5\r\n\r\n" }) {
         CAPTURE(head);
         GatewayFixture fixture;
         fixture.setRoute(routeOf(RequestKind::NonIdempotent, 1));
-        fixture.addServer([&](const HttpRequest& request) { return ScriptedResponse { insertId(head, request) }; });
+        fixture.addServer([&](const HttpRequest& request) { return ScriptedResponse { headFor(request, head) }; });
         CallerResult result = fixture.call(fixture.request("a"));
         CHECK(result.isComplete);
         CHECK(head.find(std::to_string(result.status)) != std::string::npos);
@@ -182,7 +146,7 @@
             int sent = 0;
             auto script = [&](const HttpRequest& request) {
                 bool isFirst = sent++ == 0;
-                return ScriptedResponse { isFirst ? insertId(head, request) : soundResponseTo(request), isFirst ? AfterResponse::Close : AfterResponse::KeepOpen };
+                return ScriptedResponse { isFirst ? headFor(request, head) : soundResponseTo(request), isFirst ? AfterResponse::Close : AfterResponse::KeepOpen };
             };
             fixture.addServer(script);
             fixture.addServer(script);
@@ -195,4 +159,26 @@
     }
 }
 
+// Guards against a malformed trailer after which the response looks complete. The events of a stream have been passed on by then.
+TEST_CASE("a response with a malformed trailer is incomplete")
+{
+    std::vector<std::string> trailers = malformedHeaderLines();
+    trailers.insert(trailers.end(), { "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n" });
+    for (const std::string& trailer : trailers) {
+        for (RequestKind kind : allKinds) {
+            CAPTURE(trailer);
+            GatewayFixture fixture;
+            fixture.setRoute(routeOf(kind, 1));
+            fixture.addServer([&](const HttpRequest& request) {
+                return ScriptedResponse { GatewayFixture::streamHead(request) + GatewayFixture::chunk(GatewayFixture::event(1)) + "0\r\n" + trailer + "\r\n", AfterResponse::Close };
+            });
+            CallerResult result = fixture.call(fixture.request("a"));
+            if (kind == RequestKind::Streaming)
+                CHECK_FALSE(result.isComplete);
+            else
+                CHECK(result.status == 502);
+        }
+    }
+}
+
 }
--- a/Tests/Transport/HttpClientTest.cpp
+++ b/Tests/Transport/HttpClientTest.cpp
@@ -1,5 +1,6 @@
 #include "Transport/HttpClient.h"
 #include "LoopRunner.h"
+#include "Transport/MalformedHeads.h"
 #include "Transport/ScriptedServer.h"
 
 #include <doctest/doctest.h>
@@ -58,25 +59,13 @@
 // counts as not done.
 TEST_CASE("a client reports a malformed response as a failure after which the request may have been executed")
 {
-    std::vector<std::string> responses {
-        "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
-        "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
-        "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 5\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\nContent-Length: 5\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-        "HTTP/1.1 204 X\r\nContent-Length: 5\r\n\r\nwrong",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\nBad Name: x\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nwrong",
-        "",
-    };
+    std::vector<std::string> responses = malformedHeads();
+    responses.insert(responses.end(), { "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nwrong", "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "" });
+    for (const std::string& line : malformedHeaderLines())
+        responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n" + line + "\r\n");
     for (const std::string& response : responses) {
         CAPTURE(response);
-        ClientResult result = send({ response, AfterResponse::Close });
+        ClientResult result = send({ insertHeaderLines(response, ""), AfterResponse::Close });
         CHECK(result.hasFailed);
         CHECK(result.wasSent);
         CHECK(result.status == 0);
--- a/Tests/Transport/LinkTest.cpp
+++ b/Tests/Transport/LinkTest.cpp
@@ -1,6 +1,9 @@
 #include "Core/Error.h"
+#include "LoopRunner.h"
 #include "Transport/LinkClient.h"
 #include "Transport/LinkServer.h"
+#include "Transport/MalformedHeads.h"
+#include "Transport/ScriptedServer.h"
 
 #include <doctest/doctest.h>
 
@@ -142,4 +145,27 @@
     CHECK(clientSession.expired());
 }
 
+// Guards against a peer in trouble whose response to the opening handshake counts as an open link.
+TEST_CASE("a link is not opened by a response that does not accept the handshake")
+{
+    std::vector<std::string> responses { "HTTP/1.1 000 X\r\n", "HTTP/1.1 100 X\r\n", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 101 X\r\n",
+        "HTTP/1.1 101 X\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Accept: wrong\r\n" };
+    for (const std::string& line : malformedHeaderLines())
+        responses.push_back("HTTP/1.1 101 X\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n" + line);
+    for (const std::string& response : responses) {
+        CAPTURE(response);
+        EventLoop loop;
+        Random random(1);
+        ScriptedServer server(loop, [&response](const HttpRequest&) { return ScriptedResponse { response + "\r\n", AfterResponse::Close }; });
+        int opened = 0;
+        LinkHandlers handlers;
+        handlers.onOpen = [&](const std::shared_ptr<LinkSession>&) { ++opened; };
+        handlers.onFrame = [](const std::shared_ptr<LinkSession>&, const Frame&) {};
+        handlers.onClose = [](const std::shared_ptr<LinkSession>&) {};
+        LinkClient client(loop, random, server.endpoint(), LinkKeys(), handlers);
+        CHECK(runLoopUntil(loop, [&] { return server.requests().size() > 1; }));
+        CHECK(opened == 0);
+    }
+}
+
 }
