--- a/Tests/Gateway/EarlyResponseTest.cpp
+++ b/Tests/Gateway/EarlyResponseTest.cpp
@@ -98,8 +98,8 @@
 
 }
 
-// Guards against a reset that is taken for the end of the response: a pending write of the request receives the error, and
-// the next read returns the end of the connection.
+// Guards against a reset that is taken for the end of the response, since a pending write of the request receives the error and
+// the next read returns the end of the connection, and against a failure that is noticed only at the timeout.
 TEST_CASE("a response without a length is incomplete if its connection is reset while the request is written")
 {
     for (RequestKind kind : allKinds) {
@@ -107,6 +107,7 @@
             EarlyResponseFixture fixture(kind);
             ScriptedServer& server = fixture.addEarlyServer({ "", partOfBodyOf(kind), AfterResponse::Reset, pause });
             CHECK(fixture.countCompleteSuccesses(largeUpload) == 0);
+            CHECK(fixture.counters.timedOut == 0);
             CHECK(server.requests().size() == repetitions);
         }
     }
@@ -124,6 +125,7 @@
                 EarlyResponseFixture fixture(kind);
                 ScriptedServer& server = fixture.addEarlyServer({ "", partOfBodyOf(kind), AfterResponse::ShutDownAndReset, pause });
                 CHECK(fixture.countCompleteSuccesses(bytes) == 0);
+                CHECK(fixture.counters.timedOut == 0);
                 CHECK(server.requests().size() == repetitions);
             }
         }
