--- a/Source/Transport/HttpMessage.cpp
+++ b/Source/Transport/HttpMessage.cpp
@@ -20,6 +20,12 @@
 
 }
 
+bool isInformational(int status)
+{
+    constexpr int firstFinalStatus = 200;
+    return status < firstFinalStatus;
+}
+
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
     if (left.size() != right.size())
--- a/Source/Transport/HttpMessage.h
+++ b/Source/Transport/HttpMessage.h
@@ -26,6 +26,9 @@
     std::string body;
 };
 
+// Returns whether a response with this status is informational, so that another one follows it.
+bool isInformational(int status);
+
 // Compares two strings without regard to the case of ASCII letters, as for header names.
 bool equalsIgnoringCase(std::string_view left, std::string_view right);
 
--- a/Source/Transport/ResponseParser.cpp
+++ b/Source/Transport/ResponseParser.cpp
@@ -13,7 +13,6 @@
 constexpr int minStatus = 100;
 constexpr int maxStatus = 599;
 constexpr int switchingProtocols = 101;
-constexpr int firstFinalStatus = 200;
 constexpr int noContent = 204;
 
 // Returns whether a response to a request that asks for no upgrade may have this status (RFC 9110, sections 7.8 and 15).
@@ -74,7 +73,7 @@
         ++codings;
         isChunked = chunked() && equalsIgnoringCase(header.value, "chunked");
     }
-    bool isBodyless = head_.status < firstFinalStatus || head_.status == noContent;
+    bool isBodyless = isInformational(head_.status) || head_.status == noContent;
     if (isBodyless)
         return codings == 0 && content_length().value_or(0) == 0;
     return codings == 0 || (codings == 1 && isChunked);
--- a/Source/Transport/ResponseReader.cpp
+++ b/Source/Transport/ResponseReader.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr int firstFinalStatus = 200;
 // Bytes of responses to other requests, and of informational responses, that are skipped before the expected response.
 constexpr std::size_t maxSkippedBytes = 1U << 20U;
 // Bytes that are kept for the parser because they are not a complete head or chunk header yet.
@@ -51,7 +50,7 @@
 
 void ResponseReader::handleHead(const HttpResponse& head)
 {
-    if (head.status < firstFinalStatus) {
+    if (isInformational(head.status)) {
         isSkippingResponse_ = true;
         return;
     }
