Tests: A stream whose early response is reset, then resumed

Cause: resumed streams were tried without a reset during an upload only. Change: one case: the first attempt is reset, and the one that resumes it is whole, or reset too.

--- a/Tests/Gateway/EarlyResponseTest.cpp
+++ b/Tests/Gateway/EarlyResponseTest.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Damaskgrade {
 
@@ -165,6 +166,33 @@
     CHECK(sent == 2);
 }
 
+// Guards against a stream that looks complete although an attempt of it was reset, the first one or the one that resumes it.
+TEST_CASE("a stream whose early response is reset is resumed, and is complete only if the resumed part is whole")
+{
+    for (bool isResumedPartWhole : { true, false }) {
+        EarlyResponseFixture fixture(RequestKind::Streaming);
+        Route route = routeOf(RequestKind::Streaming, 2);
+        route.isResumable = true;
+        fixture.setRoute(route);
+        std::vector<std::string> lastIds;
+        auto script = [&](const HttpRequest& request) {
+            lastIds.push_back(findHeader(request.headers, "Last-Event-Id").value_or(""));
+            int event = static_cast<int>(lastIds.size());
+            ScriptedResponse response;
+            response.bytes = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSignature: sig\r\n\r\n" + GatewayFixture::event(event);
+            response.after = event == 2 && isResumedPartWhole ? AfterResponse::ReadAndClose : AfterResponse::Reset;
+            response.pause = bufferFillTime;
+            return response;
+        };
+        for (int i = 0; i < 2; ++i)
+            fixture.addServer(script, 8, ReadBeforeResponse::HeadOnly);
+        CallerResult result = fixture.upload(1, largeUpload);
+        CHECK(result.isComplete == isResumedPartWhole);
+        CHECK(result.body == GatewayFixture::event(1) + GatewayFixture::event(2));
+        CHECK(lastIds == std::vector<std::string> { "", "1" });
+    }
+}
+
 // Guards against the opposite: a sound server that responds early, without a length, is not served.
 TEST_CASE("a response without a length is complete if its server reads the whole request and closes the connection")
 {
