Transport: One enumeration for the write of a request and its delivery

Cause: reading the diff as a newcomer: two enumerations with the same values, and interfaces that didn't state when a response is complete.

--- a/Source/Transport/HttpClient.h
+++ b/Source/Transport/HttpClient.h
@@ -36,7 +36,8 @@
     virtual ~HttpCall() = default;
 };
 
-// Sends HTTP/1.1 requests. Opens a new connection for each request.
+// Sends HTTP/1.1 requests. Opens a new connection for each request. A response that is not well formed or not complete fails
+// with ConnectionFailed.
 class HttpClient {
 public:
     static constexpr std::size_t defaultMaxResponseBytes { 64U << 20U };
--- a/Source/Transport/UpstreamConnection.cpp
+++ b/Source/Transport/UpstreamConnection.cpp
@@ -38,20 +38,12 @@
     void exchange(UpstreamRequest request, UpstreamHandlers handlers) override;
     void close() override;
     void watchIdle(std::function<void()> onLost) override;
-    bool isReusable() const override { return isActive_ && writing_ == Writing::Done && reader_.canContinue() && !reader_.isActive(); }
+    bool isReusable() const override { return isActive_ && writing_ == Progress::Done && reader_.canContinue() && !reader_.isActive(); }
     bool canIdentify(const std::optional<std::string>& requestId) const override { return reader_.canIdentify(requestId); }
     std::chrono::milliseconds keepAliveTime() const override { return reader_.keepAliveTime(); }
 
 private:
-    // State of the write of the current request.
-    enum class Writing {
-        Pending,
-        Done,
-        Failed,
-    };
-
-    // Whether the server has received the current request.
-    enum class Delivery {
+    enum class Progress {
         Pending,
         Done,
         Failed,
@@ -61,7 +53,7 @@
 
     void read();
     void handleRead(const boost::system::error_code& failure, std::size_t count);
-    Delivery delivery();
+    Progress delivery();
     void finishAtConnectionEnd();
     std::shared_ptr<UpstreamHandlers> shutDown();
     void fail();
@@ -74,7 +66,8 @@
     std::array<char, readBufferBytes> buffer_ {};
     // The connection is being established or is open.
     bool isActive_ { false };
-    Writing writing_ { Writing::Done };
+    // The write of the current request.
+    Progress writing_ { Progress::Done };
     bool isReading_ { false };
 };
 
@@ -109,12 +102,12 @@
 {
     request_ = std::move(request.bytes);
     onIdleLost_ = nullptr;
-    writing_ = Writing::Pending;
+    writing_ = Progress::Pending;
     reader_.begin(std::move(request.id), std::move(handlers));
     auto connection = self();
     asio::async_write(socket_, asio::buffer(request_), [connection](boost::system::error_code failure, std::size_t) {
         // A failed write alone is no failure of the exchange: the server may have sent a response with a length before it closed.
-        connection->writing_ = failure ? Writing::Failed : Writing::Done;
+        connection->writing_ = failure ? Progress::Failed : Progress::Done;
     });
     read();
 }
@@ -182,19 +175,19 @@
         read();
 }
 
-// Returns whether the system of the server has acknowledged the whole request. It does not if the connection is reset, which
-// a read does not show if the server has ended its direction before, or if a pending write receives the error.
-TcpUpstreamConnection::Delivery TcpUpstreamConnection::delivery()
+// Returns whether the server has received the current request, as acknowledged by its system. A reset ends this; a read does not
+// show it if a pending write has received the error, or if the server has ended its direction before.
+TcpUpstreamConnection::Progress TcpUpstreamConnection::delivery()
 {
     int error = 0;
     socklen_t errorSize = sizeof(error);
     bool isReset = ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &error, &errorSize) == 0 && error != 0;
-    if (writing_ == Writing::Failed || isReset)
-        return Delivery::Failed;
+    if (writing_ == Progress::Failed || isReset)
+        return Progress::Failed;
     int unacknowledgedBytes = 0;
     bool isKnown = ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledgedBytes) == 0;
-    bool isPending = writing_ == Writing::Pending || (isKnown && unacknowledgedBytes > 0);
-    return isPending ? Delivery::Pending : Delivery::Done;
+    bool isPending = writing_ == Progress::Pending || (isKnown && unacknowledgedBytes > 0);
+    return isPending ? Progress::Pending : Progress::Done;
 }
 
 // Decides whether a response that ends with its connection is complete: only after its server has received the whole request,
@@ -204,7 +197,7 @@
     if (!isActive_)
         return;
     switch (delivery()) {
-    case Delivery::Pending: {
+    case Progress::Pending: {
         timer_.expires_after(deliveryCheckPeriod);
         auto connection = self();
         timer_.async_wait([connection](boost::system::error_code failure) {
@@ -213,11 +206,11 @@
         });
         break;
     }
-    case Delivery::Done:
+    case Progress::Done:
         if (reader_.receiveEnd() == ResponseReader::Result::Invalid)
             fail();
         break;
-    case Delivery::Failed:
+    case Progress::Failed:
         fail();
         break;
     }
--- a/Source/Transport/UpstreamHandlers.h
+++ b/Source/Transport/UpstreamHandlers.h
@@ -13,7 +13,8 @@
     // Called with status and headers; the body of the argument is empty.
     std::function<void(const HttpResponse&)> onHead;
     std::function<void(std::string_view)> onBody;
-    // Called when the response is complete according to its framing.
+    // Called when the response is complete according to its framing. One without a length or chunks is complete when the server
+    // ends the connection in order after it has received the whole request.
     std::function<void()> onEnd;
     // Called when the connection breaks, or when the received bytes are not a valid response to this request.
     std::function<void()> onFailure;
