--- a/review/kit-3/Kit.h
+++ b/review/kit-3/Kit.h
@@ -554,13 +554,14 @@
 constexpr const char* callerKey = "n2ctnfzs989anu6wsjnb";
 constexpr const char* callerTenant = "hule930";
 
+inline Json usualTenants() { return Json::array({ Json { { "Name", callerTenant }, { "ApiKeys", Json::array({ callerKey }) } } }); }
+
 // The limits are those of the site file's example on the wire.
-inline void putConfiguration(Store& store, const std::vector<Json>& routes, const std::string& service)
+inline void putConfiguration(Store& store, const std::vector<Json>& routes, const std::string& service, const Json& tenants = usualTenants(), int version = 3)
 {
-    Json configuration { { "Version", 3 }, { "Routes", routes },
+    Json configuration { { "Version", version }, { "Routes", routes },
         { "Services", Json::array({ Json { { "Name", service }, { "HealthPath", "/health" }, { "MaxConnections", 100 }, { "Protocol", "h1" }, { "Tls", false } } }) },
-        { "Limits", { { "MaxHeaderBytes", 16384 }, { "MaxBodyBytes", 4194304 }, { "HeaderTimeoutMs", 3000 }, { "IdleTimeoutMs", 15000 } } },
-        { "Tenants", Json::array({ Json { { "Name", callerTenant }, { "ApiKeys", Json::array({ callerKey }) } } }) } };
+        { "Limits", { { "MaxHeaderBytes", 16384 }, { "MaxBodyBytes", 4194304 }, { "HeaderTimeoutMs", 3000 }, { "IdleTimeoutMs", 15000 } } }, { "Tenants", tenants } };
     store.put("op", "config", configuration.dump());
 }
 
