--- a/review/kit-3/streamend.cpp
+++ b/review/kit-3/streamend.cpp
@@ -29,7 +29,7 @@
             return true;
         if (!sendAll(socket, "HTTP/1.1 200 OK\r\nX-Damaskgrade-Request-Id: " + id + "\r\nX-Damaskgrade-Response-Signature: " + engine.signatureOf(id) + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
             return false;
-        for (int i = 1; i <= eventCount; ++i) {
+        for (int i = std::atoi(request.header("Last-Event-Id").c_str()) + 1; i <= eventCount; ++i) {
             sleepFor(eventSeconds);
             if (!sendAll(socket, chunk("id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) + "\n\n")))
                 return false;
@@ -46,6 +46,7 @@
     Json draft = makeRoute("draft", "/draft/", "app", "streaming", 2, 8000);
     draft["TargetLatencyMs"] = 400;
     draft["TargetGapMs"] = 120;
+    draft["StreamResume"] = true;
     putConfiguration(store, { draft, makeRoute("book", "/book/", "app", "non_idempotent", 1, 800) }, "app");
     Gateway gateway(store, "127.67.2.1", "edge-a-1");
 
