--- a/review/kit-3/notenant.cpp
+++ b/review/15/driver.cpp
@@ -1,6 +1,6 @@
 // The operator takes the last tenant, and with it the last key, out of the configuration. Callers come with keys that no
 // configuration has ever held.
-#include "Kit.h"
+#include "../Kit-3.h"
 
 using namespace Kit;
 
