Catalog: Require a key once a document has a list of customers, even an empty one

With an entry of another type in the list, the withdrawn key stayed valid.

Cause: the decoder turned a missing list, an empty one, null and an empty object into the same empty vector, and the gateway required a key only if it had entries. An entry of another type made the whole document invalid, so that the earlier version stayed in force.

Change: the list is optional, and Catalog::requiresKey() asks whether there is one. It is missing only if the document has no such field, which is open by the users' page. A field that is no list contains no customer; entries without a name and keys that are no text are skipped with a warning. catalogInForce shows requiresKey and the numbers of customers and keys.

--- a/Source/Catalog/Catalog.cpp
+++ b/Source/Catalog/Catalog.cpp
@@ -27,7 +27,7 @@
 }
 
 Catalog::Catalog(std::uint64_t version, std::vector<Route> routes, std::vector<ServiceSpecification> services,
-    std::vector<CustomerKeys> customers, CallerLimits limits)
+    CustomerList customers, CallerLimits limits)
     : version_(version)
     , routes_(std::move(routes))
     , services_(std::move(services))
@@ -41,8 +41,8 @@
             return routes_[left].prefix.size() > routes_[right].prefix.size();
         });
     }
-    for (std::size_t i = 0; i < customers_.size(); ++i) {
-        for (const std::string& key : customers_[i].keys)
+    for (std::size_t i = 0; i < customerCount(); ++i) {
+        for (const std::string& key : (*customers_)[i].keys)
             customerByKey_.emplace(key, i);
     }
 }
@@ -62,7 +62,7 @@
 const CustomerKeys* Catalog::findCustomer(std::string_view key) const
 {
     auto found = customerByKey_.find(std::string(key));
-    return found == customerByKey_.end() ? nullptr : &customers_[found->second];
+    return found == customerByKey_.end() ? nullptr : &(*customers_)[found->second];
 }
 
 const ServiceSpecification* Catalog::findService(std::string_view name) const
--- a/Source/Catalog/Catalog.h
+++ b/Source/Catalog/Catalog.h
@@ -111,12 +111,15 @@
     std::chrono::milliseconds idleTimeout { 15000 };
 };
 
+// The customers of a catalog. Without a list, no request needs a key; with an empty one, no key is valid.
+using CustomerList = std::optional<std::vector<CustomerKeys>>;
+
 // One version of the routes, services, customers and limits. Immutable after construction.
 class Catalog {
 public:
     Catalog() = default;
     Catalog(std::uint64_t version, std::vector<Route> routes, std::vector<ServiceSpecification> services,
-        std::vector<CustomerKeys> customers, CallerLimits limits);
+        CustomerList customers, CallerLimits limits);
 
     std::uint64_t version() const { return version_; }
 
@@ -130,7 +133,11 @@
     // Returns null if the catalog does not contain the service.
     const ServiceSpecification* findService(std::string_view name) const;
 
-    bool hasCustomers() const { return !customers_.empty(); }
+    // Returns whether requests need the key of a customer, unless their route is public.
+    bool requiresKey() const { return customers_.has_value(); }
+    std::size_t customerCount() const { return customers_ ? customers_->size() : 0; }
+    // Number of different keys of all customers.
+    std::size_t keyCount() const { return customerByKey_.size(); }
     const std::vector<Route>& routes() const { return routes_; }
     const std::vector<ServiceSpecification>& services() const { return services_; }
     const CallerLimits& limits() const { return limits_; }
@@ -139,7 +146,7 @@
     std::uint64_t version_ { 0 };
     std::vector<Route> routes_;
     std::vector<ServiceSpecification> services_;
-    std::vector<CustomerKeys> customers_;
+    CustomerList customers_;
     CallerLimits limits_;
     // Indexes into routes_ by host, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> routesByHost_;
--- a/Source/Gateway/Forwarder.cpp
+++ b/Source/Gateway/Forwarder.cpp
@@ -56,7 +56,7 @@
     }
     RequestOptions requestOptions;
     requestOptions.priority = route->priority;
-    if (catalog->hasCustomers()) {
+    if (catalog->requiresKey()) {
         std::string credentials = findHeader(request.headers, context_.names.credentials).value_or("");
         const CustomerKeys* customer = nullptr;
         if (startsWith(credentials, context_.names.keyScheme))
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -343,7 +343,10 @@
 
 void GatewayProcess::handleCatalogChange(const Catalog& catalog)
 {
-    log_.write(LogLine("catalogInForce").add("catalog", catalog.version()).add("routes", static_cast<std::int64_t>(catalog.routes().size())));
+    LogLine line("catalogInForce");
+    line.add("catalog", catalog.version()).add("routes", static_cast<std::int64_t>(catalog.routes().size()));
+    line.add("requiresKey", catalog.requiresKey()).add("customers", static_cast<std::int64_t>(catalog.customerCount())).add("keys", static_cast<std::int64_t>(catalog.keyCount()));
+    log_.write(line);
     coldLimits_.clear();
     double zoneDelayMilliseconds = 0;
     for (const ServiceSpecification& service : catalog.services()) {
--- a/Tests/Catalog/CatalogFollowerTest.cpp
+++ b/Tests/Catalog/CatalogFollowerTest.cpp
@@ -19,7 +19,7 @@
     result.revision = revision;
     result.generation = generation;
     if (version > 0)
-        result.version = { std::make_shared<Catalog>(version, std::vector<Route> {}, std::vector<ServiceSpecification> {}, std::vector<CustomerKeys> {}, CallerLimits()), "" };
+        result.version = { std::make_shared<Catalog>(version, std::vector<Route> {}, std::vector<ServiceSpecification> {}, std::nullopt, CallerLimits()), "" };
     return result;
 }
 
--- a/Tests/Catalog/CatalogSimulation.cpp
+++ b/Tests/Catalog/CatalogSimulation.cpp
@@ -112,7 +112,7 @@
 {
     if (version == 0)
         return {};
-    return { std::make_shared<Catalog>(version, std::vector<Route> {}, std::vector<ServiceSpecification> {}, std::vector<CustomerKeys> {}, CallerLimits()), std::to_string(version) };
+    return { std::make_shared<Catalog>(version, std::vector<Route> {}, std::vector<ServiceSpecification> {}, std::nullopt, CallerLimits()), std::to_string(version) };
 }
 
 void SimulatedCatalogStore::failAfter(milliseconds timeout, const std::shared_ptr<CatalogSource::Done>& done)
--- a/Tests/Catalog/CatalogTest.cpp
+++ b/Tests/Catalog/CatalogTest.cpp
@@ -17,7 +17,7 @@
 
 CatalogVersion version(std::uint64_t number)
 {
-    return { std::make_shared<Catalog>(number, std::vector<Route> {}, std::vector<ServiceSpecification> {}, std::vector<CustomerKeys> {}, CallerLimits()), "" };
+    return { std::make_shared<Catalog>(number, std::vector<Route> {}, std::vector<ServiceSpecification> {}, std::nullopt, CallerLimits()), "" };
 }
 
 }
--- a/Tests/Forwarding/ForwardingSimulation.cpp
+++ b/Tests/Forwarding/ForwardingSimulation.cpp
@@ -42,7 +42,7 @@
     route.maxAttempts = maxAttempts;
     route.isResumable = kind == RequestKind::Streaming;
     route.services = { { service, 1 } };
-    return std::make_shared<Catalog>(1, std::vector<Route> { route }, std::vector<ServiceSpecification> {}, std::vector<CustomerKeys> {}, CallerLimits());
+    return std::make_shared<Catalog>(1, std::vector<Route> { route }, std::vector<ServiceSpecification> {}, std::nullopt, CallerLimits());
 }
 
 std::string responseHead(int status, std::string_view id)
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -326,7 +326,7 @@
 TEST_CASE("the key determines the customer and is not forwarded")
 {
     GatewayFixture fixture;
-    fixture.customers = { { "acme", { "k1" }, std::nullopt } };
+    fixture.customers = std::vector<CustomerKeys> { { "acme", { "k1" }, std::nullopt } };
     fixture.setRoute(routeOf(RequestKind::NonIdempotent, 1));
     ScriptedServer& server = fixture.addServer([](const HttpRequest& request) { return ScriptedResponse { GatewayFixture::responseTo(request, "ok"), AfterResponse::KeepOpen, false }; });
     HttpRequest request = fixture.request("a");
@@ -344,6 +344,39 @@
     CHECK(seen.target == request.target);
 }
 
+// Guards against a service that opens to every caller when the last customer or the last key is withdrawn.
+TEST_CASE("without a list of customers all requests run, and with one only those with a valid key")
+{
+    struct Case {
+        CustomerList customers;
+        bool isPublic;
+        int status;
+    };
+    const std::vector<Case> cases {
+        { std::nullopt, false, 200 },
+        { std::vector<CustomerKeys> {}, false, 401 },
+        { std::vector<CustomerKeys> { { "acme", {}, std::nullopt } }, false, 401 },
+        { std::vector<CustomerKeys> { { "acme", { "k1" }, std::nullopt } }, false, 401 },
+        { std::vector<CustomerKeys> {}, true, 200 },
+    };
+    for (const Case& access : cases) {
+        GatewayFixture fixture;
+        fixture.addServer([](const HttpRequest& request) { return ScriptedResponse { GatewayFixture::responseTo(request, "ok"), AfterResponse::KeepOpen, false }; });
+        // The key is valid in an earlier catalog.
+        fixture.customers = std::vector<CustomerKeys> { { "acme", { "withdrawn" }, std::nullopt } };
+        fixture.setRoute(routeOf(RequestKind::NonIdempotent, 1));
+        HttpRequest request = fixture.request("a");
+        request.headers.push_back({ "Authorization", "Token withdrawn" });
+        CHECK(fixture.call(request).status == 200);
+        fixture.customers = access.customers;
+        Route route = routeOf(RequestKind::NonIdempotent, 1);
+        route.isPublic = access.isPublic;
+        fixture.setRoute(route);
+        CHECK(fixture.call(request).status == access.status);
+        CHECK(fixture.call(fixture.request("without key")).status == access.status);
+    }
+}
+
 // Guards against a process without a catalog that reports routes as unknown.
 TEST_CASE("without a catalog requests get 503, and with one requests for unknown routes get 404")
 {
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -164,7 +164,7 @@
     EventLoop loop;
     Random random { 7 };
     HeaderNames names { testHeaderNames() };
-    std::vector<CustomerKeys> customers;
+    CustomerList customers;
     CatalogHolder catalog;
     FleetView fleet;
     InFlightTracker loads;
--- a/Tests/RankMaps/GroupSimulation.cpp
+++ b/Tests/RankMaps/GroupSimulation.cpp
@@ -370,7 +370,7 @@
     {
         ServiceSpecification service { "model", EngineModel { 6, settings.sets, settings.expertsPerSet, settings.slotsPerRank, settings.spareSlots } };
         result_.status = CatalogReadStatus::Ok;
-        result_.version.catalog = std::make_shared<Catalog>(1, std::vector<Route>(), std::vector<ServiceSpecification> { service }, std::vector<CustomerKeys>(), CallerLimits {});
+        result_.version.catalog = std::make_shared<Catalog>(1, std::vector<Route>(), std::vector<ServiceSpecification> { service }, std::nullopt, CallerLimits {});
     }
 
     void read(Done done) override { done(result_); }
--- a/Tests/UsersPlatform/CodecsTest.cpp
+++ b/Tests/UsersPlatform/CodecsTest.cpp
@@ -35,6 +35,40 @@
     CHECK_THROWS_AS(decodeCatalog("not json"), Error);
 }
 
+// Guards against a service that opens to every caller when the last key is withdrawn, and against a document that withdraws keys
+// and does not take effect because of another entry.
+TEST_CASE("a catalog requires a key once it has a field for customers, of whatever form")
+{
+    const std::string start = R"({"Version":7,"Routes":[{"Host":"h","Prefix":"/a/","Service":"s1"}])";
+    CHECK(!decodeCatalog(start + "}").requiresKey());
+    for (const std::string& form : std::vector<std::string> { "[]", "{}", "null", "false", "7", R"("")", R"("k")", "[null]", "[7]", R"(["k"])", "[[]]", "[{}]",
+             R"({"Name":"t","ApiKeys":["k"]})", R"({"t":{"Name":"t","ApiKeys":["k"]}})", R"([{"ApiKeys":["k"]}])", R"([{"Name":"","ApiKeys":["k"]}])",
+             R"([{"Name":7,"ApiKeys":["k"]}])", R"([{"Name":"t"}])", R"([{"Name":"t","ApiKeys":null}])", R"([{"Name":"t","ApiKeys":[]}])",
+             R"([{"Name":"t","ApiKeys":"k"}])", R"([{"Name":"t","ApiKeys":{"k":"k"}}])", R"([{"Name":"t","ApiKeys":[""]}])",
+             R"([{"Name":"t","ApiKeys":[null,7,["k"],{"k":"k"}]}])" }) {
+        CAPTURE(form);
+        std::optional<Catalog> catalog;
+        std::string text = start;
+        text.append(R"(,"Tenants":)").append(form).append("}");
+        CHECK_NOTHROW(catalog = decodeCatalog(text));
+        if (!catalog)
+            continue;
+        CHECK(catalog->requiresKey());
+        CHECK(catalog->keyCount() == 0);
+        CHECK(!catalog->findCustomer("k"));
+        CHECK(!catalog->findCustomer(""));
+        CHECK(catalog->findRoute("h", "/a/x"));
+    }
+    Catalog partlyUnreadable = decodeCatalog(start + R"(,"Tenants":[{"Name":"t","ApiKeys":["k1",7,"k2"],"Priority":"first"},null,{"Name":"u","ApiKeys":["k3"],"Priority":2}]})");
+    CHECK(partlyUnreadable.customerCount() == 2);
+    CHECK(partlyUnreadable.keyCount() == 3);
+    REQUIRE(partlyUnreadable.findCustomer("k2"));
+    CHECK(partlyUnreadable.findCustomer("k2")->name == "t");
+    CHECK(!partlyUnreadable.findCustomer("k2")->priority);
+    REQUIRE(partlyUnreadable.findCustomer("k3"));
+    CHECK(partlyUnreadable.findCustomer("k3")->priority == 2);
+}
+
 // Guards against accidental changes of the names of an engine's times, and against a wrong value that makes a catalog invalid.
 TEST_CASE("the times of an engine are decoded, and values of a wrong type or below zero count as not stated")
 {
