Forwarding: A stream may end with empty lines and comments behind its last event

Cause: EventSplitter took any byte behind the last event for the beginning of another one, and knew LF as the only line end.

A stream with a length or chunks is whole unless it ends within an event; one that ends with its connection must not end within a line either. Both kinds of attempt, current and held, decide by EventSplitter::mayEnd(). The bytes behind the last event are passed on.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -234,7 +234,7 @@
 
 void ForwardedRequest::handleHeldEnd()
 {
-    if (!held_->splitter || held_->splitter->isInsideEvent() || events_.count() == 0) {
+    if (!held_->splitter || !held_->splitter->mayEnd(endsWithConnection(*held_->head)) || events_.count() == 0) {
         closeHeldAttempt();
         return;
     }
@@ -532,10 +532,7 @@
         return;
     }
     if (state_ == State::Streaming) {
-        if (splitter_->isInsideEvent() || events_.count() == 0)
-            endAttempt(AttemptFailure::Unknown, incompleteStream);
-        else
-            finishStream();
+        handleStreamEnd();
         return;
     }
     if (head_->status >= firstServerFailureStatus || impliesNotExecuted(head_->status)) {
@@ -545,6 +542,23 @@
     deliverResponse();
 }
 
+void ForwardedRequest::handleStreamEnd()
+{
+    std::shared_ptr<EventSplitter> splitter = splitter_;
+    bool mayEnd = splitter->mayEnd(endsWithConnection(*head_));
+    // The end may complete an event, with which the request may end.
+    std::string rest = mayEnd ? splitter->finish() : "";
+    if (state_ != State::Streaming || splitter != splitter_)
+        return;
+    if (!mayEnd || events_.count() == 0) {
+        endAttempt(AttemptFailure::Unknown, incompleteStream);
+        return;
+    }
+    if (!isCallerDisconnected_ && !rest.empty())
+        exchange_->write(rest);
+    finishStream();
+}
+
 void ForwardedRequest::endAttempt(AttemptFailure failure, std::string_view reason)
 {
     std::shared_ptr<ForwardedRequest> self = shared_from_this();
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -107,6 +107,7 @@
     bool isLate() const;
     bool willBeLate() const;
     void handleEnd();
+    void handleStreamEnd();
     void endAttempt(AttemptFailure failure, std::string_view reason);
     void recordRefusal(const std::string& serverId);
     void recordBrokenConnection(const std::string& serverId);
--- a/Source/Forwarding/HeaderValues.cpp
+++ b/Source/Forwarding/HeaderValues.cpp
@@ -28,6 +28,11 @@
     return signature && !signature->empty() && !findHeader(head.headers, "Content-Encoding");
 }
 
+bool endsWithConnection(const HttpResponse& head)
+{
+    return !findHeader(head.headers, "Content-Length") && !findHeader(head.headers, "Transfer-Encoding");
+}
+
 std::optional<std::chrono::milliseconds> parseMilliseconds(const std::optional<std::string>& text)
 {
     if (!text)
--- a/Source/Forwarding/HeaderValues.h
+++ b/Source/Forwarding/HeaderValues.h
@@ -26,6 +26,9 @@
 // Returns whether a successful response has the signature of a backend server and its body was not re-encoded on the way.
 bool isAuthentic(const HttpResponse& head, const HeaderNames& names);
 
+// Returns whether only the end of its connection marks the end of the response.
+bool endsWithConnection(const HttpResponse& head);
+
 // Returns std::nullopt unless the text begins with a whole number of milliseconds that is not negative.
 std::optional<std::chrono::milliseconds> parseMilliseconds(const std::optional<std::string>& text);
 
--- a/Tests/Forwarding/ForwardingSimulation.cpp
+++ b/Tests/Forwarding/ForwardingSimulation.cpp
@@ -50,16 +50,6 @@
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + std::string(id) + "\r\n";
 }
 
-std::string chunk(std::string_view data)
-{
-    constexpr int decimalBase = 10;
-    constexpr int hexBase = 16;
-    std::size_t high = data.size() / hexBase;
-    std::size_t low = data.size() % hexBase;
-    auto digit = [](std::size_t value) { return static_cast<char>(value < decimalBase ? '0' + value : 'a' + value - decimalBase); };
-    return std::string { digit(high), digit(low) } + "\r\n" + std::string(data) + "\r\n";
-}
-
 }
 
 SimulatedExchange::SimulatedExchange(HttpRequest request)
@@ -174,6 +164,16 @@
     return responseHead(200, id) + "Signature: sig\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+std::string ForwardingSimulation::chunk(std::string_view data)
+{
+    constexpr int decimalBase = 10;
+    constexpr int hexBase = 16;
+    std::size_t high = data.size() / hexBase;
+    std::size_t low = data.size() % hexBase;
+    auto digit = [](std::size_t value) { return static_cast<char>(value < decimalBase ? '0' + value : 'a' + value - decimalBase); };
+    return std::string { digit(high), digit(low) } + "\r\n" + std::string(data) + "\r\n";
+}
+
 std::string ForwardingSimulation::event(int number)
 {
     return chunk("id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n");
--- a/Tests/Forwarding/ForwardingSimulation.h
+++ b/Tests/Forwarding/ForwardingSimulation.h
@@ -66,6 +66,7 @@
     static std::string refusalWithoutId();
     static std::string success(std::string_view id, std::string_view body);
     static std::string streamHead(std::string_view id);
+    static std::string chunk(std::string_view data);
     static std::string event(int number);
     static std::string streamEnd();
 
--- a/Tests/Forwarding/SilentServerTest.cpp
+++ b/Tests/Forwarding/SilentServerTest.cpp
@@ -43,13 +43,13 @@
     // The connection of the second server to which the stream was sent.
     std::shared_ptr<SimulatedConnection> second() const { return simulation.usedConnections().at(2); }
 
-    // Returns whether the caller has received exactly the events up to this number, in order.
-    bool hasEventsUpTo(int last) const
+    // Returns whether the caller has received exactly the events up to this number, in order, and the bytes behind them.
+    bool hasEventsUpTo(int last, const std::string& rest = "") const
     {
         std::string expected;
         for (int number = 1; number <= last; ++number)
             expected += "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
-        return caller->body() == expected;
+        return caller->body() == expected + rest;
     }
 
     ForwardingSimulation simulation;
@@ -155,6 +155,25 @@
     CHECK(fixture.caller->isStreamComplete());
 }
 
+// Guards against a stream that is taken as broken off, or as whole, at one of two servers only.
+TEST_CASE("a silent stream whose server ends it behind its last event is whole, and within an event continues at the other server")
+{
+    StreamFixture fixture(3);
+    fixture.advance(silence);
+    fixture.second()->receive(ForwardingSimulation::streamHead("a"));
+    std::string rest;
+    SUBCASE("with an empty line") { rest = "\n"; }
+    SUBCASE("with a comment") { rest = ": comment\n"; }
+    SUBCASE("with a field of the next event") { rest = "id: 3\n"; }
+    fixture.first->receive(ForwardingSimulation::chunk(rest) + ForwardingSimulation::streamEnd());
+    bool isWhole = rest != "id: 3\n";
+    CHECK(fixture.second()->isOpen() != isWhole);
+    if (!isWhole)
+        fixture.second()->receive(ForwardingSimulation::event(3) + ForwardingSimulation::streamEnd());
+    CHECK(fixture.hasEventsUpTo(isWhole ? 2 : 3, isWhole ? rest : ""));
+    CHECK(fixture.caller->isStreamComplete());
+}
+
 // Guards against a request that is sent on by the failure of a server that it no longer needs.
 TEST_CASE("a stream at two servers continues at the second one if the first one breaks")
 {
