Forwarding, Quarantine: Explain line ends and ended suspicions to a new reader

Cause: read as a newcomer would, endsWithCr_ looked like endsWithConnection, and two comments said that only a response ends a suspicion. Change: names and comments; no behaviour.

--- a/Source/Forwarding/EventSplitter.cpp
+++ b/Source/Forwarding/EventSplitter.cpp
@@ -78,7 +78,7 @@
     if (pending_[end] == '\n')
         return end + 1;
     if (end + 1 == pending_.size())
-        return endsWithCr_ ? end + 1 : std::string::npos;
+        return linesEndWithCr_ ? end + 1 : std::string::npos;
     return end + (pending_[end + 1] == '\n' ? 2 : 1);
 }
 
@@ -86,10 +86,11 @@
 {
     std::string_view text = line(end);
     bool isEmpty = text.empty();
+    bool isComment = !isEmpty && !isField(text);
     hasField_ = hasField_ || isField(text);
-    hasComment_ = hasComment_ || (!isEmpty && !isField(text));
+    hasComment_ = hasComment_ || isComment;
     if (pending_[end] == '\r')
-        endsWithCr_ = next == end + 1;
+        linesEndWithCr_ = next == end + 1;
     lineStart_ = next;
     scanned_ = next;
     if (isEmpty && (hasField_ || hasComment_))
@@ -107,11 +108,13 @@
 
 bool EventSplitter::mayEnd(bool endsWithConnection) const
 {
+    if (endsWithConnection) {
+        bool isInsideLine = lineStart_ < pending_.size();
+        return !hasField_ && !isInsideLine;
+    }
+    // A line end that is still there is a CR whose LF, if it has one, has not arrived.
     std::size_t end = lineEnd();
     bool isLineEnded = end != std::string::npos;
-    bool isInsideLine = lineStart_ < pending_.size();
-    if (endsWithConnection)
-        return !hasField_ && !isInsideLine;
     std::string_view text = line(isLineEnded ? end : pending_.size());
     bool isEventEnded = isLineEnded && text.empty();
     return !isField(text) && (!hasField_ || isEventEnded);
@@ -120,7 +123,8 @@
 std::string EventSplitter::finish()
 {
     std::size_t end = lineEnd();
-    if (end != std::string::npos)
+    bool isWaitingForLf = end != std::string::npos;
+    if (isWaitingForLf)
         endLine(end, end + 1);
     return pending_.substr(eventStart_);
 }
--- a/Source/Forwarding/EventSplitter.h
+++ b/Source/Forwarding/EventSplitter.h
@@ -36,7 +36,9 @@
     std::string finish();
 
 private:
+    // Returns the current line up to this position.
     std::string_view line(std::size_t end) const { return std::string_view(pending_).substr(lineStart_, end - lineStart_); }
+    // Returns the position of the first CR or LF that has not been handled, or npos.
     std::size_t lineEnd() const;
     std::size_t nextLine(std::size_t end) const;
     void endLine(std::size_t end, std::size_t next);
@@ -53,7 +55,7 @@
     bool hasComment_ { false };
     bool hasField_ { false };
     // The last line that ended with CR ended with CR alone.
-    bool endsWithCr_ { false };
+    bool linesEndWithCr_ { false };
 };
 
 }
--- a/Source/Quarantine/PromptQuarantine.h
+++ b/Source/Quarantine/PromptQuarantine.h
@@ -142,7 +142,7 @@
         // The last of the crashes is only inferred, from the soundness of all other parts.
         bool isInferred { false };
         TimePoint lastCrashAt;
-        // When a response proved the part sound after its last crash.
+        // When the suspicion ended after the last crash: with a response, or because a blocked part explains the crashes.
         std::optional<TimePoint> clearedAt;
         // The entry that may send the next probe. Empty if there is no claim.
         std::string probeEntry;
--- a/Source/Quarantine/SuspectReport.h
+++ b/Source/Quarantine/SuspectReport.h
@@ -18,7 +18,7 @@
     // The part was seen in an answered prompt at some time.
     bool wasSound { false };
     std::chrono::milliseconds lastCrashAge { 0 };
-    // Age of the response that cleared the part after its last crash.
+    // How long ago the suspicion ended after the last crash.
     std::optional<std::chrono::milliseconds> clearedAge;
     // The entry that may send the next probe. Empty if there is none.
     std::string probeEntry;
