Forwarding, Tests: Restore the checks of EventSplitterTest word for word

Change: isInsideEvent() is back and means that a field has been read that no empty line follows; mayEnd() is derived from it. The further line ends have a case of their own, which asks for joined == stream and nothing left.

--- a/Source/Forwarding/EventSplitter.cpp
+++ b/Source/Forwarding/EventSplitter.cpp
@@ -106,18 +106,14 @@
     handler_({ event, eventId(event) });
 }
 
-bool EventSplitter::mayEnd(bool endsWithConnection) const
+bool EventSplitter::isInsideEvent() const
 {
-    if (endsWithConnection) {
-        bool isInsideLine = lineStart_ < pending_.size();
-        return !hasField_ && !isInsideLine;
-    }
     // A line end that is still there is a CR whose LF, if it has one, has not arrived.
     std::size_t end = lineEnd();
     bool isLineEnded = end != std::string::npos;
     std::string_view text = line(isLineEnded ? end : pending_.size());
     bool isEventEnded = isLineEnded && text.empty();
-    return !isField(text) && (!hasField_ || isEventEnded);
+    return isField(text) || (hasField_ && !isEventEnded);
 }
 
 std::string EventSplitter::finish()
--- a/Source/Forwarding/EventSplitter.h
+++ b/Source/Forwarding/EventSplitter.h
@@ -26,16 +26,19 @@
     // Calls the handler for each event that the bytes complete. Returns false once an event exceeds the size limit.
     bool feed(std::string_view bytes);
 
-    // Returns whether the stream is whole if it ends here: no field of an event has been read that an empty line does not follow.
-    // If only the end of its connection marks the end of the stream, it must not end within a line either, which nothing else
-    // tells from a stream that was broken off.
-    bool mayEnd(bool endsWithConnection) const;
+    // Returns whether the bytes so far end in the middle of an event: a field has been read that no empty line follows.
+    bool isInsideEvent() const;
+
+    // Returns whether the stream is whole if it ends here. If only the end of its connection marks the end of the stream, it must
+    // not end within a line either, which nothing else tells from a stream that was broken off.
+    bool mayEnd(bool endsWithConnection) const { return !isInsideEvent() && !(endsWithConnection && isInsideLine()); }
 
     // Ends the stream. Calls the handler for a last event whose empty line ended with the first half of a CRLF. Returns the bytes
     // behind the last event.
     std::string finish();
 
 private:
+    bool isInsideLine() const { return lineStart_ < pending_.size(); }
     // Returns the current line up to this position.
     std::string_view line(std::size_t end) const { return std::string_view(pending_).substr(lineStart_, end - lineStart_); }
     // Returns the position of the first CR or LF that has not been handled, or npos.
--- a/Tests/Forwarding/EventSplitterTest.cpp
+++ b/Tests/Forwarding/EventSplitterTest.cpp
@@ -9,11 +9,38 @@
 
 namespace Damaskgrade {
 
-// Guards against events that are split, joined or modified depending on the sizes of the reads or on the ends of the lines.
+// Guards against events that are split, joined or modified depending on the sizes of the reads.
 TEST_CASE("events are complete and unchanged however their bytes are split")
+{
+    std::string stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: comment\n\nid: 3\ndata: x\ndata: y\n\n";
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        Random random(seed);
+        std::string joined;
+        std::vector<std::uint64_t> ids;
+        int events = 0;
+        EventSplitter splitter([&](const RawEvent& event) {
+            joined += event.bytes;
+            ++events;
+            if (event.id)
+                ids.push_back(*event.id);
+        });
+        std::size_t position = 0;
+        while (position < stream.size()) {
+            std::size_t count = 1 + random.index(7);
+            CHECK(splitter.feed(std::string_view(stream).substr(position, count)));
+            position += count;
+        }
+        CHECK(joined == stream);
+        CHECK(events == 4);
+        CHECK(ids == std::vector<std::uint64_t> { 1, 2, 3 });
+        CHECK(!splitter.isInsideEvent());
+    }
+}
+
+// Guards against events that are split, joined or modified depending on the ends of the lines or on empty lines between them.
+TEST_CASE("events are complete and unchanged however their lines end")
 {
     for (const std::string& stream : std::vector<std::string> {
-             "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: comment\n\nid: 3\ndata: x\ndata: y\n\n",
              "id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n: comment\r\n\r\n\r\nid: 3\r\ndata\r\n\r\n",
              "id: 1\rdata: a\r\rid: 2\r\r: comment\r\r\rid: 3\rdata\r\r",
              "\n\nid: 1\ndata: a\n\n\n\n: comment\nid: 2\n\n\n: comment\n\n\nid: 3\n\n" }) {
@@ -38,9 +65,10 @@
             }
             CHECK(events == 4);
             CHECK(ids == std::vector<std::uint64_t> { 1, 2, 3 });
+            CHECK(joined == stream);
             CHECK(splitter.mayEnd(false));
             CHECK(splitter.mayEnd(true));
-            CHECK(joined + splitter.finish() == stream);
+            CHECK(splitter.finish().empty());
         }
     }
 }
@@ -63,8 +91,7 @@
     EventSplitter splitter([&events](const RawEvent&) { ++events; });
     splitter.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n");
     CHECK(events == 1);
-    CHECK(!splitter.mayEnd(false));
-    CHECK(!splitter.mayEnd(true));
+    CHECK(splitter.isInsideEvent());
 }
 
 // Guards against whole streams that are cut because of bytes that are no event, and against broken ones that pass for whole.
