Forwarding: Move the care for prompts that may crash servers out of ForwardedRequest

Change: PromptGuard holds the parts of a request's prompt, asks the quarantine whether it may be sent, is a probe or must be withdrawn, and reports crashes, responses and abandoned attempts, of the current and of the held attempt, which describe themselves by a PromptExposure. RequestOptions has a file of its own. The number of a request is given in its constructor in place of start(); the forwarder calls both in a row. No behaviour changes.

--- a/Source/Forwarding/ForwardedRequest.cpp
+++ b/Source/Forwarding/ForwardedRequest.cpp
@@ -19,8 +19,6 @@
 constexpr int lowestUrgency = 9;
 // Number of different times that callers are told who are refused at the same time.
 constexpr int retryAfterSteps = 16;
-// Number of prompt parts in a line of the log.
-constexpr std::size_t maxLoggedParts = 16;
 constexpr std::string_view brokenConnection = "connection broke";
 constexpr std::string_view incompleteStream = "stream ended within an event";
 constexpr std::string_view quarantinedPrompt = "prompt part may crash servers";
@@ -30,6 +28,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+std::vector<PromptPart> promptParts(const ForwardingContext& context, const HttpRequest& request)
+{
+    std::optional<std::string> parts = findHeader(request.headers, context.names.promptParts);
+    return parts ? context.decodePromptParts(*parts) : std::vector<PromptPart>();
+}
+
 }
 
 ForwardedRequest::ForwardedRequest(
@@ -38,14 +42,14 @@
     , exchange_(std::move(exchange))
     , options_(std::move(options))
     , onDone_(std::move(onDone))
+    , number_(++context.counters.requests)
+    , promptGuard_(context.quarantine, context.crashDetector, promptParts(context, exchange_->request()), number_)
 {
     const std::vector<HttpHeader>& headers = exchange_->request().headers;
     requestId_ = findHeader(headers, context_.names.requestId).value_or("");
-    if (std::optional<std::string> parts = findHeader(headers, context_.names.promptParts)) {
-        promptParts_ = context_.decodePromptParts(*parts);
-        if (options_.route->hasStickySessions && context_.decodePromptSegments)
-            prompt_ = context_.decodePromptSegments(*parts);
-    }
+    std::optional<std::string> parts = findHeader(headers, context_.names.promptParts);
+    if (parts && options_.route->hasStickySessions && context_.decodePromptSegments)
+        prompt_ = context_.decodePromptSegments(*parts);
     prompt_.resize(std::min(prompt_.size(), context_.settings.maxPromptSegments));
     std::optional<std::chrono::milliseconds> deadline = parseMilliseconds(findHeader(headers, context_.names.deadline));
     std::chrono::milliseconds callerAge = deadline ? context_.callerAgeEstimator.observe(options_.route->name, *deadline) : std::chrono::milliseconds::zero();
@@ -63,7 +67,6 @@
 
 void ForwardedRequest::start()
 {
-    number_ = ++context_.counters.requests;
     context_.retryBudget.addRequest(options_.service);
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
     exchange_->setCloseHandler([weak] {
@@ -89,7 +92,7 @@
         return;
     }
     // The server has not begun the request yet, and would crash if it did and the suspicion is right.
-    if (state_ == State::Sent && options_.route->isRetryable() && context_.quarantine.mustWithdraw(promptParts_, number_)) {
+    if (state_ == State::Sent && options_.route->isRetryable() && promptGuard_.mustWithdraw()) {
         if (held_)
             resumeHeldAttempt();
         else
@@ -130,7 +133,7 @@
     const Route& route = *options_.route;
     bool hasAttemptLeft = executions_ + 1 < route.maxAttempts && sends_ < route.maxAttempts + context_.settings.maxRefusals;
     bool canResume = !isStreamStarted() || lastEventId_.has_value();
-    return route.isRetryable() && hasAttemptLeft && canResume && !context_.quarantine.isSuspect(promptParts_);
+    return route.isRetryable() && hasAttemptLeft && canResume && !promptGuard_.isSuspect();
 }
 
 HeldAttempt ForwardedRequest::takeCurrentAttempt()
@@ -213,18 +216,10 @@
 
 void ForwardedRequest::handleHeldFailure()
 {
-    recordPossibleCrash(held_->server, held_->sentAt, held_->hasSurvivedStart, held_->splitter && !held_->begunAt);
+    promptGuard_.recordPossibleCrash(held_->server, held_->exposure());
     closeHeldAttempt();
 }
 
-// Lets the crash detector check a server whose connection broke, without waiting for the result.
-void ForwardedRequest::recordPossibleCrash(const ServerRecord& server, TimePoint sentAt, bool hasSurvivedStart, bool hasBegunWithoutEvent)
-{
-    std::vector<PromptPart> parts = hasSurvivedStart ? std::vector<PromptPart>() : promptParts_;
-    if (!parts.empty() || context_.crashDetector.hasAbandoned(server.id))
-        context_.crashDetector.connectionBroke(server, { std::move(parts), sentAt, hasBegunWithoutEvent }, [] {});
-}
-
 void ForwardedRequest::handleHeldBody(std::string_view body)
 {
     std::shared_ptr<EventSplitter> splitter = held_->splitter;
@@ -278,8 +273,7 @@
 // Returns whether the request may be sent now. Refuses it, or lets it wait to become a probe, if it has a suspect part.
 bool ForwardedRequest::isAdmittedByQuarantine()
 {
-    QuarantineVerdict verdict = context_.quarantine.admit(promptParts_, number_);
-    isProbe_ = verdict.decision == QuarantineDecision::Wait || context_.quarantine.isSuspect(promptParts_);
+    QuarantineVerdict verdict = promptGuard_.admit();
     if (verdict.decision == QuarantineDecision::Send)
         return true;
     if (verdict.decision == QuarantineDecision::Wait) {
@@ -304,7 +298,7 @@
         retryAfter_ = wait->retryAfter;
     if (wait && wait->mayWait)
         return;
-    WaitingState waiting { executions_ > 0, isProbe_, context_.selector.isUnavailable(options_.service), hadRecentOutage, willBeLate() };
+    WaitingState waiting { executions_ > 0, promptGuard_.isProbe(), context_.selector.isUnavailable(options_.service), hadRecentOutage, willBeLate() };
     if (!timing_->mayWait(context_.clock.now(), waiting))
         giveUp("no server is free");
 }
@@ -497,7 +491,7 @@
 void ForwardedRequest::recordSurvival()
 {
     if (!hasSurvivedStart_)
-        context_.quarantine.recordResponse(promptParts_);
+        promptGuard_.recordResponse();
     hasSurvivedStart_ = true;
 }
 
@@ -563,7 +557,7 @@
 {
     std::shared_ptr<ForwardedRequest> self = shared_from_this();
     ServerRecord server = *server_;
-    bool hasBegun = hasBegunWithoutEvent();
+    PromptExposure exposure = currentExposure();
     const std::string& serverId = server.id;
     lastReason_ = std::string(reason);
     LogLine line("attemptEnded");
@@ -571,8 +565,7 @@
     line.add("executed", failure == AttemptFailure::NotConnected || failure == AttemptFailure::Refused ? "no" : "unknown");
     line.add("status", head_ ? head_->status : 0).add("events", events_.count()).add("reusedConnection", isReusedConnection_);
     line.add("elapsedMs", milliseconds(context_.clock.now() - timing_->arrivedAt()));
-    if (!promptParts_.empty())
-        line.add("begun", attemptBegunAt_.has_value()).add("promptParts", formatPromptParts(gsl::make_span(promptParts_).first(std::min(promptParts_.size(), maxLoggedParts)))).add("promptPartCount", std::uint64_t { promptParts_.size() });
+    promptGuard_.addTo(line, attemptBegunAt_.has_value());
     context_.log.write(line);
     switch (failure) {
     case AttemptFailure::NotConnected:
@@ -601,33 +594,32 @@
     head_.reset();
     if (held_) {
         if (failure == AttemptFailure::Unknown && reason == brokenConnection)
-            recordPossibleCrash(server, sentAt_, hasSurvivedStart_, hasBegun);
+            promptGuard_.recordPossibleCrash(server, exposure);
         resumeHeldAttempt();
         return;
     }
     bool hasConnectionEnded = failure == AttemptFailure::Unknown && (reason == brokenConnection || reason == incompleteStream);
-    if (hasConnectionEnded && !hasSurvivedStart_ && !promptParts_.empty()) {
-        checkForCrash(server, hasBegun);
+    if (hasConnectionEnded && promptGuard_.mayHaveCrashed(exposure)) {
+        checkForCrash(server, exposure);
         return;
     }
-    if (hasConnectionEnded && context_.crashDetector.hasAbandoned(serverId))
-        context_.crashDetector.connectionBroke(server, {}, [] {});
+    if (hasConnectionEnded)
+        promptGuard_.recordBrokenConnection(server);
     retryOrGiveUp(failure);
 }
 
-// Returns whether the head of a response has arrived in this attempt, but none of its events.
-bool ForwardedRequest::hasBegunWithoutEvent() const
+PromptExposure ForwardedRequest::currentExposure() const
 {
-    return state_ == State::Streaming && !attemptBegunAt_;
+    return { sentAt_, hasSurvivedStart_, state_ == State::Streaming && !attemptBegunAt_ };
 }
 
 // The request waits for the result, so that a prompt that crashes servers is not sent to the next one.
-void ForwardedRequest::checkForCrash(const ServerRecord& server, bool hasBegun)
+void ForwardedRequest::checkForCrash(const ServerRecord& server, const PromptExposure& exposure)
 {
     state_ = State::Waiting;
     isCrashCheckPending_ = true;
     std::weak_ptr<ForwardedRequest> weak = weak_from_this();
-    context_.crashDetector.connectionBroke(server, { promptParts_, sentAt_, hasBegun }, [weak] {
+    promptGuard_.checkForCrash(server, exposure, [weak] {
         std::shared_ptr<ForwardedRequest> request = weak.lock();
         if (!request || request->state_ != State::Waiting)
             return;
@@ -644,7 +636,7 @@
         return;
     }
     // A request whose prompt may have crashed a server is not repeated. Later ones show whether it did.
-    bool isSuspect = executions_ > 0 && context_.quarantine.isSuspect(promptParts_);
+    bool isSuspect = executions_ > 0 && promptGuard_.isSuspect();
     if (isSuspect || !canRetry(failure)) {
         giveUp(isSuspect ? quarantinedPrompt : std::string_view(lastReason_));
         return;
@@ -745,15 +737,13 @@
 
 void ForwardedRequest::giveUp(std::string_view reason)
 {
-    bool isRunning = state_ == State::Sent || state_ == State::Buffering || state_ == State::Streaming;
-    bool mayHaveRun = executions_ > 0 || (isRunning && !isRefusal_);
-    if (isRunning) {
+    bool mayHaveRun = executions_ > 0 || (isRunning() && !isRefusal_);
+    recordAbandonment();
+    if (isRunning()) {
         // A non-idempotent request may be partly executed. Only the connection is closed; the server may still
         // finish the request.
-        recordAbandonment();
         closeConnection();
     }
-    recordHeldAbandonment();
     closeHeldAttempt();
     if (isStreamStarted()) {
         ++context_.counters.cutStreams;
@@ -800,28 +790,20 @@
     std::shared_ptr<ForwardedRequest> self = shared_from_this();
     ++context_.counters.cancelled;
     isCallerDisconnected_ = true;
-    bool isRunning = state_ == State::Sent || state_ == State::Buffering || state_ == State::Streaming;
     // A non-idempotent request continues, since cancelling it would leave its effects unknown.
-    if (isRunning && options_.route->kind == RequestKind::NonIdempotent)
+    if (isRunning() && options_.route->kind == RequestKind::NonIdempotent)
         return;
-    if (isRunning)
-        recordAbandonment();
-    recordHeldAbandonment();
+    recordAbandonment();
     closeConnection();
     finish("callerLeft", ResultCode::Cancelled, "");
 }
 
-// The server may begin the request before it learns that the connection is closed.
 void ForwardedRequest::recordAbandonment()
 {
-    if (!hasSurvivedStart_ && !isRefusal_ && !promptParts_.empty())
-        context_.crashDetector.requestAbandoned(server_->id, { promptParts_, sentAt_, hasBegunWithoutEvent() });
-}
-
-void ForwardedRequest::recordHeldAbandonment()
-{
-    if (held_ && !held_->hasSurvivedStart && !promptParts_.empty())
-        context_.crashDetector.requestAbandoned(held_->server.id, { promptParts_, held_->sentAt, held_->splitter && !held_->begunAt });
+    if (isRunning() && !isRefusal_)
+        promptGuard_.recordAbandonment(server_->id, currentExposure());
+    if (held_)
+        promptGuard_.recordAbandonment(held_->server.id, held_->exposure());
 }
 
 void ForwardedRequest::finish(std::string_view outcome, ResultCode code, std::string_view reason)
@@ -847,7 +829,7 @@
     }
     releaseServer();
     closeHeldAttempt();
-    context_.quarantine.release(promptParts_, number_);
+    promptGuard_.release();
     state_ = State::Done;
     // Makes pending callbacks ineffective.
     attempt_ = ++lastAttempt_;
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "Catalog/Catalog.h"
 #include "Core/ResultCode.h"
 #include "Forwarding/EventSplitter.h"
 #include "Forwarding/EventTimes.h"
 #include "Forwarding/ForwardingContext.h"
 #include "Forwarding/HeldAttempt.h"
+#include "Forwarding/PromptGuard.h"
+#include "Forwarding/RequestOptions.h"
 #include "Forwarding/RequestTiming.h"
 #include "Forwarding/WaitQueueKey.h"
 #include "Transport/HttpServer.h"
@@ -19,19 +20,6 @@
 
 namespace Damaskgrade {
 
-// The properties of one request that follow from the catalog and from its headers.
-struct RequestOptions {
-    // Owns the object that route points to.
-    CatalogPointer catalog;
-    const Route* route { nullptr };
-    // The service that was selected by the weights of the route.
-    std::string service;
-    // Empty if the request has no key.
-    std::string customer;
-    // Lower values are sent first.
-    std::int32_t priority { 0 };
-};
-
 // Forwards one request to a backend server, and the response to the caller. Sends the request to one server at
 // a time, but to a second one if the first is silent and the route permits it; the first one that continues the response
 // is kept. Retries only if that cannot execute a non-idempotent request twice: if the server proved that it did
@@ -94,7 +82,6 @@
     void handleHeldBody(std::string_view body);
     void handleHeldEnd();
     void handleHeldFailure();
-    void recordPossibleCrash(const ServerRecord& server, TimePoint sentAt, bool hasSurvivedStart, bool hasBegunWithoutEvent);
     void waitOrRefuse();
     void connected(std::uint32_t attempt, std::shared_ptr<UpstreamConnection> connection, bool isReused);
     std::string serializeRequest() const;
@@ -111,15 +98,16 @@
     void endAttempt(AttemptFailure failure, std::string_view reason);
     void recordRefusal(const std::string& serverId);
     void recordBrokenConnection(const std::string& serverId);
-    bool hasBegunWithoutEvent() const;
-    void checkForCrash(const ServerRecord& server, bool hasBegun);
+    PromptExposure currentExposure() const;
+    void checkForCrash(const ServerRecord& server, const PromptExposure& exposure);
     void recordAbandonment();
-    void recordHeldAbandonment();
     void retryOrGiveUp(AttemptFailure failure);
     void closeConnection();
     void releaseServer();
     bool canRetry(AttemptFailure failure);
 
+    // Returns whether the current attempt has been sent and has not ended.
+    bool isRunning() const { return state_ == State::Sent || state_ == State::Buffering || state_ == State::Streaming; }
     bool isStreamStarted() const { return streamStarted_; }
     void deliverResponse();
     void finishStream();
@@ -133,9 +121,9 @@
     RequestOptions options_;
     std::function<void(ForwardedRequest*)> onDone_;
     std::string requestId_;
-    // Distinguishes the requests of this entry in the quarantine.
+    // Distinguishes the requests of this entry.
     std::uint64_t number_ { 0 };
-    std::vector<PromptPart> promptParts_;
+    PromptGuard promptGuard_;
     // Empty unless the server selection considers which parts a server holds.
     std::vector<PromptSegment> prompt_;
     // Set in the constructor.
@@ -166,8 +154,6 @@
     // The server has survived the start of the response in the current attempt.
     bool hasSurvivedStart_ { false };
     bool isCrashCheckPending_ { false };
-    // The request has a suspect prompt part and may become the probe of it.
-    bool isProbe_ { false };
     std::optional<std::chrono::milliseconds> retryAfter_;
     std::optional<HttpResponse> head_;
     bool isRefusal_ { false };
--- a/Source/Forwarding/HeldAttempt.h
+++ b/Source/Forwarding/HeldAttempt.h
@@ -3,6 +3,7 @@
 #include "Core/Clock.h"
 #include "Fleet/ServerRecord.h"
 #include "Forwarding/EventSplitter.h"
+#include "Forwarding/PromptGuard.h"
 #include "Transport/HttpMessage.h"
 #include "Transport/UpstreamConnection.h"
 
@@ -25,6 +26,8 @@
     // Set if the head of the response has arrived, and with it the splitter.
     std::optional<HttpResponse> head;
     std::shared_ptr<EventSplitter> splitter;
+
+    PromptExposure exposure() const { return { sentAt, hasSurvivedStart, splitter && !begunAt }; }
 };
 
 }
